Lay down the workspace: design page, public types, ports, module interfaces, build and test scripts

Cause: the code base needs its shape before its parts: ports and adapters, typed messages and commands, a worker pool and a timer service over shared tables. Conclusion: the modules can be built in parallel against these headers.

--- /dev/null
+++ b/include/teaselturn/Message.h
@@ -0,0 +1,173 @@
+#pragma once
+
+#include "teaselturn/Command.h"
+#include "teaselturn/OwnershipTypes.h"
+#include "teaselturn/ResultCode.h"
+#include "teaselturn/Types.h"
+
+#include <variant>
+#include <vector>
+
+/// Messages between processes of the system. docs/design.md section 4.8 lists their purpose.
+namespace teaselturn {
+
+struct VoteRequest {
+    Term term;
+    DiskId disk;
+    LogIndex lastIndex;
+    Term lastTerm;
+    /// A pre-vote asks whether an election could be won; it changes no term.
+    bool isPreVote {};
+
+    friend bool operator==(const VoteRequest&, const VoteRequest&) = default;
+};
+
+struct VoteReply {
+    Term term;
+    DiskId disk;
+    bool isGranted {};
+    bool isPreVote {};
+
+    friend bool operator==(const VoteReply&, const VoteReply&) = default;
+};
+
+struct AppendRequest {
+    Term term;
+    LogIndex previousIndex;
+    Term previousTerm;
+    LogIndex commitIndex;
+    std::vector<LogEntry> entries;
+    /// Number of the heartbeat round, echoed in the reply; it measures the leader lease.
+    std::uint64_t round {};
+
+    friend bool operator==(const AppendRequest&, const AppendRequest&) = default;
+};
+
+struct AppendReply {
+    Term term;
+    DiskId disk;
+    bool isAccepted {};
+    /// Last index that matches the leader's log, synced to disk; on refusal, where the leader should go back to.
+    LogIndex matchIndex;
+    std::uint64_t round {};
+
+    friend bool operator==(const AppendReply&, const AppendReply&) = default;
+};
+
+/// Part of the encoded snapshot. The core treats the bytes as opaque.
+struct SnapshotChunk {
+    Term term;
+    LogIndex lastIndex;
+    Term lastTerm;
+    std::uint64_t offset {};
+    std::uint64_t totalBytes {};
+    std::vector<std::uint8_t> bytes;
+
+    friend bool operator==(const SnapshotChunk&, const SnapshotChunk&) = default;
+};
+
+struct SnapshotReply {
+    Term term;
+    DiskId disk;
+    LogIndex lastIndex;
+    /// Bytes received so far; the leader continues from here.
+    std::uint64_t nextOffset {};
+
+    friend bool operator==(const SnapshotReply&, const SnapshotReply&) = default;
+};
+
+/// Requests served for one slot since the last summary.
+struct SlotLoad {
+    SlotId slot;
+    std::uint32_t requests {};
+
+    friend bool operator==(const SlotLoad&, const SlotLoad&) = default;
+};
+
+/// A key that is frequent at an entry VM.
+struct HotKeySample {
+    ServiceId service;
+    std::string key;
+    std::uint32_t requests {};
+
+    friend bool operator==(const HotKeySample&, const HotKeySample&) = default;
+};
+
+struct DelegationRequest {
+    std::uint64_t sequence {};
+    BootId boot;
+    LogIndex appliedIndex;
+    BundleVersion bundleInForce;
+    bool isHealthy {};
+    std::vector<SlotLoad> loads;
+    std::vector<HotKeySample> hotKeys;
+
+    friend bool operator==(const DelegationRequest&, const DelegationRequest&) = default;
+};
+
+struct DelegationReply {
+    std::uint64_t sequence {};
+    ResultCode code { ResultCode::Ok };
+    /// Zero where the delegation is refused; counted by the entry VM from before it sent the request.
+    std::chrono::milliseconds length {};
+    LogIndex commitIndex;
+    /// Who to ask where the answering member is not the leader. Zero where unknown.
+    NodeId leader;
+
+    friend bool operator==(const DelegationReply&, const DelegationReply&) = default;
+};
+
+struct FeedRequest {
+    std::uint64_t sequence {};
+    /// The sender has applied everything up to here.
+    LogIndex appliedIndex;
+
+    friend bool operator==(const FeedRequest&, const FeedRequest&) = default;
+};
+
+struct FeedReply {
+    std::uint64_t sequence {};
+    /// Highest index that the answering process has applied.
+    LogIndex lastIndex;
+    std::vector<LogEntry> entries;
+    /// Encoded OwnershipSnapshot in place of entries that have been compacted; parts arrive in order of offset.
+    std::uint64_t snapshotOffset {};
+    std::uint64_t snapshotTotalBytes {};
+    LogIndex snapshotIndex;
+    std::vector<std::uint8_t> snapshotBytes;
+
+    friend bool operator==(const FeedReply&, const FeedReply&) = default;
+};
+
+struct ProposeRequest {
+    /// Number of the proposal at its sender; a resend carries the same number.
+    std::uint64_t sequence {};
+    Command command;
+
+    friend bool operator==(const ProposeRequest&, const ProposeRequest&) = default;
+};
+
+struct ProposeReply {
+    std::uint64_t sequence {};
+    /// Ok once the command is committed and applied; the outcome says what it did.
+    ResultCode code { ResultCode::Ok };
+    LogIndex index;
+    ApplyOutcome outcome;
+    NodeId leader;
+
+    friend bool operator==(const ProposeReply&, const ProposeReply&) = default;
+};
+
+/// Any message between processes of the system. The order is part of the protocol: append only.
+using PeerMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
+    DelegationRequest, DelegationReply, FeedRequest, FeedReply, ProposeRequest, ProposeReply>;
+
+/// A message with the node that it goes to.
+struct OutboundMessage {
+    NodeId to;
+    PeerMessage message;
+
+    friend bool operator==(const OutboundMessage&, const OutboundMessage&) = default;
+};
+
+}
--- /dev/null
+++ b/include/teaselturn/teaselturn.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/// Umbrella header of teaselturn's public types and ports.
+
+#include "teaselturn/Bundle.h"
+#include "teaselturn/Command.h"
+#include "teaselturn/LogEvent.h"
+#include "teaselturn/Message.h"
+#include "teaselturn/OwnershipTypes.h"
+#include "teaselturn/Ports.h"
+#include "teaselturn/Result.h"
+#include "teaselturn/ResultCode.h"
+#include "teaselturn/Types.h"
--- /dev/null
+++ b/src/core/LogEvent.cpp
@@ -0,0 +1,60 @@
+#include "teaselturn/LogEvent.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+const std::array<LogEventRow, 38> logEventTable { {
+    { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
+    { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
+    { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
+    { LogEvent::ListenFailed, "ListenFailed", LogLevel::Error, "an address cannot be listened on" },
+    { LogEvent::SettingsLoaded, "SettingsLoaded", LogLevel::Info, "the settings were loaded" },
+    { LogEvent::DrainDeadlineReached, "DrainDeadlineReached", LogLevel::Warning, "the drain deadline passed with requests in flight" },
+    { LogEvent::QueueOverflow, "QueueOverflow", LogLevel::Warning, "a bounded queue is full" },
+    { LogEvent::BundleAccepted, "BundleAccepted", LogLevel::Info, "a bundle was accepted" },
+    { LogEvent::BundleRefused, "BundleRefused", LogLevel::Warning, "a bundle was refused" },
+    { LogEvent::BundleInForce, "BundleInForce", LogLevel::Info, "a bundle came into force" },
+    { LogEvent::RolloutAdvanced, "RolloutAdvanced", LogLevel::Info, "the rollout reached another region" },
+    { LogEvent::RequestRefused, "RequestRefused", LogLevel::Debug, "a malformed request was refused" },
+    { LogEvent::RequestNotRun, "RequestNotRun", LogLevel::Debug, "a request ended as not run" },
+    { LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "a request ended with unknown outcome" },
+    { LogEvent::AnswerDropped, "AnswerDropped", LogLevel::Warning, "an answer was incomplete or belonged to another request" },
+    { LogEvent::ConnectionReplaced, "ConnectionReplaced", LogLevel::Info, "a connection without progress was closed" },
+    { LogEvent::CircuitOpened, "CircuitOpened", LogLevel::Warning, "the circuit breaker of an upstream opened" },
+    { LogEvent::CircuitClosed, "CircuitClosed", LogLevel::Info, "the circuit breaker of an upstream closed" },
+    { LogEvent::MessageDropped, "MessageDropped", LogLevel::Warning, "a message from a peer was dropped" },
+    { LogEvent::PeerUnreachable, "PeerUnreachable", LogLevel::Debug, "a peer cannot be reached" },
+    { LogEvent::ElectionStarted, "ElectionStarted", LogLevel::Info, "an election started" },
+    { LogEvent::LeaderElected, "LeaderElected", LogLevel::Info, "this member became the leader" },
+    { LogEvent::LeaderSteppedDown, "LeaderSteppedDown", LogLevel::Info, "this member stepped down" },
+    { LogEvent::LogTailCut, "LogTailCut", LogLevel::Warning, "an incomplete record at the end of the log was cut" },
+    { LogEvent::LogUnusable, "LogUnusable", LogLevel::Fatal, "the log is corrupt or cannot be written" },
+    { LogEvent::SnapshotWritten, "SnapshotWritten", LogLevel::Info, "a snapshot was written" },
+    { LogEvent::SnapshotInstalled, "SnapshotInstalled", LogLevel::Info, "a snapshot was installed" },
+    { LogEvent::MembersChanged, "MembersChanged", LogLevel::Info, "the ledger members changed" },
+    { LogEvent::UpstreamAttached, "UpstreamAttached", LogLevel::Info, "an upstream attached to a steward" },
+    { LogEvent::UpstreamExpired, "UpstreamExpired", LogLevel::Info, "an upstream lost its lease" },
+    { LogEvent::UpstreamDraining, "UpstreamDraining", LogLevel::Info, "an upstream is leaving" },
+    { LogEvent::SlotsAssigned, "SlotsAssigned", LogLevel::Info, "slots were assigned" },
+    { LogEvent::MoveStarted, "MoveStarted", LogLevel::Info, "a planned move of slots started" },
+    { LogEvent::SlotsReleased, "SlotsReleased", LogLevel::Info, "slots were released" },
+    { LogEvent::DelegationGranted, "DelegationGranted", LogLevel::Debug, "the leader granted a delegation" },
+    { LogEvent::DelegationLost, "DelegationLost", LogLevel::Warning, "this entry VM holds no valid delegation" },
+    { LogEvent::HeartbeatRefused, "HeartbeatRefused", LogLevel::Debug, "a heartbeat was refused" },
+    { LogEvent::HotKeyCarved, "HotKeyCarved", LogLevel::Info, "a hot key got a slot of its own" },
+} };
+
+const LogEventRow& logEventRow(LogEvent event) noexcept
+{
+    const auto row = std::ranges::find(logEventTable, event, &LogEventRow::event);
+    return row == logEventTable.end() ? logEventTable.front() : *row;
+}
+
+std::string_view logLevelName(LogLevel level) noexcept
+{
+    static constexpr std::array<std::string_view, 5> names { "debug", "info", "warning", "error", "fatal" };
+    return names[static_cast<std::size_t>(level)];
+}
+
+}
--- /dev/null
+++ b/tests/adapters/threads/WorkerPoolTest.cpp
@@ -0,0 +1,37 @@
+#include "adapters/threads/WorkerPool.h"
+
+#include <absl/synchronization/notification.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using teaselturn::WorkerPool;
+
+TEST_CASE("worker pool finishes queued tasks on stop", "[threads]")
+{
+    // Guards against cutting accepted work during shutdown.
+    std::atomic<int> done { 0 };
+    WorkerPool pool { 4, 1000 };
+    for (int i = 0; i < 500; ++i) {
+        REQUIRE(pool.submit([&done] { done.fetch_add(1); }));
+    }
+    pool.stop();
+    CHECK(done.load() == 500);
+    CHECK_FALSE(pool.submit([] {}));
+}
+
+TEST_CASE("worker pool refuses tasks beyond its queue limit", "[threads]")
+{
+    // Guards against unbounded memory under overload.
+    absl::Notification started;
+    absl::Notification release;
+    WorkerPool pool { 1, 2 };
+    REQUIRE(pool.submit([&] {
+        started.Notify();
+        release.WaitForNotification();
+    }));
+    started.WaitForNotification();
+    CHECK(pool.submit([] {}));
+    CHECK(pool.submit([] {}));
+    CHECK_FALSE(pool.submit([] {}));
+    release.Notify();
+}
--- /dev/null
+++ b/tests/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
