--- /dev/null
+++ b/src/adapters/codec/Codec.cpp
@@ -0,0 +1,388 @@
+#include "adapters/codec/Codec.h"
+
+#include "adapters/codec/Archive.h"
+
+#include <string>
+
+// cereal has a serialization of its own for enumerations, which does not check the value.
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ZoneRule, cereal::specialization::non_member_serialize)
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ExpiryReason, cereal::specialization::non_member_serialize)
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ResultCode, cereal::specialization::non_member_serialize)
+
+namespace teaselturn {
+
+// cereal finds these by argument-dependent lookup. The order of members is the format.
+
+template <typename Archive>
+void serialize(Archive& archive, ZoneRule& value)
+{
+    serializeEnum(archive, value, ZoneRule::Keep);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ExpiryReason& value)
+{
+    serializeEnum(archive, value, ExpiryReason::ZoneRetired);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ResultCode& value)
+{
+    serializeEnum(archive, value, ResultCode::HttpUnexpectedAnswer);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ZoneSpec& value)
+{
+    archive(value.id, value.name, value.region);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RegionSpec& value)
+{
+    archive(value.id, value.name);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, NodeSpec& value)
+{
+    archive(value.id, value.zone, value.peer);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceSpec& value)
+{
+    archive(value.id, value.name, value.partitions, value.zoneRule, value.priority, value.objectivePerMillion, value.objectiveLatency, value.movesPerMinute, value.retryBudgetPercent);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OperatorKey& value)
+{
+    archive(value.name, value.publicKey);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, Bundle& value)
+{
+    archive(value.version, value.regions, value.zones, value.entries, value.members, value.services, value.operators, value.threshold, value.rollout, value.retiredZones);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BundleSignature& value)
+{
+    archive(value.signer, value.signature);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SignedBundle& value)
+{
+    archive(value.bundle, value.canonicalBytes, value.digest, value.signatures);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AttachUpstream& value)
+{
+    archive(value.name, value.incarnation, value.service, value.zone, value.endpoint, value.requestSlots, value.connectionLimit, value.checksGrants, value.steward, value.stewardBoot);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ExpireUpstream& value)
+{
+    archive(value.upstream, value.session, value.reason);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DrainUpstream& value)
+{
+    archive(value.upstream, value.session);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SlotAssignment& value)
+{
+    archive(value.slot, value.owner, value.expectedFence);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AssignSlots& value)
+{
+    archive(value.assignments);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BeginMove& value)
+{
+    archive(value.moves);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SlotRelease& value)
+{
+    archive(value.slot, value.fence);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ReleaseSlots& value)
+{
+    archive(value.upstream, value.session, value.releases);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AcceptBundle& value)
+{
+    archive(value.bundle);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AdvanceRollout& value)
+{
+    archive(value.version, value.stage);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, CarveHotKey& value)
+{
+    archive(value.service, value.key);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, MergeHotKey& value)
+{
+    archive(value.slot);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, MemberSpec& value)
+{
+    archive(value.node, value.disk, value.voter);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ChangeMembers& value)
+{
+    archive(value.members);
+}
+
+template <typename Archive>
+void serialize(Archive&, NoOperation&)
+{
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LogEntry& value)
+{
+    archive(value.term, value.index, value.command);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, UpstreamRecord& value)
+{
+    archive(value.id, value.session, value.attachment, value.isDraining);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SlotRecord& value)
+{
+    archive(value.owner, value.fence, value.moveTarget, value.freedAt, value.lastOwnerChecksGrants);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HotKeyRecord& value)
+{
+    archive(value.slot, value.key, value.record);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceRecord& value)
+{
+    archive(value.service, value.partitions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, OwnershipSnapshot& value)
+{
+    archive(value.appliedIndex, value.accepted, value.previous, value.rolloutStage, value.upstreams, value.services, value.hotKeys, value.nextHotKeySlot, value.members);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ApplyOutcome& value)
+{
+    archive(value.code, value.upstream, value.session, value.winner, value.winnerSigners);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, VoteRequest& value)
+{
+    archive(value.term, value.disk, value.lastIndex, value.lastTerm, value.isPreVote);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, VoteReply& value)
+{
+    archive(value.term, value.disk, value.isGranted, value.isPreVote);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AppendRequest& value)
+{
+    archive(value.term, value.previousIndex, value.previousTerm, value.commitIndex, value.entries, value.round);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AppendReply& value)
+{
+    archive(value.term, value.disk, value.isAccepted, value.matchIndex, value.round);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SnapshotChunk& value)
+{
+    archive(value.term, value.lastIndex, value.lastTerm, value.offset, value.totalBytes, value.bytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SnapshotReply& value)
+{
+    archive(value.term, value.disk, value.lastIndex, value.nextOffset);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, SlotLoad& value)
+{
+    archive(value.slot, value.requests);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HotKeySample& value)
+{
+    archive(value.service, value.key, value.requests);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DelegationRequest& value)
+{
+    archive(value.sequence, value.boot, value.appliedIndex, value.bundleInForce, value.isHealthy, value.loads, value.hotKeys);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DelegationReply& value)
+{
+    archive(value.sequence, value.code, value.length, value.commitIndex, value.leader);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, FeedRequest& value)
+{
+    archive(value.sequence, value.appliedIndex);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, FeedReply& value)
+{
+    archive(value.sequence, value.lastIndex, value.entries, value.snapshotOffset, value.snapshotTotalBytes, value.snapshotIndex, value.snapshotBytes);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ProposeRequest& value)
+{
+    archive(value.sequence, value.command);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ProposeReply& value)
+{
+    archive(value.sequence, value.code, value.index, value.outcome, value.leader);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, HardState& value)
+{
+    archive(value.term, value.votedFor, value.votedForDisk);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, LedgerSnapshot& value)
+{
+    archive(value.lastIndex, value.lastTerm, value.members, value.bytes);
+}
+
+namespace {
+
+    template <typename T>
+    std::vector<std::uint8_t> encode(const T& value)
+    {
+        std::vector<std::uint8_t> bytes;
+        EncodeArchive archive { bytes };
+        archive(value);
+        return bytes;
+    }
+
+    template <typename T>
+    Result<T> decode(std::span<const std::uint8_t> bytes, ResultCode malformed)
+    {
+        try {
+            DecodeArchive archive { bytes };
+            T value;
+            archive(value);
+            if (archive.remaining() != 0) {
+                return { malformed, std::to_string(archive.remaining()) + " bytes are left over" };
+            }
+            return value;
+        } catch (const cereal::Exception& exception) {
+            return { malformed, exception.what() };
+        }
+    }
+
+}
+
+std::vector<std::uint8_t> encodeMessage(const PeerMessage& message)
+{
+    return encode(message);
+}
+
+Result<PeerMessage> decodeMessage(std::span<const std::uint8_t> bytes)
+{
+    return decode<PeerMessage>(bytes, ResultCode::MessageMalformed);
+}
+
+std::vector<std::uint8_t> encodeLogEntry(const LogEntry& entry)
+{
+    return encode(entry);
+}
+
+Result<LogEntry> decodeLogEntry(std::span<const std::uint8_t> bytes)
+{
+    return decode<LogEntry>(bytes, ResultCode::LogCorrupt);
+}
+
+std::vector<std::uint8_t> encodeHardState(const HardState& state)
+{
+    return encode(state);
+}
+
+Result<HardState> decodeHardState(std::span<const std::uint8_t> bytes)
+{
+    return decode<HardState>(bytes, ResultCode::LogCorrupt);
+}
+
+std::vector<std::uint8_t> encodeOwnershipSnapshot(const OwnershipSnapshot& snapshot)
+{
+    return encode(snapshot);
+}
+
+Result<OwnershipSnapshot> decodeOwnershipSnapshot(std::span<const std::uint8_t> bytes)
+{
+    return decode<OwnershipSnapshot>(bytes, ResultCode::SnapshotCorrupt);
+}
+
+std::vector<std::uint8_t> encodeLedgerSnapshot(const LedgerSnapshot& snapshot)
+{
+    return encode(snapshot);
+}
+
+Result<LedgerSnapshot> decodeLedgerSnapshot(std::span<const std::uint8_t> bytes)
+{
+    return decode<LedgerSnapshot>(bytes, ResultCode::SnapshotCorrupt);
+}
+
+}
