--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -121,6 +121,9 @@
     std::uint64_t sequence {};
     /// The sender has applied everything up to here.
     LogIndex appliedIndex;
+    /// Snapshot that the sender is receiving, and how much of it has arrived. Zero where there is none.
+    LogIndex snapshotIndex;
+    std::uint64_t snapshotOffset {};
 
     friend bool operator==(const FeedRequest&, const FeedRequest&) = default;
 };
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -273,7 +273,7 @@
 template <typename Archive>
 void serialize(Archive& archive, FeedRequest& value)
 {
-    archive(value.sequence, value.appliedIndex);
+    archive(value.sequence, value.appliedIndex, value.snapshotIndex, value.snapshotOffset);
 }
 
 template <typename Archive>
--- /dev/null
+++ b/src/core/ownership/EntryServiceInlines.h
@@ -0,0 +1,329 @@
+#pragma once
+
+#include "core/ownership/EntryService.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselturn {
+
+template <SnapshotCodec Codec>
+EntryService<Codec>::EntryService(EntryIdentity identity, BundleCheck check, Codec codec)
+    : identity(std::move(identity))
+    , ownership(std::move(check))
+    , steward(this->identity.node, this->identity.boot)
+    , codec(std::move(codec))
+    // A restarted process must not reuse sequences that the leader remembers.
+    , lastSequence(this->identity.boot.value)
+{
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::tick(Instant now)
+{
+    this->renewDelegation(now);
+    this->requestFeed(now);
+    for (auto& command : this->steward.tick(now, this->ownership)) {
+        this->proposeForSteward(now, std::move(command));
+    }
+    this->resendProposals(now);
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::receive(Instant now, NodeId from, const PeerMessage& message)
+{
+    if (const auto* reply = std::get_if<DelegationReply>(&message)) {
+        this->takeDelegationReply(now, from, *reply);
+    } else if (const auto* reply = std::get_if<FeedReply>(&message)) {
+        this->takeFeedReply(now, *reply);
+    } else if (const auto* reply = std::get_if<ProposeReply>(&message)) {
+        this->takeProposeReply(from, *reply);
+    } else if (const auto* request = std::get_if<FeedRequest>(&message)) {
+        this->takePeerFeedRequest(from, *request);
+    }
+}
+
+template <SnapshotCodec Codec>
+HeartbeatReply EntryService<Codec>::heartbeat(Instant now, const Heartbeat& heartbeat, ResultCode& code)
+{
+    auto decision = this->steward.heartbeat(now, heartbeat, this->ownership);
+    if (decision.proposal) {
+        this->proposeForSteward(now, std::move(*decision.proposal));
+    }
+    code = decision.code;
+    return std::move(decision.reply);
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::heartbeatAnswered(Instant now, const HeartbeatReply& reply)
+{
+    if (reply.lease > std::chrono::milliseconds::zero()) {
+        this->steward.heartbeatAnswered(now, reply.upstream, reply.session, reply.lease);
+    }
+}
+
+template <SnapshotCodec Codec>
+std::uint64_t EntryService<Codec>::propose(Instant now, Command command)
+{
+    const auto sequence = ++this->lastSequence;
+    const auto& proposal = this->proposals.emplace(sequence, Proposal { std::move(command), now, now + timing::proposalPatience, true }).first->second;
+    this->send(this->leaderGuess(), ProposeRequest { sequence, proposal.command });
+    return sequence;
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::proposeForSteward(Instant now, Command command)
+{
+    const auto sequence = ++this->lastSequence;
+    const auto& proposal = this->proposals.emplace(sequence, Proposal { std::move(command), now, now + timing::proposalResend, false }).first->second;
+    this->send(this->leaderGuess(), ProposeRequest { sequence, proposal.command });
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::resendProposals(Instant now)
+{
+    for (auto item = this->proposals.begin(); item != this->proposals.end();) {
+        auto& [sequence, proposal] = *item;
+        if (now >= proposal.giveUpAt) {
+            if (proposal.isOwn) {
+                this->finishedProposals.push_back({ sequence, ResultCode::NoQuorum, {} });
+            }
+            item = this->proposals.erase(item);
+            continue;
+        }
+        if (proposal.isOwn && now - proposal.sentAt >= timing::proposalResend) {
+            proposal.sentAt = now;
+            this->send(this->leaderGuess(), ProposeRequest { sequence, proposal.command });
+        }
+        ++item;
+    }
+}
+
+template <SnapshotCodec Codec>
+std::vector<PeerPlace> EntryService<Codec>::members() const
+{
+    const auto* accepted = this->ownership.acceptedBundle();
+    if (accepted == nullptr || accepted->bundle.members.empty()) {
+        return this->identity.bootstrapMembers;
+    }
+    std::vector<PeerPlace> places;
+    for (const auto& member : accepted->bundle.members) {
+        const auto zone = std::ranges::find(accepted->bundle.zones, member.zone, &ZoneSpec::id);
+        places.push_back({ member.id, member.zone, zone == accepted->bundle.zones.end() ? RegionId {} : zone->region });
+    }
+    return places;
+}
+
+/// Nearest first: members of the zone, of the region, the others, then the other entry VMs of the zone.
+template <SnapshotCodec Codec>
+std::vector<PeerPlace> EntryService<Codec>::feedSources() const
+{
+    auto sources = this->members();
+    std::ranges::stable_sort(sources, std::ranges::less {}, [this](const PeerPlace& place) {
+        return place.zone == this->identity.zone ? 0 : place.region == this->identity.region ? 1
+                                                                                             : 2;
+    });
+    if (const auto* accepted = this->ownership.acceptedBundle()) {
+        for (const auto& entry : accepted->bundle.entries) {
+            if (entry.zone == this->identity.zone && entry.id != this->identity.node) {
+                sources.push_back({ entry.id, entry.zone, this->identity.region });
+            }
+        }
+    }
+    return sources;
+}
+
+template <SnapshotCodec Codec>
+NodeId EntryService<Codec>::leaderGuess() const
+{
+    if (this->leader != NodeId {}) {
+        return this->leader;
+    }
+    const auto places = this->members();
+    return places.empty() ? NodeId {} : places[this->memberTurn % places.size()].node;
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::askAnotherMember()
+{
+    this->leader = NodeId {};
+    ++this->memberTurn;
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::renewDelegation(Instant now)
+{
+    if (this->delegationRequest && now - this->delegationRequest->sentAt >= timing::delegationPatience) {
+        this->delegationRequest.reset();
+        this->askAnotherMember();
+        this->nextRenewal = now;
+    }
+    if (this->delegationRequest || now < this->nextRenewal) {
+        return;
+    }
+    const auto sequence = ++this->lastSequence;
+    this->delegationRequest = SentDelegationRequest { sequence, now };
+    this->nextRenewal = now + timing::delegationRenewal;
+    const auto* inForce = this->ownership.bundleInForce(this->identity.region);
+    DelegationRequest request { sequence, this->identity.boot, this->ownership.appliedIndex(), inForce ? inForce->bundle.version : BundleVersion {}, this->load.isHealthy, std::move(this->load.loads), std::move(this->load.hotKeys) };
+    this->load.loads.clear();
+    this->load.hotKeys.clear();
+    this->send(this->leaderGuess(), std::move(request));
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::takeDelegationReply(Instant now, NodeId from, const DelegationReply& reply)
+{
+    // An answer to an earlier request could extend the delegation from a later instant than its own.
+    if (!this->delegationRequest || this->delegationRequest->sequence != reply.sequence) {
+        return;
+    }
+    const auto sentAt = this->delegationRequest->sentAt;
+    this->delegationRequest.reset();
+    if (reply.code == ResultCode::Ok) {
+        this->leader = from;
+        this->steward.delegated(sentAt, reply);
+        return;
+    }
+    if (reply.leader != NodeId {} && reply.leader != from) {
+        this->leader = reply.leader;
+        this->nextRenewal = now;
+    } else {
+        this->askAnotherMember();
+        this->nextRenewal = now + timing::delegationPatience / 4;
+    }
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::requestFeed(Instant now)
+{
+    if (this->isFeedRequested && now >= this->feedDueAt) {
+        this->isFeedRequested = false;
+        this->transfer.reset();
+        ++this->feedTurn;
+    }
+    const auto sources = this->feedSources();
+    if (this->isFeedRequested || now < this->feedNotBefore || sources.empty()) {
+        return;
+    }
+    this->isFeedRequested = true;
+    this->feedDueAt = now + timing::feedPatience;
+    this->feedSequence = ++this->lastSequence;
+    FeedRequest request { this->feedSequence, this->ownership.appliedIndex(), {}, 0 };
+    if (this->transfer) {
+        request.snapshotIndex = this->transfer->index;
+        request.snapshotOffset = this->transfer->bytes.size();
+    }
+    this->send(sources[this->feedTurn % sources.size()].node, request);
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::takeFeedReply(Instant now, const FeedReply& reply)
+{
+    if (!this->isFeedRequested || reply.sequence != this->feedSequence) {
+        return;
+    }
+    this->isFeedRequested = false;
+    const auto before = this->ownership.appliedIndex();
+    if (reply.snapshotTotalBytes != 0) {
+        this->takeSnapshotPart(reply);
+    } else {
+        for (const auto& entry : reply.entries) {
+            if (entry.index.value == this->ownership.appliedIndex().value + 1) {
+                auto outcome = this->ownership.apply(entry.index, entry.command);
+                this->appliedEntries.push_back({ entry, std::move(outcome) });
+            }
+        }
+    }
+    const auto hasMore = this->transfer || (this->ownership.appliedIndex() < reply.lastIndex && this->ownership.appliedIndex() > before);
+    if (hasMore) {
+        this->feedNotBefore = now + timing::feedPause;
+    } else if (this->feedTurn % this->feedSources().size() >= this->members().size()) {
+        // An entry VM answers at once; the next question goes to a member again.
+        this->feedNotBefore = now + feedHold;
+        this->feedTurn = 0;
+    }
+    this->requestFeed(now);
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::takeSnapshotPart(const FeedReply& reply)
+{
+    // A snapshot that is not newer than the applied state would turn it back.
+    if (reply.snapshotIndex <= this->ownership.appliedIndex()) {
+        this->transfer.reset();
+        return;
+    }
+    if (!this->transfer || this->transfer->index != reply.snapshotIndex) {
+        this->transfer = SnapshotTransfer { reply.snapshotIndex, {} };
+    }
+    auto& bytes = this->transfer->bytes;
+    if (reply.snapshotOffset != bytes.size()) {
+        this->transfer.reset();
+        return;
+    }
+    bytes.insert(bytes.end(), reply.snapshotBytes.begin(), reply.snapshotBytes.end());
+    if (bytes.size() < reply.snapshotTotalBytes) {
+        return;
+    }
+    auto decoded = this->codec.decode(bytes);
+    this->transfer.reset();
+    if (decoded && decoded->appliedIndex > this->ownership.appliedIndex()) {
+        this->ownership.restore(std::move(*decoded));
+        this->appliedEntries.clear();
+        this->isRestored = true;
+    }
+}
+
+template <SnapshotCodec Codec>
+void EntryService<Codec>::takeProposeReply(NodeId from, const ProposeReply& reply)
+{
+    const auto found = this->proposals.find(reply.sequence);
+    if (found == this->proposals.end()) {
+        return;
+    }
+    if (reply.code == ResultCode::Ok) {
+        this->leader = from;
+        if (found->second.isOwn) {
+            this->finishedProposals.push_back({ reply.sequence, reply.outcome.code, reply.outcome });
+        }
+        this->proposals.erase(found);
+        return;
+    }
+    // Anything else is repeated at the next resend, by then to the leader that the answer named.
+    if (reply.leader != NodeId {} && reply.leader != from) {
+        this->leader = reply.leader;
+    } else if (this->leader == from) {
+        this->askAnotherMember();
+    }
+}
+
+/// Serves the whole state: entry VMs keep no log, and only peers that were cut off from every member ask them.
+template <SnapshotCodec Codec>
+void EntryService<Codec>::takePeerFeedRequest(NodeId from, const FeedRequest& request)
+{
+    const auto applied = this->ownership.appliedIndex();
+    FeedReply answer { request.sequence, applied, {}, 0, 0, {}, {} };
+    if (request.appliedIndex < applied) {
+        if (!this->servedSnapshot || (request.snapshotIndex != this->servedSnapshot->index && this->servedSnapshot->index < applied)) {
+            this->servedSnapshot = SnapshotTransfer { applied, this->codec.encode(this->ownership.snapshot()) };
+        }
+        const auto& bytes = this->servedSnapshot->bytes;
+        const auto continues = request.snapshotIndex == this->servedSnapshot->index;
+        const auto begin = continues ? std::min<std::size_t>(request.snapshotOffset, bytes.size()) : 0;
+        const auto end = std::min(begin + feedSnapshotPartBytes, bytes.size());
+        answer.snapshotOffset = begin;
+        answer.snapshotTotalBytes = bytes.size();
+        answer.snapshotIndex = this->servedSnapshot->index;
+        answer.snapshotBytes.assign(bytes.begin() + static_cast<std::ptrdiff_t>(begin), bytes.begin() + static_cast<std::ptrdiff_t>(end));
+    }
+    this->send(from, std::move(answer));
+}
+
+template <SnapshotCodec Codec>
+EntryEffects EntryService<Codec>::takeEffects()
+{
+    return { std::exchange(this->outbound, {}), std::exchange(this->appliedEntries, {}), std::exchange(this->isRestored, false), std::exchange(this->finishedProposals, {}) };
+}
+
+}
