Add settings of teaselturnd with a loader that reports every fault

Cause: a daemon must not start on settings that are misspelt, incomplete or contradictory. Ruled out: stopping at the first fault, which makes operators fix a file in as many rounds as it has faults. Before: none. Conclusion: the reader checks types, SettingsBuilder checks values and what they say together, SettingsFiles the files.

--- /dev/null
+++ b/src/adapters/settings/SettingsFiles.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "adapters/settings/Problem.h"
+#include "adapters/settings/Settings.h"
+
+namespace teaselturn {
+
+/// Reads the cluster key into the settings and checks the other files that the settings name.
+/// @return What is wrong with the files.
+ProblemList readSettingsFiles(Settings& settings);
+
+}
