Add teaselturnctl: settings, bundles, keys, submit, status, owner

Cause: operators act through signed bundles and by observing, and need one program for both. Ruled out: PEM key files, which carry no operator's name; a sign command that writes over its input without a rename. Before: a program that printed its version.

--- a/src/adapters/settings/StrictJson.cpp
+++ b/src/adapters/settings/StrictJson.cpp
@@ -173,6 +173,11 @@
     return joinPath(this->path, name);
 }
 
+const nlohmann::json* ObjectReader::raw(std::string_view name)
+{
+    return this->find(name, Presence::Optional, {});
+}
+
 std::optional<std::uint64_t> ObjectReader::integer(std::string_view name, Presence presence, std::uint64_t least, std::uint64_t most)
 {
     const auto allowed = least == most ? std::to_string(least) : "an integer from " + std::to_string(least) + " to " + std::to_string(most);
--- a/src/adapters/settings/StrictJson.h
+++ b/src/adapters/settings/StrictJson.h
@@ -47,6 +47,8 @@
     std::string pathOf(std::string_view name) const;
     ProblemList& problemList() const noexcept { return *this->problems; }
 
+    /// @return The member whatever its type, or null. It counts as asked for, and a missing one is not reported.
+    const nlohmann::json* raw(std::string_view name);
     /// Reads an integer in [least, most].
     std::optional<std::uint64_t> integer(std::string_view name, Presence presence, std::uint64_t least, std::uint64_t most);
     /// Reads a string that is not empty.
--- /dev/null
+++ b/src/ctl/AdminClient.cpp
@@ -0,0 +1,71 @@
+#include "ctl/AdminClient.h"
+
+#include <httplib.h>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::chrono::seconds connectTimeout { 2 };
+    /// A bundle commits within its 15 s bound; a longer silence is reported as unreachable.
+    constexpr std::chrono::seconds answerTimeout { 20 };
+    constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
+
+    Result<AdminAnswer> exchange(const Endpoint& to, httplib::Request request)
+    {
+        httplib::Client client { to.address, to.port };
+        client.set_connection_timeout(connectTimeout);
+        client.set_read_timeout(answerTimeout);
+        client.set_tcp_nodelay(true);
+        client.set_url_encode(false);
+        AdminAnswer answer;
+        request.content_receiver = [&answer](const char* data, std::size_t length, std::uint64_t, std::uint64_t) {
+            answer.body.append(data, length);
+            return answer.body.size() <= maxAnswerBytes;
+        };
+        const auto result = client.send(request);
+        if (!result) {
+            const auto code = answer.body.size() > maxAnswerBytes ? ResultCode::HttpUnexpectedAnswer : ResultCode::HttpUnreachable;
+            return { code, to.address + " port " + std::to_string(to.port) + ": " + httplib::to_string(result.error()) };
+        }
+        answer.status = result->status;
+        return answer;
+    }
+
+}
+
+Result<AdminAnswer> adminGet(const Endpoint& to, std::string_view target)
+{
+    httplib::Request request;
+    request.method = "GET";
+    request.path = target;
+    return exchange(to, std::move(request));
+}
+
+Result<AdminAnswer> adminPost(const Endpoint& to, std::string_view target, std::string_view body)
+{
+    httplib::Request request;
+    request.method = "POST";
+    request.path = target;
+    request.body = body;
+    request.set_header("Content-Type", "application/json");
+    return exchange(to, std::move(request));
+}
+
+std::string encodeQueryValue(std::string_view text)
+{
+    static constexpr std::string_view digits = "0123456789ABCDEF";
+    static constexpr std::string_view plain = "-._~";
+    std::string encoded;
+    for (const unsigned char byte : text) {
+        const auto isLetter = (byte >= 'a' && byte <= 'z') || (byte >= 'A' && byte <= 'Z');
+        if (isLetter || (byte >= '0' && byte <= '9') || plain.find(static_cast<char>(byte)) != std::string_view::npos) {
+            encoded += static_cast<char>(byte);
+        } else {
+            encoded.append({ '%', digits[byte >> 4U], digits[byte & 0x0fU] });
+        }
+    }
+    return encoded;
+}
+
+}
--- /dev/null
+++ b/src/ctl/Arguments.cpp
@@ -0,0 +1,118 @@
+#include "ctl/Arguments.h"
+
+#include "adapters/settings/IpNumber.h"
+
+#include <algorithm>
+#include <charconv>
+#include <getopt.h>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Values of getopt_long for options count from here, above every character.
+    constexpr int firstOptionValue = 256;
+
+    std::vector<option> makeLongOptions(const CommandSpec& spec)
+    {
+        std::vector<option> options;
+        for (std::size_t i = 0; i < spec.options.size(); ++i) {
+            const auto& wanted = spec.options[i];
+            options.push_back({ wanted.name.data(), wanted.value.empty() ? no_argument : required_argument, nullptr, firstOptionValue + static_cast<int>(i) });
+        }
+        options.push_back({});
+        return options;
+    }
+
+    Failure usage(const std::string& reason)
+    {
+        return { make_error_code(ResultCode::UsageError), reason };
+    }
+
+}
+
+Result<Arguments> Arguments::parse(const CommandSpec& spec, std::span<const std::string> words)
+{
+    Arguments arguments;
+    std::vector<std::string> copies { words.begin(), words.end() };
+    std::vector<char*> pointers;
+    std::ranges::transform(copies, std::back_inserter(pointers), [](std::string& word) { return word.data(); });
+    pointers.push_back(nullptr);
+    const auto longOptions = makeLongOptions(spec);
+    // Zero makes glibc start over, since a process can parse more than one command line.
+    optind = 0;
+    opterr = 0;
+    const auto count = static_cast<int>(copies.size());
+    for (int found = 0; (found = getopt_long(count, pointers.data(), ":", longOptions.data(), nullptr)) != -1;) {
+        const std::string word = pointers[static_cast<std::size_t>(optind - 1)];
+        if (found < firstOptionValue) {
+            return usage(found == ':' ? "option '" + word + "' needs a value" : "unknown option '" + word + "'");
+        }
+        const auto& matched = spec.options[static_cast<std::size_t>(found - firstOptionValue)];
+        if (!arguments.values.emplace(matched.name, optarg ? optarg : "").second) {
+            return usage("option '--" + std::string { matched.name } + "' is given twice");
+        }
+    }
+    for (const auto& wanted : spec.options) {
+        if (wanted.isRequired && !arguments.has(wanted.name)) {
+            return usage("option '--" + std::string { wanted.name } + "' is missing");
+        }
+    }
+    const auto operands = std::span { pointers }.first(copies.size()).subspan(static_cast<std::size_t>(optind));
+    const std::size_t wanted = spec.operand.empty() ? 0 : 1;
+    if (operands.size() > wanted) {
+        return usage("surplus argument '" + std::string { operands[wanted] } + "'");
+    }
+    if (operands.size() < wanted) {
+        return usage(std::string { spec.operand } + " is missing");
+    }
+    arguments.operand = wanted == 1 ? operands.front() : "";
+    return arguments;
+}
+
+Result<Endpoint> parseAddress(std::string_view text)
+{
+    const auto fault = [text] { return usage("'" + std::string { text } + "' is no ADDRESS:PORT with an IP number"); };
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return fault();
+    }
+    auto address = text.substr(0, colon);
+    const auto digits = text.substr(colon + 1);
+    const auto isBracketed = address.starts_with('[') && address.ends_with(']');
+    if (isBracketed) {
+        address = address.substr(1, address.size() - 2);
+    }
+    std::uint16_t port = 0;
+    const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    const auto isPort = error == std::errc {} && end == digits.data() + digits.size() && port != 0;
+    if (!isPort || !isIpNumber(address) || isBracketed != (address.find(':') != std::string_view::npos)) {
+        return fault();
+    }
+    return Endpoint { std::string { address }, port };
+}
+
+Result<std::vector<Endpoint>> parseAddresses(std::string_view text)
+{
+    std::vector<Endpoint> endpoints;
+    while (true) {
+        const auto comma = std::min(text.find(','), text.size());
+        auto endpoint = parseAddress(text.substr(0, comma));
+        if (!endpoint) {
+            return endpoint.failure();
+        }
+        endpoints.push_back(*std::move(endpoint));
+        if (comma == text.size()) {
+            return endpoints;
+        }
+        text.remove_prefix(comma + 1);
+    }
+}
+
+std::string formatAddress(const Endpoint& endpoint)
+{
+    const auto port = std::to_string(endpoint.port);
+    return endpoint.address.find(':') == std::string::npos ? endpoint.address + ":" + port : "[" + endpoint.address + "]:" + port;
+}
+
+}
--- /dev/null
+++ b/src/ctl/Program.cpp
@@ -0,0 +1,116 @@
+#include "ctl/Program.h"
+
+#include <algorithm>
+#include <iomanip>
+#include <ostream>
+
+namespace teaselturn {
+
+namespace {
+
+    const OptionSpec toOne { "to", "ADDRESS:PORT", true, "administration address of a VM" };
+    const OptionSpec toMany { "to", "ADDRESS:PORT,...", true, "administration addresses of VMs" };
+    const OptionSpec json { "json", "", false, "print JSON" };
+
+    const std::vector<CommandSpec>& commands()
+    {
+        static const std::vector<CommandSpec> table {
+            { "check-settings", "FILE", "check a settings file and the files it names", {}, checkSettingsCommand },
+            { "check-bundle", "FILE", "check a bundle, signed or not",
+                { { "in-force", "FILE", false, "check signatures and changes against this bundle" },
+                    { "settings", "FILE", false, "check signatures against the operators of these settings" }, json },
+                checkBundleCommand },
+            { "keygen", "", "make an operator's key pair: PREFIX.key (mode 0600) and PREFIX.pub",
+                { { "out", "PREFIX", true, "path of the files without their ending" }, { "name", "NAME", false, "operator; the last part of PREFIX if not given" } },
+                keygenCommand },
+            { "sign", "", "add a signature to a bundle",
+                { { "key", "FILE", true, "private key file" }, { "bundle", "FILE", true, "bundle, signed or not" }, { "out", "FILE", true, "signed bundle to write" } },
+                signCommand },
+            { "submit", "FILE", "submit a signed bundle", { toOne, json }, submitCommand },
+            { "status", "", "show the state of VMs", { toMany, json }, statusCommand },
+            { "owner", "KEY", "show which upstream owns a key", { toOne, { "service", "NAME", true, "service of the key" }, json }, ownerCommand },
+        };
+        return table;
+    }
+
+    std::string usageLine(const CommandSpec& spec)
+    {
+        std::string line { spec.name };
+        for (const auto& wanted : spec.options) {
+            auto text = "--" + std::string { wanted.name };
+            text += wanted.value.empty() ? "" : " " + std::string { wanted.value };
+            line += wanted.isRequired ? " " + text : " [" + text + "]";
+        }
+        return spec.operand.empty() ? line : line + " " + std::string { spec.operand };
+    }
+
+    void printHelp(std::ostream& out)
+    {
+        out << "usage: teaselturnctl COMMAND [OPTIONS]\n"
+               "       teaselturnctl --help | --version\n\n";
+        for (const auto& spec : commands()) {
+            out << "  " << usageLine(spec) << "\n      " << spec.summary << "\n";
+        }
+        out << "\nteaselturnctl COMMAND --help explains the options of a command.\n"
+               "Exit codes: 0 success, 1 refused or unhealthy, 2 usage, 3 unreachable.\n";
+    }
+
+    void printHelp(const CommandSpec& spec, std::ostream& out)
+    {
+        out << "usage: teaselturnctl " << usageLine(spec) << "\n"
+            << spec.summary << "\n";
+        for (const auto& wanted : spec.options) {
+            const auto text = "--" + std::string { wanted.name } + (wanted.value.empty() ? "" : " ") + std::string { wanted.value };
+            out << "  " << std::left << std::setw(24) << text << " " << wanted.help << "\n";
+        }
+    }
+
+    ExitCode usageError(const std::string& reason, Console& console)
+    {
+        console.err << "teaselturnctl: " << reason << "\nTry 'teaselturnctl --help'.\n";
+        return ExitCode::Usage;
+    }
+
+    ExitCode runCommand(const CommandSpec& spec, std::span<const std::string> words, Console& console)
+    {
+        if (words.size() == 2 && words[1] == "--help") {
+            printHelp(spec, console.out);
+            return ExitCode::Success;
+        }
+        const auto arguments = Arguments::parse(spec, words);
+        return arguments ? spec.run(*arguments, console) : usageError(arguments.failure().detail, console);
+    }
+
+}
+
+ExitCode runProgram(std::span<const std::string> words, std::string_view version, Console& console)
+{
+    if (words.empty()) {
+        return usageError("a command is missing", console);
+    }
+    const auto& first = words.front();
+    const auto spec = std::ranges::find(commands(), first, &CommandSpec::name);
+    if (spec != commands().end()) {
+        return runCommand(*spec, words, console);
+    }
+    if (first != "--help" && first != "--version") {
+        return usageError((first.starts_with('-') ? "unknown option '" : "unknown command '") + first + "'", console);
+    }
+    if (words.size() > 1) {
+        return usageError("surplus argument '" + words[1] + "'", console);
+    }
+    if (first == "--version") {
+        console.out << "teaselturnctl " << version << "\n";
+    } else {
+        printHelp(console.out);
+    }
+    return ExitCode::Success;
+}
+
+ExitCode reportFailure(const Failure& failure, ExitCode code, Console& console)
+{
+    console.err << "teaselturnctl: [" << failure.code.value() << "] " << failure.describe() << "\n";
+    return code;
+}
+
+}
--- /dev/null
+++ b/src/ctl/StatusView.cpp
@@ -0,0 +1,153 @@
+#include "ctl/StatusView.h"
+
+#include "adapters/settings/StrictJson.h"
+
+#include <algorithm>
+#include <array>
+#include <limits>
+
+namespace teaselturn {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr auto most = std::numeric_limits<std::uint64_t>::max();
+
+    std::uint64_t integer(ObjectReader& reader, std::string_view name)
+    {
+        return reader.integer(name, Presence::Required, 0, most).value_or(0);
+    }
+
+    /// Reads an integer or null.
+    std::optional<std::uint64_t> integerOrNull(ObjectReader& reader, std::string_view name)
+    {
+        const auto* value = reader.raw(name);
+        return value && value->is_null() ? std::nullopt : reader.integer(name, Presence::Required, 0, most);
+    }
+
+    bool boolean(ObjectReader& reader, std::string_view name)
+    {
+        const auto* value = reader.raw(name);
+        if (!value || !value->is_boolean()) {
+            reader.problemList().add(ProblemKind::InvalidValue, reader.pathOf(name), value ? describeJson(*value) : "no such member", "true or false");
+            return false;
+        }
+        return value->get<bool>();
+    }
+
+    void readParts(ObjectReader& reader, NodeStatus& status)
+    {
+        if (auto bundle = reader.object("bundle", Presence::Required)) {
+            status.acceptedBundle = integerOrNull(*bundle, "accepted");
+            status.bundleInForce = integerOrNull(*bundle, "inForce");
+        }
+        if (const auto* delegation = reader.raw("delegation"); !delegation || !delegation->is_null()) {
+            auto object = reader.object("delegation", Presence::Required);
+            status.hasDelegation = object && boolean(*object, "valid");
+        }
+        if (auto slots = reader.object("slots", Presence::Required)) {
+            status.slots = integer(*slots, "total");
+            status.unownedSlots = integer(*slots, "unowned");
+        }
+        reader.forEach("roles", Presence::Required, [&status](const json& role, const std::string& /*path*/) { status.roles.push_back(role.is_string() ? role.get<std::string>() : describeJson(role)); });
+    }
+
+    std::string orDash(const std::optional<std::uint64_t>& value)
+    {
+        return value ? std::to_string(*value) : "-";
+    }
+
+    std::string join(const std::vector<std::string>& words, std::string_view separator)
+    {
+        std::string text;
+        for (const auto& word : words) {
+            text.append(text.empty() ? "" : separator).append(word);
+        }
+        return text;
+    }
+
+    using Cells = std::array<std::string, 10>;
+
+    Cells describeRow(const StatusRow& row)
+    {
+        if (!row.status) {
+            return { row.address, "-", "-", "-", "-", "-", "-", "-", "-", row.status.failure().code.message() };
+        }
+        const auto& status = *row.status;
+        const auto troubles = findTroubles(status);
+        return { row.address, std::to_string(status.node), status.zone, join(status.roles, "+"), orDash(status.leader), std::to_string(status.appliedIndex),
+            orDash(status.bundleInForce) + "/" + orDash(status.acceptedBundle), std::to_string(status.upstreams),
+            std::to_string(status.slots - std::min(status.slots, status.unownedSlots)) + "/" + std::to_string(status.slots),
+            troubles.empty() ? "healthy" : join(troubles, ", ") };
+    }
+
+}
+
+Result<NodeStatus> parseStatus(std::string_view text)
+{
+    ProblemList problems;
+    NodeStatus status;
+    if (const auto document = parseStrictJson(text, Comments::Refused, problems)) {
+        ObjectReader reader { *document, {}, problems };
+        status.node = integer(reader, "node");
+        status.zone = reader.text("zone", Presence::Required).value_or("");
+        status.region = reader.text("region", Presence::Required).value_or("");
+        status.boot = integer(reader, "boot");
+        status.leader = integerOrNull(reader, "leader");
+        status.term = integer(reader, "term");
+        status.commitIndex = integer(reader, "commitIndex");
+        status.appliedIndex = integer(reader, "appliedIndex");
+        status.rolloutStage = integer(reader, "rolloutStage");
+        status.isBehind = boolean(reader, "behind");
+        status.upstreams = integer(reader, "upstreams");
+        readParts(reader, status);
+    }
+    if (!problems.empty()) {
+        return { ResultCode::HttpUnexpectedAnswer, describeProblems(problems.all(), "/status") };
+    }
+    return status;
+}
+
+std::vector<std::string> findTroubles(const NodeStatus& status)
+{
+    std::vector<std::string> troubles;
+    if (!status.leader) {
+        troubles.emplace_back("no leader known");
+    }
+    if (!status.bundleInForce) {
+        troubles.emplace_back("no bundle in force");
+    }
+    if (status.hasDelegation == false) {
+        troubles.emplace_back("no valid delegation");
+    }
+    if (status.isBehind) {
+        troubles.emplace_back("behind");
+    }
+    if (status.unownedSlots > 0) {
+        troubles.emplace_back(std::to_string(status.unownedSlots) + " slots without owner");
+    }
+    return troubles;
+}
+
+std::string renderStatusTable(const std::vector<StatusRow>& rows)
+{
+    std::vector<Cells> lines { { "ADDRESS", "NODE", "ZONE", "ROLES", "LEADER", "APPLIED", "BUNDLE", "UPSTREAMS", "OWNED", "STATE" } };
+    std::ranges::transform(rows, std::back_inserter(lines), describeRow);
+    std::array<std::size_t, std::tuple_size_v<Cells>> widths {};
+    for (const auto& line : lines) {
+        for (std::size_t i = 0; i < line.size(); ++i) {
+            widths[i] = std::max(widths[i], line[i].size());
+        }
+    }
+    std::string text;
+    for (const auto& line : lines) {
+        for (std::size_t i = 0; i + 1 < line.size(); ++i) {
+            text += line[i] + std::string(widths[i] - line[i].size() + 2, ' ');
+        }
+        text += line.back() + "\n";
+    }
+    return text;
+}
+
+}
--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,7 +1,14 @@
-#include <cstdio>
+#include "ctl/Program.h"
 
-int main()
+#include <iostream>
+#include <string>
+#include <vector>
+
+int main(int argc, char** argv)
 {
-    std::puts("teaselturnctl " TEASELTURN_VERSION);
-    return 0;
+    const std::vector<std::string> words { argv + std::min(argc, 1), argv + argc };
+    teaselturn::Console console { std::cout, std::cerr };
+    const auto code = teaselturn::runProgram(words, TEASELTURN_VERSION, console);
+    std::cout.flush();
+    return static_cast<int>(std::cout ? code : teaselturn::ExitCode::Refused);
 }
--- /dev/null
+++ b/tests/ctl/AdminStandIn.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+namespace teaselturn {
+
+/// A stand-in for the administration API, on a port given by the system: every GET and POST gets the prepared response.
+/// The fields may be changed between requests only.
+class AdminStandIn {
+public:
+    AdminStandIn();
+    ~AdminStandIn();
+    AdminStandIn(const AdminStandIn&) = delete;
+    AdminStandIn& operator=(const AdminStandIn&) = delete;
+
+    /// @return ADDRESS:PORT of the stand-in.
+    std::string address() const;
+
+    int status { 200 };
+    std::string body;
+    /// Target and body of the last request.
+    std::string lastTarget;
+    std::string lastBody;
+
+private:
+    struct State;
+    State* state;
+};
+
+}
