--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -18,6 +18,9 @@
     Term lastTerm;
     /// A pre-vote asks whether an election could be won; it changes no term.
     bool isPreVote {};
+    /// Disk identity under which the candidate's configuration counts the receiver as a voter. A receiver with another
+    /// disk does not vote; a receiver that has not yet got the entry that promoted it does.
+    DiskId voterDisk;
 
     friend bool operator==(const VoteRequest&, const VoteRequest&) = default;
 };
@@ -62,6 +65,8 @@
     std::uint64_t offset {};
     std::uint64_t totalBytes {};
     std::vector<std::uint8_t> bytes;
+    /// The ledger's configuration at lastIndex.
+    std::vector<MemberSpec> members;
 
     friend bool operator==(const SnapshotChunk&, const SnapshotChunk&) = default;
 };
--- a/include/teaselturn/Types.h
+++ b/include/teaselturn/Types.h
@@ -19,7 +19,8 @@
 
     Rep value {};
 
-    friend constexpr auto operator<=>(const StrongId&, const StrongId&) noexcept = default;
+    // clang-tidy 14 takes the zero that a rewritten comparison is compared with for a null pointer.
+    friend constexpr auto operator<=>(const StrongId&, const StrongId&) noexcept = default; // NOLINT(modernize-use-nullptr)
 
     template <typename H>
     friend H AbslHashValue(H h, const StrongId& id)
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -213,7 +213,7 @@
 template <typename Archive>
 void serialize(Archive& archive, VoteRequest& value)
 {
-    archive(value.term, value.disk, value.lastIndex, value.lastTerm, value.isPreVote);
+    archive(value.term, value.disk, value.lastIndex, value.lastTerm, value.isPreVote, value.voterDisk);
 }
 
 template <typename Archive>
@@ -237,7 +237,7 @@
 template <typename Archive>
 void serialize(Archive& archive, SnapshotChunk& value)
 {
-    archive(value.term, value.lastIndex, value.lastTerm, value.offset, value.totalBytes, value.bytes);
+    archive(value.term, value.lastIndex, value.lastTerm, value.offset, value.totalBytes, value.bytes, value.members);
 }
 
 template <typename Archive>
--- a/src/core/ledger/Member.h
+++ b/src/core/ledger/Member.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include "core/ledger/Configuration.h"
+#include "core/ledger/EntryLog.h"
+#include "core/ledger/PeerProgress.h"
+#include "core/ledger/RoundHistory.h"
 #include "teaselturn/Command.h"
 #include "teaselturn/Message.h"
 #include "teaselturn/Ports.h"
@@ -7,6 +11,7 @@
 #include "teaselturn/Types.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <span>
 #include <vector>
@@ -34,7 +39,9 @@
 };
 
 /// Work that the member asks of its driver, in this order: write and sync, report with persisted(), send
-/// afterPersist, apply committed. immediate may be sent at once.
+/// afterPersist, apply committed. immediate may be sent at once. The writes are ordered as the fields are, except that
+/// install comes before append. A driver finishes the writes of one MemberEffects before those of the next, and sends
+/// afterPersist only then, even where that MemberEffects itself has nothing to write.
 struct MemberEffects {
     std::optional<HardState> hardState;
     /// Entries at and above this index are to be removed before append is written.
@@ -115,9 +122,120 @@
     LogIndex commitIndex() const noexcept;
     LogIndex lastIndex() const noexcept;
     LogIndex firstIndex() const noexcept;
+    /// @return The newest configuration in the log, committed or not.
     std::span<const MemberSpec> members() const noexcept;
+    /// @return The configuration in the log up to index: the members of a snapshot of the state applied up to there.
+    std::span<const MemberSpec> membersAt(LogIndex index) const noexcept;
     /// @return Committed entries above index, at most maxBytes of them estimated, or LogCompacted.
     Result<std::vector<LogEntry>> committedAfter(LogIndex index, std::size_t maxBytes) const;
+
+private:
+    /// A snapshot on its way from the leader.
+    struct IncomingSnapshot {
+        /// Term of the sending leader.
+        Term term;
+        LogIndex lastIndex;
+        std::uint64_t totalBytes {};
+        std::vector<std::uint8_t> bytes;
+    };
+
+    // Effects.
+    bool isHardStateDurable() const noexcept { return !this->pending.hardState && !this->isHardStateInFlight; }
+    void send(NodeId to, PeerMessage message);
+    void sendAfterPersist(NodeId to, PeerMessage message);
+    void appendEntry(LogEntry entry);
+    void truncateLog(LogIndex from);
+    void commitThrough(LogIndex index);
+
+    // Elections.
+    bool isSelfVoter() const noexcept { return this->configuration.isVoter(this->self, this->disk); }
+    bool isInContact(Instant now) const noexcept;
+    void adoptTerm(Term newTerm);
+    void becomeFollower();
+    void becomeLeader();
+    void scheduleElection(Duration minimum, Duration maximum);
+    void scheduleElection() { this->scheduleElection(this->timing.electionMinimum, this->timing.electionMaximum); }
+    void startPreVote();
+    void startElection();
+    void askForVotes(Term forTerm, bool isPreVote);
+    void addVote(NodeId from);
+    bool isUpToDate(const VoteRequest& request) const noexcept;
+    void handle(NodeId from, const VoteRequest& request);
+    void handle(NodeId from, const VoteReply& reply);
+
+    // Replication.
+    void followLeader(NodeId from);
+    LogIndex conflictHint(LogIndex previousIndex) const noexcept;
+    bool appendMissing(const AppendRequest& request);
+    void replyToAppend(NodeId from, const AppendRequest& request, LogIndex match);
+    void handle(NodeId from, const AppendRequest& request);
+    void handle(NodeId from, const AppendReply& reply);
+    PeerProgress* peer(NodeId node, DiskId peerDisk) noexcept;
+    void refused(PeerProgress& progress, LogIndex hint);
+    void confirmRound(PeerProgress& progress, std::uint64_t round) noexcept;
+    void beginRound();
+    void replicate();
+    void replicateTo(PeerProgress& progress);
+    void sendAppend(PeerProgress& progress, std::vector<LogEntry> entries);
+    void advanceCommit();
+    Instant quorumConfirmedAt(Instant now) const noexcept;
+    void checkQuorum();
+
+    // Configuration.
+    Status checkChange(const ChangeMembers& change) const;
+    void alignPeers();
+    void stepDownWhereRemoved();
+
+    // Snapshots.
+    void sendSnapshot(PeerProgress& progress);
+    void handle(NodeId from, const SnapshotChunk& chunk);
+    void handle(NodeId from, const SnapshotReply& reply);
+    void install(const SnapshotChunk& chunk);
+
+    /// Messages that do not concern the ledger.
+    template <typename T>
+    void handle(NodeId, const T&)
+    {
+    }
+
+    NodeId self;
+    DiskId disk;
+    MemberTiming timing;
+    Random random;
+    EntryLog log;
+    Configuration configuration;
+    HardState hardState;
+    std::shared_ptr<const LedgerSnapshot> snapshot;
+    MemberRole currentRole { MemberRole::Follower };
+    NodeId knownLeader;
+    LogIndex committed;
+    /// Entries up to here have been returned as committed, or are covered by the snapshot.
+    LogIndex handedOut;
+    /// Entries up to here are synced to this member's disk.
+    LogIndex durable;
+    /// Latest instant that the driver passed.
+    Instant now;
+    /// When a leader was last heard. It starts at the member's start: before a restart the member may have answered a
+    /// heartbeat, on which a leader lease can still rest.
+    Instant leaderContact;
+    Instant electionDue;
+    std::vector<NodeId> votes;
+    MemberEffects pending;
+    bool isHardStateInFlight {};
+    IncomingSnapshot incoming;
+
+    // Of a leader.
+    std::vector<PeerProgress> peers;
+    RoundHistory rounds;
+    Instant roundDue;
+    Instant leaderSince;
+    /// Index of the first entry of the leader's term.
+    LogIndex termStart;
+    /// Commit index when the latest round began; a learner that has it counts as caught up.
+    LogIndex roundCommit;
+    std::size_t uncommittedBytes {};
 };
 
 }
+
+#include "core/ledger/MemberInlines.h"
