--- /dev/null
+++ b/src/adapters/http/Connection.cpp
@@ -0,0 +1,312 @@
+#include "adapters/http/Connection.h"
+
+#include "adapters/clock/SteadyClock.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <climits>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::size_t inputBufferBytes = 16 * 1024;
+    constexpr int listenBacklog = 1024;
+
+    struct SocketAddress {
+        sockaddr_storage storage {};
+        socklen_t length {};
+    };
+
+    bool parseAddress(std::string_view address, std::uint16_t port, SocketAddress& result)
+    {
+        const std::string text { address };
+        auto* v4 = reinterpret_cast<sockaddr_in*>(&result.storage);
+        if (inet_pton(AF_INET, text.c_str(), &v4->sin_addr) == 1) {
+            v4->sin_family = AF_INET;
+            v4->sin_port = htons(port);
+            result.length = sizeof(sockaddr_in);
+            return true;
+        }
+        auto* v6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
+        if (inet_pton(AF_INET6, text.c_str(), &v6->sin6_addr) == 1) {
+            v6->sin6_family = AF_INET6;
+            v6->sin6_port = htons(port);
+            result.length = sizeof(sockaddr_in6);
+            return true;
+        }
+        return false;
+    }
+
+    void setNoDelay(int descriptor) noexcept
+    {
+        const int on = 1;
+        // Without it, small answers wait for the other end's delayed acknowledgement.
+        static_cast<void>(setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on));
+    }
+
+    std::string systemMessage(int error)
+    {
+        return std::generic_category().message(error);
+    }
+
+}
+
+void Connection::TlsDeleter::operator()(ssl_st* tls) const noexcept
+{
+    SSL_free(tls);
+}
+
+Connection::Connection(int descriptor, std::string remoteAddress)
+    : descriptor(descriptor)
+    , remoteAddress(std::move(remoteAddress))
+{
+    setNoDelay(descriptor);
+}
+
+Connection::~Connection()
+{
+    this->tls.reset();
+    ::close(this->descriptor);
+}
+
+Result<std::unique_ptr<Connection>> Connection::connect(const Endpoint& endpoint, Instant deadline)
+{
+    SocketAddress address;
+    if (!parseAddress(endpoint.address, endpoint.port, address)) {
+        return { ResultCode::HttpUnreachable, "\"" + endpoint.address + "\" is not an IP number" };
+    }
+    const int descriptor = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return { ResultCode::HttpUnreachable, systemMessage(errno) };
+    }
+    auto connection = std::make_unique<Connection>(descriptor, endpoint.address);
+    if (::connect(descriptor, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0) {
+        return connection;
+    }
+    if (errno != EINPROGRESS) {
+        return { ResultCode::HttpUnreachable, systemMessage(errno) };
+    }
+    if (connection->wait(POLLOUT, deadline) == IoStatus::TimedOut) {
+        return { ResultCode::HttpUnreachable, "no connection before the deadline" };
+    }
+    int error = 0;
+    socklen_t length = sizeof error;
+    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
+        return { ResultCode::HttpUnreachable, systemMessage(error) };
+    }
+    return connection;
+}
+
+IoStatus Connection::wait(short events, Instant deadline) const
+{
+    while (true) {
+        const auto remaining = deadline - SteadyClock {}.now();
+        if (remaining <= Duration::zero()) {
+            return IoStatus::TimedOut;
+        }
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+        pollfd entry { this->descriptor, events, 0 };
+        const int ready = ::poll(&entry, 1, static_cast<int>(std::min<std::int64_t>(milliseconds, INT_MAX)));
+        if (ready > 0) {
+            return IoStatus::Ok;
+        }
+        if (ready < 0 && errno != EINTR) {
+            return IoStatus::Failed;
+        }
+    }
+}
+
+IoStatus Connection::acceptTls(ssl_ctx_st& context, Instant deadline)
+{
+    return this->handshake(context, true, deadline);
+}
+
+IoStatus Connection::connectTls(ssl_ctx_st& context, Instant deadline)
+{
+    return this->handshake(context, false, deadline);
+}
+
+IoStatus Connection::handshake(ssl_ctx_st& context, bool isServer, Instant deadline)
+{
+    this->tls.reset(SSL_new(&context));
+    if (!this->tls || SSL_set_fd(this->tls.get(), this->descriptor) != 1) {
+        return IoStatus::Failed;
+    }
+    while (true) {
+        ERR_clear_error();
+        const int result = isServer ? SSL_accept(this->tls.get()) : SSL_connect(this->tls.get());
+        if (result == 1) {
+            return IoStatus::Ok;
+        }
+        if (const auto status = this->tlsFailure(result, deadline); status != IoStatus::Ok) {
+            return status;
+        }
+    }
+}
+
+IoStatus Connection::tlsFailure(int result, Instant deadline) const
+{
+    switch (SSL_get_error(this->tls.get(), result)) {
+    case SSL_ERROR_WANT_READ:
+        return this->wait(POLLIN, deadline);
+    case SSL_ERROR_WANT_WRITE:
+        return this->wait(POLLOUT, deadline);
+    case SSL_ERROR_ZERO_RETURN:
+        return IoStatus::Closed;
+    default:
+        return IoStatus::Failed;
+    }
+}
+
+IoStatus Connection::receive(std::span<char> buffer, std::size_t& count, Instant deadline)
+{
+    while (true) {
+        if (this->tls) {
+            ERR_clear_error();
+            const int result = SSL_read_ex(this->tls.get(), buffer.data(), buffer.size(), &count);
+            if (result == 1) {
+                return IoStatus::Ok;
+            }
+            if (const auto status = this->tlsFailure(result, deadline); status != IoStatus::Ok) {
+                return status;
+            }
+            continue;
+        }
+        const auto received = ::recv(this->descriptor, buffer.data(), buffer.size(), 0);
+        if (received > 0) {
+            count = static_cast<std::size_t>(received);
+            return IoStatus::Ok;
+        }
+        if (received == 0) {
+            return IoStatus::Closed;
+        }
+        if (errno == EAGAIN || errno == EWOULDBLOCK) {
+            if (const auto status = this->wait(POLLIN, deadline); status != IoStatus::Ok) {
+                return status;
+            }
+        } else if (errno != EINTR) {
+            return IoStatus::Failed;
+        }
+    }
+}
+
+IoStatus Connection::read(std::span<char> buffer, std::size_t& count, Instant deadline)
+{
+    count = 0;
+    if (this->inputBegin == this->input.size()) {
+        if (buffer.size() >= inputBufferBytes) {
+            return this->receive(buffer, count, deadline);
+        }
+        this->input.resize(inputBufferBytes);
+        this->inputBegin = 0;
+        std::size_t received = 0;
+        const auto status = this->receive(this->input, received, deadline);
+        this->input.resize(received);
+        if (status != IoStatus::Ok) {
+            return status;
+        }
+    }
+    count = std::min(buffer.size(), this->input.size() - this->inputBegin);
+    std::memcpy(buffer.data(), this->input.data() + this->inputBegin, count);
+    this->inputBegin += count;
+    return IoStatus::Ok;
+}
+
+IoStatus Connection::write(std::string_view bytes, Instant deadline)
+{
+    if (this->tls && !bytes.empty()) {
+        // A failed TLS write does not tell how much of its record has left.
+        ++this->sent;
+    }
+    while (!bytes.empty()) {
+        std::size_t written = 0;
+        if (this->tls) {
+            ERR_clear_error();
+            const int result = SSL_write_ex(this->tls.get(), bytes.data(), bytes.size(), &written);
+            if (result != 1) {
+                if (const auto status = this->tlsFailure(result, deadline); status != IoStatus::Ok) {
+                    return status;
+                }
+                continue;
+            }
+        } else {
+            const auto sentNow = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+            if (sentNow < 0) {
+                if (errno == EAGAIN || errno == EWOULDBLOCK) {
+                    if (const auto status = this->wait(POLLOUT, deadline); status != IoStatus::Ok) {
+                        return status;
+                    }
+                } else if (errno != EINTR) {
+                    return IoStatus::Failed;
+                }
+                continue;
+            }
+            written = static_cast<std::size_t>(sentNow);
+        }
+        this->sent += written;
+        bytes.remove_prefix(written);
+    }
+    return IoStatus::Ok;
+}
+
+bool Connection::hasBufferedInput() const noexcept
+{
+    return this->inputBegin < this->input.size() || (this->tls && SSL_pending(this->tls.get()) > 0);
+}
+
+bool Connection::isQuiet() const noexcept
+{
+    if (this->hasBufferedInput()) {
+        return false;
+    }
+    char byte = 0;
+    return ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void Connection::finishSending() noexcept
+{
+    if (this->tls) {
+        SSL_shutdown(this->tls.get());
+    }
+    ::shutdown(this->descriptor, SHUT_WR);
+    constexpr int mostReads = 64;
+    char discarded[4096];
+    for (int i = 0; i<mostReads&& ::recv(this->descriptor, discarded, sizeof discarded, MSG_DONTWAIT)> 0; ++i) {
+    }
+}
+
+Result<int> listenOn(std::string_view address, std::uint16_t& port)
+{
+    SocketAddress parsed;
+    if (!parseAddress(address, port, parsed)) {
+        return { ResultCode::ListenFailed, "\"" + std::string { address } + "\" is not an IP number" };
+    }
+    const int descriptor = ::socket(parsed.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
+        || ::bind(descriptor, reinterpret_cast<sockaddr*>(&parsed.storage), parsed.length) != 0
+        || ::listen(descriptor, listenBacklog) != 0
+        || getsockname(descriptor, reinterpret_cast<sockaddr*>(&parsed.storage), &parsed.length) != 0) {
+        const int error = errno;
+        if (descriptor >= 0) {
+            ::close(descriptor);
+        }
+        return { ResultCode::ListenFailed,
+            std::string { address } + ":" + std::to_string(port) + ": " + systemMessage(error) };
+    }
+    port = ntohs(parsed.storage.ss_family == AF_INET ? reinterpret_cast<sockaddr_in*>(&parsed.storage)->sin_port
+                                                     : reinterpret_cast<sockaddr_in6*>(&parsed.storage)->sin6_port);
+    return descriptor;
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/HttpCodec.cpp
@@ -0,0 +1,445 @@
+#include "adapters/http/HttpCodec.h"
+
+#include "adapters/clock/SteadyClock.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <httplib.h>
+#include <optional>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::size_t flushBytes = 64 * 1024;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusRequestTimeout = 408;
+    constexpr int statusPayloadTooLarge = 413;
+    constexpr int statusInternalError = 500;
+
+    /// The library decodes %XX in header values, which would alter keys and let a caller smuggle line breaks into a
+    /// header. This replaces each % after the first line of the head by %25, so that decoding restores the original.
+    class HeadEscaper {
+    public:
+        bool isInHead() const noexcept { return !this->isHeadDone; }
+
+        /// @return True where the byte must be followed by "25".
+        bool accept(char byte) noexcept
+        {
+            if (byte == '\n') {
+                this->isHeadDone = this->isLineEmpty && !this->isFirstLine;
+                this->isFirstLine = false;
+                this->isLineEmpty = true;
+                return false;
+            }
+            if (byte != '\r') {
+                this->isLineEmpty = false;
+            }
+            return byte == '%' && !this->isFirstLine;
+        }
+
+    private:
+        bool isFirstLine { true };
+        bool isLineEmpty { true };
+        bool isHeadDone {};
+    };
+
+    /// Adapts a connection to the library's stream: bounded input, output collected until the next read.
+    class ConnectionStream : public httplib::Stream {
+    public:
+        ConnectionStream(Connection& connection, const MessageLimits& limits, Instant deadline)
+            : connection(connection)
+            , headBudget(limits.maxHeadBytes)
+            , bodyBudget(limits.maxBodyBytes + bodyFramingBytes)
+            , deadline(deadline)
+        {
+        }
+
+        bool is_readable() const override { return true; }
+        bool is_writable() const override { return true; }
+        void get_remote_ip_and_port(std::string& ip, int&) const override { ip = this->connection.remoteIp(); }
+        void get_local_ip_and_port(std::string&, int&) const override { }
+        // The library refuses descriptors that select() cannot take; it must not see the real one.
+        socket_t socket() const override { return 0; }
+
+        ssize_t read(char* target, std::size_t size) override
+        {
+            if (!this->flush()) {
+                return -1;
+            }
+            if (size == 0) {
+                return 0;
+            }
+            if (this->escapeRest > 0) {
+                *target = "25"[2 - this->escapeRest--];
+                return 1;
+            }
+            const bool isHead = this->escaper.isInHead();
+            auto& budget = isHead ? this->headBudget : this->bodyBudget;
+            if (budget == 0) {
+                this->isOverBudget = true;
+                return -1;
+            }
+            std::size_t count = 0;
+            this->status = this->connection.read({ target, isHead ? 1 : std::min(size, budget) }, count, this->deadline);
+            if (this->status != IoStatus::Ok) {
+                return this->status == IoStatus::Closed ? 0 : -1;
+            }
+            this->received += count;
+            budget -= count;
+            if (isHead && this->escaper.accept(*target)) {
+                this->escapeRest = 2;
+            }
+            return static_cast<ssize_t>(count);
+        }
+
+        ssize_t write(const char* bytes, std::size_t size) override
+        {
+            this->output.append(bytes, size);
+            return this->output.size() < flushBytes || this->flush() ? static_cast<ssize_t>(size) : -1;
+        }
+
+        bool flush()
+        {
+            if (!this->output.empty() && !this->isOutputBroken) {
+                this->status = this->connection.write(this->output, this->deadline);
+                this->output.clear();
+                this->isOutputBroken = this->status != IoStatus::Ok;
+            }
+            return !this->isOutputBroken;
+        }
+
+        void restartDeadline(Instant later) noexcept { this->deadline = later; }
+        IoStatus lastStatus() const noexcept { return this->status; }
+        std::uint64_t receivedBytes() const noexcept { return this->received; }
+        bool exceededBudget() const noexcept { return this->isOverBudget; }
+
+    private:
+        /// Chunk sizes and trailers that surround a chunked body.
+        static constexpr std::size_t bodyFramingBytes = 256 * 1024;
+
+        Connection& connection;
+        HeadEscaper escaper;
+        int escapeRest {};
+        std::size_t headBudget;
+        std::size_t bodyBudget;
+        bool isOverBudget {};
+        IoStatus status { IoStatus::Ok };
+        std::uint64_t received {};
+        Instant deadline;
+        std::string output;
+        bool isOutputBroken {};
+    };
+
+    std::optional<std::uint64_t> parseLength(const std::string& text)
+    {
+        std::uint64_t length = 0;
+        const auto* end = text.data() + text.size();
+        const auto [rest, error] = std::from_chars(text.data(), end, length);
+        return error == std::errc {} && rest == end ? std::optional { length } : std::nullopt;
+    }
+
+    /// How long a message's body is, as its headers state it.
+    struct BodyFraming {
+        bool isValid { true };
+        bool isChunked {};
+        std::optional<std::uint64_t> length;
+    };
+
+    BodyFraming bodyFraming(const httplib::Headers& headers)
+    {
+        BodyFraming framing;
+        const auto lengths = headers.count("Content-Length");
+        const auto encodings = headers.count("Transfer-Encoding");
+        if (lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1)) {
+            // Two parties that pick different lengths would see different requests.
+            framing.isValid = false;
+        } else if (encodings == 1) {
+            framing.isChunked = isSameHeaderName(headers.find("Transfer-Encoding")->second, "chunked");
+            framing.isValid = framing.isChunked;
+        } else if (lengths == 1) {
+            framing.length = parseLength(headers.find("Content-Length")->second);
+            framing.isValid = framing.length.has_value();
+        }
+        return framing;
+    }
+
+    bool isLibraryHeader(std::string_view name)
+    {
+        constexpr std::string_view names[] = { "REMOTE_ADDR", "REMOTE_PORT", "LOCAL_ADDR", "LOCAL_PORT" };
+        return std::any_of(std::begin(names), std::end(names),
+            [name](std::string_view other) { return isSameHeaderName(name, other); });
+    }
+
+}
+
+class ServerCodec::Implementation : public httplib::Server {
+public:
+    Implementation(MessageLimits limits, std::function<bool()> isDraining)
+        : limits(limits)
+        , isDraining(std::move(isDraining))
+    {
+        const auto handle = [this](const httplib::Request& request, httplib::Response& response) {
+            this->handle(request, response);
+        };
+        this->Get("/", handle).Post("/", handle).Put("/", handle).Patch("/", handle).Delete("/", handle);
+        this->Options("/", handle);
+        this->set_post_routing_handler(
+            [this](const httplib::Request&, httplib::Response& response) { this->finishHead(response); });
+        this->set_payload_max_length(limits.maxBodyBytes);
+    }
+
+    bool serve(Connection& connection, const HttpHandler& application, Instant readDeadline, Duration writeTime)
+    {
+        ConnectionStream stream { connection, this->limits, readDeadline };
+        this->current = { &application, &stream, writeTime };
+        bool isClosedByClient = false;
+        const bool isServed = this->process_request(
+            stream, false, isClosedByClient, [this](httplib::Request& request) { this->capture(request); });
+        const bool isWritten = stream.flush();
+        const bool canKeep = isServed && isWritten && !isClosedByClient && !this->current.mustClose;
+        this->current = {};
+        return canKeep;
+    }
+
+private:
+    struct Current {
+        const HttpHandler* application {};
+        ConnectionStream* stream {};
+        Duration writeTime {};
+        int refusal {};
+        bool isHandled {};
+        bool mustClose {};
+        std::string target;
+        std::vector<HttpHeader> headers;
+    };
+
+    /// Takes over the headers and hides from the library those that it would act on: it would decode bodies, parse
+    /// forms, cut ranges and compress answers, and a router must pass all of them through.
+    void capture(httplib::Request& request)
+    {
+        this->current.target = request.target;
+        for (const auto& [name, value] : request.headers) {
+            if (!isLibraryHeader(name)) {
+                this->current.headers.push_back({ name, value });
+            }
+        }
+        const auto framing = bodyFraming(request.headers);
+        const bool expectsContinue = request.headers.count("Expect") == 1;
+        const bool isLast = isSameHeaderName(request.get_header_value("Connection"), "close");
+        request.headers.clear();
+        request.ranges.clear();
+        request.path = "/";
+        const bool mayHaveBody = request.method != "GET" && request.method != "HEAD" && request.method != "OPTIONS";
+        const bool hasBody = framing.isChunked || framing.length.value_or(0) > 0;
+        if (!framing.isValid || (hasBody && !mayHaveBody)) {
+            this->current.refusal = statusBadRequest;
+        } else if (framing.length.value_or(0) > this->limits.maxBodyBytes) {
+            this->current.refusal = statusPayloadTooLarge;
+        }
+        if (framing.isChunked && this->current.refusal == 0) {
+            request.set_header("Transfer-Encoding", "chunked");
+        } else {
+            // The library reads to the end of the connection where no length is stated.
+            const auto length = this->current.refusal == 0 ? framing.length.value_or(0) : 0;
+            request.set_header("Content-Length", std::to_string(length));
+        }
+        if (expectsContinue && this->current.refusal == 0) {
+            request.set_header("Expect", "100-continue");
+        }
+        if (isLast) {
+            request.set_header("Connection", "close");
+        }
+    }
+
+    void handle(const httplib::Request& request, httplib::Response& response)
+    {
+        if (this->current.refusal != 0) {
+            response.status = this->current.refusal;
+            return;
+        }
+        if (request.body.size() > this->limits.maxBodyBytes) {
+            response.status = statusPayloadTooLarge;
+            return;
+        }
+        std::vector<HttpHeaderView> views;
+        views.reserve(this->current.headers.size());
+        for (const auto& header : this->current.headers) {
+            views.push_back({ header.name, header.value });
+        }
+        HttpAnswer answer;
+        try {
+            answer = (*this->current.application)(
+                { request.method, this->current.target, views, request.body, request.remote_addr });
+        } catch (const std::exception&) {
+            response.status = statusInternalError;
+            return;
+        }
+        this->current.isHandled = true;
+        response.status = answer.status;
+        for (auto& header : answer.headers) {
+            const bool isFraming = isSameHeaderName(header.name, "Transfer-Encoding")
+                || isSameHeaderName(header.name, "Connection")
+                || (isSameHeaderName(header.name, "Content-Length") && request.method != "HEAD");
+            if (!isFraming && isHeaderValue(header.name) && isHeaderValue(header.value)) {
+                response.headers.emplace(std::move(header.name), std::move(header.value));
+            }
+        }
+        response.body = std::move(answer.body);
+    }
+
+    void finishHead(httplib::Response& response)
+    {
+        const auto now = SteadyClock {}.now();
+        auto& stream = *this->current.stream;
+        if (!this->current.isHandled && this->current.refusal == 0 && response.status != statusInternalError
+            && response.status != statusPayloadTooLarge) {
+            response.status = stream.exceededBudget() ? statusPayloadTooLarge
+                : stream.lastStatus() == IoStatus::TimedOut
+                ? statusRequestTimeout
+                : (response.status >= statusBadRequest ? response.status : statusBadRequest);
+        }
+        stream.restartDeadline(now + this->current.writeTime);
+        response.headers.erase("Keep-Alive");
+        // After an error the position in the input is not certain.
+        this->current.mustClose = !this->current.isHandled || this->isDraining();
+        if (this->current.mustClose) {
+            response.headers.erase("Connection");
+            response.set_header("Connection", "close");
+        }
+    }
+
+    const MessageLimits limits;
+    const std::function<bool()> isDraining;
+    Current current;
+};
+
+ServerCodec::ServerCodec(MessageLimits limits, std::function<bool()> isDraining)
+    : implementation(std::make_unique<Implementation>(limits, std::move(isDraining)))
+{
+}
+
+ServerCodec::~ServerCodec() = default;
+
+bool ServerCodec::serve(
+    Connection& connection, const HttpHandler& handler, Instant readDeadline, Duration writeTime)
+{
+    return this->implementation->serve(connection, handler, readDeadline, writeTime);
+}
+
+namespace {
+
+    class ClientCodec : public httplib::ClientImpl {
+    public:
+        ClientCodec()
+            : ClientImpl("127.0.0.1", 1)
+        {
+            this->set_url_encode(false);
+            this->set_decompress(false);
+            this->set_keep_alive(true);
+        }
+
+        using ClientImpl::process_request;
+    };
+
+    /// Follows an answer while the library reads it.
+    struct AnswerWatch {
+        std::string body;
+        std::size_t maxBodyBytes {};
+        bool hasHead {};
+        bool isWholeByHead {};
+        bool isRefused {};
+
+        /// @return False where the library must not read a body.
+        bool head(std::string_view method, const httplib::Response& response)
+        {
+            constexpr int notModified = 304;
+            constexpr int noContent = 204;
+            this->hasHead = true;
+            const auto framing = bodyFraming(response.headers);
+            if (!framing.isValid || response.status < 200 || framing.length.value_or(0) > this->maxBodyBytes) {
+                this->isRefused = true;
+                return false;
+            }
+            if (method == "HEAD" || response.status == notModified || response.status == noContent) {
+                this->isWholeByHead = true;
+                return false;
+            }
+            // An answer that ends with its connection cannot be told from one that was cut short.
+            this->isRefused = !framing.isChunked && !framing.length;
+            return !this->isRefused;
+        }
+
+        bool append(const char* bytes, std::size_t count)
+        {
+            if (this->body.size() + count > this->maxBodyBytes) {
+                this->isRefused = true;
+                return false;
+            }
+            this->body.append(bytes, count);
+            return true;
+        }
+    };
+
+    httplib::Request toLibrary(const HttpRequest& request, AnswerWatch& watch)
+    {
+        httplib::Request result;
+        result.method = request.method;
+        result.path = request.target;
+        for (const auto& header : request.headers) {
+            if (isHeaderValue(header.name) && isHeaderValue(header.value)) {
+                result.headers.emplace(header.name, header.value);
+            }
+        }
+        result.body = request.body;
+        result.response_handler = [&watch, method = request.method](
+                                      const httplib::Response& response) { return watch.head(method, response); };
+        result.content_receiver = [&watch](const char* bytes, std::size_t count, std::uint64_t, std::uint64_t) {
+            return watch.append(bytes, count);
+        };
+        return result;
+    }
+
+    ExchangeStatus failedStatus(const ConnectionStream& stream, bool isSent)
+    {
+        if (!isSent) {
+            return ExchangeStatus::NotSent;
+        }
+        if (stream.lastStatus() == IoStatus::TimedOut) {
+            return ExchangeStatus::TimedOut;
+        }
+        return stream.receivedBytes() > 0 ? ExchangeStatus::Incomplete : ExchangeStatus::Broken;
+    }
+
+}
+
+Exchange exchange(Connection& connection, const HttpRequest& request, const MessageLimits& limits, Instant deadline)
+{
+    ClientCodec codec;
+    AnswerWatch watch;
+    watch.maxBodyBytes = limits.maxBodyBytes;
+    ConnectionStream stream { connection, limits, deadline };
+    auto outgoing = toLibrary(request, watch);
+    httplib::Response response;
+    auto error = httplib::Error::Success;
+    const auto sentBefore = connection.sentBytes();
+    const bool isRead = codec.process_request(stream, outgoing, response, false, error);
+    Exchange result;
+    if (watch.isRefused || !(isRead || watch.isWholeByHead)) {
+        result.status = watch.isRefused ? ExchangeStatus::Incomplete
+                                        : failedStatus(stream, connection.sentBytes() != sentBefore);
+        return result;
+    }
+    result.status = ExchangeStatus::Whole;
+    result.canReuse = !connection.hasBufferedInput() && response.version == "HTTP/1.1"
+        && !isSameHeaderName(response.get_header_value("Connection"), "close");
+    result.answer.status = response.status;
+    for (auto& [name, value] : response.headers) {
+        result.answer.headers.push_back({ name, value });
+    }
+    result.answer.body = std::move(watch.body);
+    return result;
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/HttpServer.cpp
@@ -0,0 +1,353 @@
+#include "adapters/http/HttpServer.h"
+
+#include "adapters/clock/SteadyClock.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <climits>
+#include <netinet/in.h>
+#include <openssl/ssl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::uint32_t requestEvents = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+    /// How long the thread waits before it looks for idle connections again where none is due sooner.
+    constexpr std::chrono::seconds longestWait { 60 };
+    /// Requests of one connection served in a row before other connections get the worker.
+    constexpr int requestsInARow = 16;
+
+    std::string remoteIp(const sockaddr_storage& address)
+    {
+        std::array<char, INET6_ADDRSTRLEN> text {};
+        const void* source = address.ss_family == AF_INET
+            ? static_cast<const void*>(&reinterpret_cast<const sockaddr_in&>(address).sin_addr)
+            : static_cast<const void*>(&reinterpret_cast<const sockaddr_in6&>(address).sin6_addr);
+        return inet_ntop(address.ss_family, source, text.data(), text.size()) ? std::string { text.data() } : "";
+    }
+
+}
+
+void HttpServer::TlsDeleter::operator()(ssl_ctx_st* context) const noexcept
+{
+    SSL_CTX_free(context);
+}
+
+Result<HttpServer::TlsContext> HttpServer::loadTls(const HttpServerSettings& settings)
+{
+    if (settings.certificateFile.empty() && settings.keyFile.empty()) {
+        return TlsContext {};
+    }
+    TlsContext context { SSL_CTX_new(TLS_server_method()) };
+    if (!context || SSL_CTX_set_min_proto_version(context.get(), TLS1_2_VERSION) != 1
+        || SSL_CTX_use_certificate_chain_file(context.get(), settings.certificateFile.c_str()) != 1
+        || SSL_CTX_use_PrivateKey_file(context.get(), settings.keyFile.c_str(), SSL_FILETYPE_PEM) != 1
+        || SSL_CTX_check_private_key(context.get()) != 1) {
+        return { ResultCode::TlsInvalid, settings.certificateFile + ", " + settings.keyFile };
+    }
+    // A retried write passes the rest of the same bytes from a buffer that may have moved.
+    SSL_CTX_set_mode(context.get(), SSL_MODE_ACCEPT_MOVING_WRITE_BUFFER | SSL_MODE_ENABLE_PARTIAL_WRITE);
+    return context;
+}
+
+HttpServer::HttpServer(HttpServerSettings settings, WorkerPool& workers, HttpHandler handler, TlsContext tls)
+    : settings(std::move(settings))
+    , workers(workers)
+    , handler(std::move(handler))
+    , tls(std::move(tls))
+{
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::start(
+    HttpServerSettings settings, WorkerPool& workers, HttpHandler handler)
+{
+    auto tls = loadTls(settings);
+    if (!tls) {
+        return tls.failure();
+    }
+    std::unique_ptr<HttpServer> server { new HttpServer {
+        std::move(settings), workers, std::move(handler), std::move(tls).value() } };
+    if (auto status = server->open(); !status) {
+        return status.failure();
+    }
+    server->thread = std::thread { [raw = server.get()] { raw->run(); } };
+    return server;
+}
+
+Status HttpServer::open()
+{
+    this->epollDescriptor = epoll_create1(EPOLL_CLOEXEC);
+    this->wakeDescriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (this->epollDescriptor < 0 || this->wakeDescriptor < 0) {
+        return { ResultCode::ListenFailed, std::generic_category().message(errno) };
+    }
+    this->watch(this->wakeDescriptor, EPOLL_CTL_ADD, EPOLLIN);
+    this->listenPort = this->settings.listen.port;
+    auto descriptor = listenOn(this->settings.listen.address, this->listenPort);
+    if (!descriptor) {
+        return descriptor.failure();
+    }
+    const MutexLock lock { this->mutex };
+    this->listener = *descriptor;
+    this->isListenerWatched = true;
+    this->watch(this->listener, EPOLL_CTL_ADD, EPOLLIN);
+    return success();
+}
+
+HttpServer::~HttpServer()
+{
+    if (this->thread.joinable()) {
+        static_cast<void>(this->drain(std::chrono::hours { 1 }));
+        this->isStopping = true;
+        this->wake();
+        this->thread.join();
+    }
+    for (const int descriptor : { this->epollDescriptor, this->wakeDescriptor }) {
+        if (descriptor >= 0) {
+            ::close(descriptor);
+        }
+    }
+}
+
+bool HttpServer::drain(Duration longest)
+{
+    const SteadyClock clock;
+    const auto deadline = clock.now() + longest;
+    this->isDraining = true;
+    this->wake();
+    const MutexLock lock { this->mutex };
+    while (this->listener >= 0 || !this->connections.empty()) {
+        const auto remaining = deadline - clock.now();
+        if (remaining <= Duration::zero()) {
+            return false;
+        }
+        this->changed.waitFor(this->mutex, remaining);
+    }
+    return true;
+}
+
+std::size_t HttpServer::connectionCount()
+{
+    const MutexLock lock { this->mutex };
+    return this->connections.size();
+}
+
+void HttpServer::watch(int descriptor, int operation, std::uint32_t events) const
+{
+    epoll_event event {};
+    event.events = events;
+    event.data.fd = descriptor;
+    epoll_ctl(this->epollDescriptor, operation, descriptor, &event);
+}
+
+void HttpServer::wake() const
+{
+    const std::uint64_t one = 1;
+    static_cast<void>(!::write(this->wakeDescriptor, &one, sizeof one));
+}
+
+void HttpServer::run()
+{
+    const SteadyClock clock;
+    std::array<epoll_event, 256> events {};
+    auto nextCheck = clock.now();
+    while (!this->isStopping) {
+        const auto remaining = std::clamp<Duration>(nextCheck - clock.now(), Duration::zero(), longestWait);
+        const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(remaining).count();
+        const int count = epoll_wait(
+            this->epollDescriptor, events.data(), static_cast<int>(events.size()), static_cast<int>(milliseconds));
+        const auto now = clock.now();
+        for (int i = 0; i < count; ++i) {
+            const int descriptor = events[static_cast<std::size_t>(i)].data.fd;
+            if (descriptor == this->wakeDescriptor) {
+                std::uint64_t ignored = 0;
+                static_cast<void>(!::read(this->wakeDescriptor, &ignored, sizeof ignored));
+            } else {
+                this->startServing(descriptor);
+            }
+        }
+        this->accept(now);
+        this->submitWaiting();
+        if (now >= nextCheck || this->isDraining) {
+            nextCheck = this->closeIdle(now);
+        }
+    }
+}
+
+void HttpServer::accept(Instant now)
+{
+    const MutexLock lock { this->mutex };
+    bool isOutOfDescriptors = false;
+    while (this->listener >= 0 && this->connections.size() < this->settings.maxConnections) {
+        sockaddr_storage address {};
+        socklen_t length = sizeof address;
+        const int descriptor = ::accept4(
+            this->listener, reinterpret_cast<sockaddr*>(&address), &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0) {
+            isOutOfDescriptors = errno != EAGAIN && errno != EWOULDBLOCK && errno != ECONNABORTED && errno != EINTR;
+            break;
+        }
+        auto& entry = this->connections[descriptor];
+        entry.connection = std::make_unique<Connection>(descriptor, remoteIp(address));
+        entry.idleSince = now;
+        this->watch(descriptor, EPOLL_CTL_ADD, requestEvents);
+    }
+    if (this->listener < 0) {
+        return;
+    }
+    // A listener that is watched while nothing can be accepted would make the thread spin.
+    const bool isFull = isOutOfDescriptors || this->connections.size() >= this->settings.maxConnections;
+    if (isFull == this->isListenerWatched) {
+        this->isListenerWatched = !isFull;
+        this->watch(this->listener, EPOLL_CTL_MOD, isFull ? 0U : static_cast<std::uint32_t>(EPOLLIN));
+    }
+    // Connections that were complete before the drain began have been accepted above.
+    if (this->isDraining && !isFull) {
+        this->closeListener();
+    }
+}
+
+void HttpServer::closeListener()
+{
+    ::close(this->listener);
+    this->listener = -1;
+    this->changed.notifyAll();
+}
+
+void HttpServer::startServing(int descriptor)
+{
+    const MutexLock lock { this->mutex };
+    const auto entry = this->connections.find(descriptor);
+    if (entry != this->connections.end() && !entry->second.isServed) {
+        entry->second.isServed = true;
+        this->waiting.push_back(descriptor);
+    }
+}
+
+void HttpServer::submitWaiting()
+{
+    const MutexLock lock { this->mutex };
+    while (!this->waiting.empty()) {
+        const int descriptor = this->waiting.front();
+        auto& connection = *this->connections.at(descriptor).connection;
+        if (!this->workers.submit([this, descriptor, &connection] { this->serve(descriptor, connection); })) {
+            // Tried again when a worker finishes.
+            break;
+        }
+        this->waiting.pop_front();
+    }
+}
+
+void HttpServer::serve(int descriptor, Connection& connection)
+{
+    const bool canKeep = this->serveRequests(connection);
+    if (!canKeep) {
+        connection.finishSending();
+    }
+    this->finishServing(descriptor, canKeep);
+}
+
+bool HttpServer::serveRequests(Connection& connection)
+{
+    const SteadyClock clock;
+    if (this->tls && !connection.isEncrypted()) {
+        if (connection.acceptTls(*this->tls, clock.now() + this->settings.transferTime) != IoStatus::Ok) {
+            return false;
+        }
+        if (!connection.hasBufferedInput()) {
+            return true;
+        }
+    }
+    auto codec = this->borrowCodec();
+    bool canKeep = true;
+    for (int i = 0; canKeep && (i == 0 || (i < requestsInARow && connection.hasBufferedInput())); ++i) {
+        canKeep = codec->serve(
+            connection, this->handler, clock.now() + this->settings.transferTime, this->settings.transferTime);
+    }
+    this->returnCodec(std::move(codec));
+    return canKeep;
+}
+
+void HttpServer::finishServing(int descriptor, bool canKeep)
+{
+    const auto now = SteadyClock {}.now();
+    // Closed after the lock is released.
+    std::unique_ptr<Connection> closed;
+    const MutexLock lock { this->mutex };
+    auto& entry = this->connections.at(descriptor);
+    if (!canKeep) {
+        closed = std::move(entry.connection);
+        this->connections.erase(descriptor);
+        this->changed.notifyAll();
+    } else if (entry.connection->hasBufferedInput()) {
+        this->waiting.push_back(descriptor);
+    } else {
+        entry.isServed = false;
+        entry.idleSince = now;
+        this->watch(descriptor, EPOLL_CTL_MOD, requestEvents);
+    }
+    if (!this->waiting.empty() || !this->isListenerWatched || this->isDraining) {
+        this->wake();
+    }
+}
+
+Instant HttpServer::closeIdle(Instant now)
+{
+    if (this->isDraining && this->drainSince == Instant {}) {
+        this->drainSince = now;
+    }
+    const auto idleTime = this->isDraining ? this->settings.drainIdleTime : this->settings.idleTime;
+    auto next = now + std::min<Duration>(idleTime, longestWait);
+    std::vector<std::unique_ptr<Connection>> closed;
+    {
+        const MutexLock lock { this->mutex };
+        for (auto entry = this->connections.begin(); entry != this->connections.end();) {
+            auto& [descriptor, state] = *entry;
+            const auto due = std::max(state.idleSince, this->drainSince) + idleTime;
+            if (!state.isServed && due <= now && state.connection->isQuiet()) {
+                closed.push_back(std::move(state.connection));
+                entry = this->connections.erase(entry);
+                continue;
+            }
+            if (!state.isServed) {
+                next = std::min(next, std::max<Instant>(due, now + std::chrono::milliseconds { 1 }));
+            }
+            ++entry;
+        }
+        if (!closed.empty()) {
+            this->changed.notifyAll();
+        }
+    }
+    for (const auto& connection : closed) {
+        connection->finishSending();
+    }
+    return next;
+}
+
+std::unique_ptr<ServerCodec> HttpServer::borrowCodec()
+{
+    {
+        const MutexLock lock { this->mutex };
+        if (!this->codecs.empty()) {
+            auto codec = std::move(this->codecs.back());
+            this->codecs.pop_back();
+            return codec;
+        }
+    }
+    return std::make_unique<ServerCodec>(this->settings.limits, [this] { return this->isDraining.load(); });
+}
+
+void HttpServer::returnCodec(std::unique_ptr<ServerCodec> codec)
+{
+    const MutexLock lock { this->mutex };
+    this->codecs.push_back(std::move(codec));
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/UpstreamConnectionPool.cpp
@@ -0,0 +1,212 @@
+#include "adapters/http/UpstreamConnectionPool.h"
+
+#include "adapters/clock/SteadyClock.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::int64_t wholeToken = 1'000;
+    constexpr int statusConflict = 409;
+    constexpr int statusUnavailable = 503;
+
+    std::int64_t refill(Duration passed, std::uint32_t perSecond)
+    {
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(passed).count();
+        return std::min<std::int64_t>(milliseconds, 60'000) * perSecond;
+    }
+
+}
+
+AttemptResult attemptResult(const Exchange& exchange, std::string_view requestId)
+{
+    switch (exchange.status) {
+    case ExchangeStatus::NotSent:
+        return AttemptResult::ConnectionRefused;
+    case ExchangeStatus::Broken:
+        return AttemptResult::Broken;
+    case ExchangeStatus::TimedOut:
+        return AttemptResult::TimedOut;
+    case ExchangeStatus::Incomplete:
+        return AttemptResult::Incomplete;
+    case ExchangeStatus::Whole:
+        break;
+    }
+    // A refusal counts only with the right id too: a late one could belong to another request.
+    if (exchange.answer.header("Teaselturn-Request-Id") != requestId) {
+        return AttemptResult::Mismatched;
+    }
+    if (exchange.answer.header("Teaselturn-Refused") == "yes") {
+        if (exchange.answer.status == statusConflict) {
+            return AttemptResult::RefusedByFence;
+        }
+        if (exchange.answer.status == statusUnavailable) {
+            return AttemptResult::RefusedByLoad;
+        }
+    }
+    return AttemptResult::Answered;
+}
+
+UpstreamConnectionPool::UpstreamConnectionPool(ConnectionPoolLimits limits)
+    : limits(limits)
+{
+}
+
+AttemptReport UpstreamConnectionPool::send(const UpstreamAttempt& attempt)
+{
+    const SteadyClock clock;
+    AttemptReport report;
+    while (true) {
+        std::unique_ptr<Connection> connection;
+        const auto borrowing = this->borrow(attempt, connection);
+        if (borrowing != Borrowing::Borrowed) {
+            report.kind = borrowing == Borrowing::Refused ? AttemptReport::Kind::Made : AttemptReport::Kind::Limited;
+            report.result = AttemptResult::ConnectionRefused;
+            return report;
+        }
+        if (attempt.mayStillSend && !attempt.mayStillSend()) {
+            this->giveBack(attempt.upstream, std::move(connection), clock.now());
+            report.kind = AttemptReport::Kind::Withdrawn;
+            return report;
+        }
+        const auto sentAt = clock.now();
+        auto result = exchange(*connection, attempt.request, this->limits.message, attempt.deadline);
+        const auto endedAt = clock.now();
+        report.kind = AttemptReport::Kind::Made;
+        report.result = attemptResult(result, attempt.requestId);
+        const bool isRight
+            = result.status == ExchangeStatus::Whole && report.result != AttemptResult::Mismatched;
+        if (!isRight || !result.canReuse) {
+            connection.reset();
+        }
+        this->giveBack(attempt.upstream, std::move(connection), endedAt);
+        report.latency = endedAt - sentAt;
+        report.answer = std::move(result.answer);
+        // The system took no byte: a kept connection was already reset. Another one is not a second sending.
+        if (result.status != ExchangeStatus::NotSent || endedAt >= attempt.deadline) {
+            return report;
+        }
+    }
+}
+
+UpstreamConnectionPool::Upstream& UpstreamConnectionPool::find(const UpstreamAttempt& attempt, Instant now)
+{
+    auto& upstream = this->upstreams[attempt.upstream];
+    if (!upstream) {
+        upstream = std::make_unique<Upstream>();
+        upstream->newTokens = std::max<std::int64_t>(attempt.connectionShare, 1) * wholeToken;
+        upstream->tokensAt = now;
+    }
+    return *upstream;
+}
+
+bool UpstreamConnectionPool::admitsNew(Upstream& upstream, const UpstreamAttempt& attempt, Instant now)
+{
+    const auto added = refill(now - upstream.tokensAt, this->limits.newPerSecond);
+    if (added > 0) {
+        const auto cap = static_cast<std::int64_t>(this->limits.newPerSecond) * wholeToken;
+        upstream.newTokens = std::max(upstream.newTokens, std::min(cap, upstream.newTokens + added));
+        upstream.tokensAt = now;
+    }
+    if (upstream.open >= attempt.connectionShare || upstream.newTokens < wholeToken) {
+        return false;
+    }
+    upstream.newTokens -= wholeToken;
+    ++upstream.open;
+    return true;
+}
+
+UpstreamConnectionPool::Borrowing UpstreamConnectionPool::borrow(
+    const UpstreamAttempt& attempt, std::unique_ptr<Connection>& connection)
+{
+    const SteadyClock clock;
+    // Closed without the lock, and before a new connection is made.
+    std::vector<Kept> closed;
+    bool isNew = false;
+    {
+        const MutexLock lock { this->mutex };
+        while (!isNew) {
+            const auto now = clock.now();
+            auto& upstream = this->find(attempt, now);
+            while (!upstream.kept.empty()) {
+                auto kept = std::move(upstream.kept.back());
+                upstream.kept.pop_back();
+                if (!attempt.wantsNewConnection && now - kept.lastUsed < this->limits.idleTime
+                    && kept.connection->isQuiet()) {
+                    connection = std::move(kept.connection);
+                    return Borrowing::Borrowed;
+                }
+                --upstream.open;
+                closed.push_back(std::move(kept));
+            }
+            isNew = this->admitsNew(upstream, attempt, now);
+            if (!isNew) {
+                const auto remaining = attempt.deadline - now;
+                if (attempt.connectionShare == 0 || remaining <= Duration::zero()) {
+                    return Borrowing::Limited;
+                }
+                const Duration untilToken = std::chrono::milliseconds { wholeToken } / this->limits.newPerSecond;
+                ++upstream.waiting;
+                this->changed.waitFor(this->mutex, std::min(remaining, untilToken));
+                --upstream.waiting;
+            }
+        }
+    }
+    closed.clear();
+    const auto connectDeadline = std::min(attempt.deadline, clock.now() + this->limits.connectTime);
+    auto made = Connection::connect(attempt.upstream, connectDeadline);
+    if (!made) {
+        this->giveBack(attempt.upstream, nullptr, clock.now());
+        return Borrowing::Refused;
+    }
+    connection = std::move(made).value();
+    return Borrowing::Borrowed;
+}
+
+void UpstreamConnectionPool::giveBack(
+    const Endpoint& endpoint, std::unique_ptr<Connection> connection, Instant now)
+{
+    {
+        const MutexLock lock { this->mutex };
+        auto& upstream = *this->upstreams.at(endpoint);
+        if (connection) {
+            upstream.kept.push_back({ std::move(connection), now });
+        } else {
+            --upstream.open;
+        }
+    }
+    this->changed.notifyAll();
+}
+
+void UpstreamConnectionPool::closeUnused(Instant now)
+{
+    std::vector<Kept> closed;
+    const MutexLock lock { this->mutex };
+    for (auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
+        auto& upstream = *entry->second;
+        const auto unused = std::stable_partition(upstream.kept.begin(), upstream.kept.end(),
+            [&](const Kept& kept) { return now - kept.lastUsed < this->limits.idleTime; });
+        upstream.open -= static_cast<std::uint32_t>(upstream.kept.end() - unused);
+        closed.insert(closed.end(), std::make_move_iterator(unused), std::make_move_iterator(upstream.kept.end()));
+        upstream.kept.erase(unused, upstream.kept.end());
+        // Tokens of a forgotten upstream would come back whole, so it is kept until they are refilled.
+        const bool isFull = now - upstream.tokensAt > std::chrono::seconds { 10 };
+        if (upstream.open == 0 && upstream.waiting == 0 && isFull) {
+            this->upstreams.erase(entry++);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+std::size_t UpstreamConnectionPool::connectionCount(const Endpoint& upstream)
+{
+    const MutexLock lock { this->mutex };
+    const auto entry = this->upstreams.find(upstream);
+    return entry == this->upstreams.end() ? 0 : entry->second->open;
+}
+
+}
--- a/src/core/request/RequestMachine.h
+++ b/src/core/request/RequestMachine.h
@@ -69,7 +69,7 @@
 };
 
 /// State machine of one request: which attempts may be made, and how the request ends. It holds the rules of at most
-/// once and not run.
+/// once and not run. The first pause is short and later ones double up to a bound.
 class RequestMachine {
 public:
     explicit RequestMachine(const RequestSpec& request) noexcept;
@@ -78,14 +78,47 @@
     /// @param isTableFresh False where the owner cannot be confirmed for an upstream that does not check grants.
     RequestStep route(Instant now, const std::optional<Route>& route, bool ownerChecksGrants, bool isTableFresh) noexcept;
 
-    /// Notes that an attempt was refused by a local limit before a byte left.
+    /// Notes that an attempt was refused by a local limit before a byte left. An open circuit is waited out, since the
+    /// slot may get another owner; other codes finish the request.
     RequestStep refusedLocally(Instant now, ResultCode code) noexcept;
 
+    /// Notes that an attempt was given up before a byte left, because the route had changed.
+    RequestStep withdrawn(Instant now) noexcept;
+
     /// Decides after an attempt.
-    /// @param mayRetry Whether the service's retry budget admits another attempt.
+    /// @param mayRetry Whether the service's retry budget admits another attempt. It matters only where
+    /// usesRetryBudget() is true.
     RequestStep attempted(Instant now, AttemptResult result, bool mayRetry) noexcept;
 
-    std::uint32_t attempts() const noexcept;
+    /// @return True where another attempt after this result costs a unit of the service's retry budget. Attempts after
+    /// a refused connection or fence cost nothing: the upstream does no work for them, and the request waits for the
+    /// next owner.
+    bool usesRetryBudget(AttemptResult result) const noexcept;
+
+    /// @return When the next attempt must end. A repeatable request keeps time for a second attempt in case the
+    /// connection of the first one is silent.
+    Instant attemptDeadline(Instant now) const noexcept;
+
+    std::uint32_t attempts() const noexcept { return this->attemptCount; }
+
+    /// @return True where a byte of an attempt may have left without a whole answer.
+    bool mayHaveRun() const noexcept { return this->isPossiblyRun; }
+
+private:
+    RequestStep finish(ResultCode code) const noexcept;
+    RequestStep pause(Instant now, ResultCode code) noexcept;
+
+    Instant deadline;
+    bool isRepeatable;
+    bool isPossiblyRun {};
+    std::uint32_t attemptCount {};
+    std::uint32_t pauseCount {};
+    /// Why the request is not finished; reported when its time is up.
+    ResultCode pendingCode { ResultCode::RequestDeadlineExceeded };
+    /// What the first attempt that may have run ended with.
+    ResultCode unknownCode { ResultCode::RequestOutcomeUnknown };
 };
 
 }
+
+#include "core/request/RequestMachineInlines.h"
--- /dev/null
+++ b/src/core/request/RequestMachineInlines.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "core/request/RequestMachine.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+namespace request {
+    inline constexpr std::chrono::milliseconds firstPause { 5 };
+    /// Bounds the delay after a takeover where the notice of the route change was missed.
+    inline constexpr std::chrono::milliseconds longestPause { 100 };
+    inline constexpr std::uint32_t mostDoublings = 5;
+    /// Shorter attempts would time out on upstreams that are merely slow.
+    inline constexpr std::chrono::milliseconds shortestAttempt { 50 };
+}
+
+inline RequestMachine::RequestMachine(const RequestSpec& request) noexcept
+    : deadline(request.deadline)
+    , isRepeatable(request.isRepeatable)
+{
+}
+
+inline RequestStep RequestMachine::finish(ResultCode code) const noexcept
+{
+    if (this->isPossiblyRun) {
+        return { RequestStep::Kind::Finish, {}, Outcome::Unknown, this->unknownCode };
+    }
+    return { RequestStep::Kind::Finish, {}, Outcome::NotRun, code };
+}
+
+inline RequestStep RequestMachine::pause(Instant now, ResultCode code) noexcept
+{
+    this->pendingCode = code;
+    if (now >= this->deadline) {
+        return this->finish(code);
+    }
+    const auto doublings = std::min(this->pauseCount++, request::mostDoublings);
+    const Duration length = std::min(request::firstPause * (1U << doublings), request::longestPause);
+    return { RequestStep::Kind::WaitForOwner, std::min(length, this->deadline - now), {}, ResultCode::Ok };
+}
+
+inline RequestStep RequestMachine::route(
+    Instant now, const std::optional<Route>& route, bool ownerChecksGrants, bool isTableFresh) noexcept
+{
+    if (!route) {
+        return this->finish(ResultCode::RequestServiceUnknown);
+    }
+    if (now >= this->deadline) {
+        return this->finish(this->pendingCode);
+    }
+    if (route->owner == UpstreamId {}) {
+        return this->pause(now, ResultCode::RequestNoOwner);
+    }
+    if (!ownerChecksGrants && !isTableFresh) {
+        return this->pause(now, ResultCode::RequestTableStale);
+    }
+    if (!ownerChecksGrants && route->isMoving) {
+        // It would run requests after it has released the slot.
+        return this->pause(now, ResultCode::RequestNoOwner);
+    }
+    ++this->attemptCount;
+    return { RequestStep::Kind::Send, {}, {}, ResultCode::Ok };
+}
+
+inline RequestStep RequestMachine::refusedLocally(Instant now, ResultCode code) noexcept
+{
+    return code == ResultCode::RequestCircuitOpen ? this->pause(now, code) : this->finish(code);
+}
+
+inline RequestStep RequestMachine::withdrawn(Instant now) noexcept
+{
+    return this->pause(now, ResultCode::RequestNoOwner);
+}
+
+inline RequestStep RequestMachine::attempted(Instant now, AttemptResult result, bool mayRetry) noexcept
+{
+    switch (result) {
+    case AttemptResult::Answered:
+        return { RequestStep::Kind::Finish, {}, Outcome::Answered, ResultCode::Ok };
+    case AttemptResult::ConnectionRefused:
+        return this->pause(now, ResultCode::RequestConnectionRefused);
+    case AttemptResult::RefusedByFence:
+        return this->pause(now, ResultCode::RequestRefusedByUpstream);
+    case AttemptResult::RefusedByLoad:
+        return mayRetry ? this->pause(now, ResultCode::RequestRefusedByUpstream)
+                        : this->finish(ResultCode::RequestRefusedByUpstream);
+    case AttemptResult::Broken:
+    case AttemptResult::TimedOut:
+    case AttemptResult::Incomplete:
+    case AttemptResult::Mismatched:
+        break;
+    }
+    if (!this->isPossiblyRun) {
+        this->isPossiblyRun = true;
+        this->unknownCode = result == AttemptResult::Incomplete ? ResultCode::RequestAnswerIncomplete
+            : result == AttemptResult::Mismatched               ? ResultCode::RequestAnswerMismatched
+                                                                : ResultCode::RequestOutcomeUnknown;
+    }
+    return this->isRepeatable && mayRetry ? this->pause(now, this->unknownCode) : this->finish(this->unknownCode);
+}
+
+inline bool RequestMachine::usesRetryBudget(AttemptResult result) const noexcept
+{
+    switch (result) {
+    case AttemptResult::Answered:
+    case AttemptResult::ConnectionRefused:
+    case AttemptResult::RefusedByFence:
+        return false;
+    case AttemptResult::RefusedByLoad:
+        return true;
+    case AttemptResult::Broken:
+    case AttemptResult::TimedOut:
+    case AttemptResult::Incomplete:
+    case AttemptResult::Mismatched:
+        break;
+    }
+    return this->isRepeatable;
+}
+
+inline Instant RequestMachine::attemptDeadline(Instant now) const noexcept
+{
+    const auto remaining = this->deadline - now;
+    const bool keepsTime = this->isRepeatable && this->attemptCount <= 1 && remaining >= 2 * request::shortestAttempt;
+    return keepsTime ? now + remaining / 2 : this->deadline;
+}
+
+}
--- /dev/null
+++ b/tests/adapters/http/HttpServerTest.cpp
@@ -0,0 +1,195 @@
+#include "adapters/http/HttpServer.h"
+
+#include "RawUpstream.h"
+#include "adapters/http/HttpClient.h"
+
+#include <absl/synchronization/notification.h>
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+HttpAnswer echo(const HttpRequest& request)
+{
+    return { 200,
+        { { "X-Method", std::string { request.method } }, { "X-Target", std::string { request.target } },
+            { "X-Key", std::string { request.header("Key") } },
+            { "X-Type", std::string { request.header("Content-Type") } } },
+        std::string { request.body } };
+}
+
+std::unique_ptr<HttpServer> serve(WorkerPool& workers, HttpHandler handler, HttpServerSettings settings = {})
+{
+    return std::move(HttpServer::start(std::move(settings), workers, std::move(handler))).value();
+}
+
+/// Sends bytes on a new connection and reads until the server closes.
+std::string converse(std::uint16_t port, const std::string& bytes)
+{
+    auto connection = Connection::connect({ "127.0.0.1", port }, RawUpstream::soon()).value();
+    REQUIRE(connection->write(bytes, RawUpstream::soon()) == IoStatus::Ok);
+    std::string answer;
+    std::array<char, 4096> buffer {};
+    for (std::size_t count = 0; connection->read(buffer, count, RawUpstream::soon()) == IoStatus::Ok;) {
+        answer.append(buffer.data(), count);
+    }
+    return answer;
+}
+
+}
+
+TEST_CASE("HTTP server passes requests through unchanged", "[http]")
+{
+    // Guards against the library's decoding of header values, forms and encodings.
+    WorkerPool workers { 2, 16 };
+    const auto server = serve(workers, echo);
+    HttpClient client { { "127.0.0.1", server->port() } };
+    const HttpHeaderView headers[]
+        = { { "Key", "a%0d%0aX: y%2f" }, { "Content-Type", "multipart/form-data; boundary=q" } };
+    for (const std::string_view method : { "POST", "PUT", "PATCH", "DELETE" }) {
+        const auto answer = client.call({ method, "/a%20b?c=%41", headers, "--q\r\nbody%41", {} }, 10s);
+        REQUIRE(answer);
+        CHECK(answer->status == 200);
+        CHECK(answer->header("X-Method") == method);
+        CHECK(answer->header("X-Target") == "/a%20b?c=%41");
+        CHECK(answer->header("X-Key") == "a%0d%0aX: y%2f");
+        CHECK(answer->header("X-Type") == "multipart/form-data; boundary=q");
+        CHECK(answer->body == "--q\r\nbody%41");
+    }
+    for (const std::string_view method : { "GET", "OPTIONS", "DELETE", "POST" }) {
+        const auto answer = client.call({ method, "/", {}, {}, {} }, 10s);
+        REQUIRE(answer);
+        CHECK(answer->header("X-Method") == method);
+    }
+    CHECK(server->connectionCount() == 1);
+}
+
+TEST_CASE("HTTP server serves more kept connections than it has workers", "[http]")
+{
+    // Guards against a kept connection that holds a worker.
+    WorkerPool workers { 1, 16 };
+    const auto server = serve(workers, echo);
+    std::vector<std::unique_ptr<HttpClient>> clients;
+    clients.reserve(8);
+    for (int i = 0; i < 8; ++i) {
+        clients.push_back(std::make_unique<HttpClient>(Endpoint { "127.0.0.1", server->port() }));
+    }
+    for (int round = 0; round < 50; ++round) {
+        for (auto& client : clients) {
+            REQUIRE(client->call({ "GET", "/", {}, {}, {} }, 10s));
+        }
+    }
+    CHECK(server->connectionCount() == 8);
+}
+
+TEST_CASE("HTTP server refuses ambiguous and oversized requests and closes", "[http]")
+{
+    // Guards against request smuggling: bytes of one request must not be read as another.
+    WorkerPool workers { 2, 16 };
+    HttpServerSettings settings;
+    settings.limits = { 4096, 1024 };
+    const auto server = serve(workers, echo, settings);
+    const std::pair<std::string, std::string> cases[] = {
+        { "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", " 400 " },
+        { "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", " 400 " },
+        { "POST / HTTP/1.1\r\nContent-Length: x\r\n\r\n", " 400 " },
+        { "GET / HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello", " 400 " },
+        { "POST / HTTP/1.1\r\nContent-Length: 1025\r\n\r\n", " 413 " },
+        { "nonsense\r\n\r\n", " 400 " },
+        { "GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n", " 4" },
+    };
+    for (const auto& [bytes, status] : cases) {
+        CAPTURE(bytes);
+        const auto answer = converse(server->port(), bytes);
+        CHECK(answer.substr(0, 16).find(status) != std::string::npos);
+        CHECK(answer.find("Connection: close") != std::string::npos);
+        CHECK(answer.find("HTTP/1.1", 1) == std::string::npos);
+    }
+}
+
+TEST_CASE("HTTP server answers pipelined requests in order", "[http]")
+{
+    WorkerPool workers { 2, 16 };
+    const auto server = serve(workers, echo);
+    const auto answer = converse(server->port(),
+        "POST /1 HTTP/1.1\r\nContent-Length: 3\r\n\r\noneGET /2 HTTP/1.1\r\nConnection: close\r\n\r\n");
+    const auto first = answer.find("X-Target: /1");
+    const auto second = answer.find("X-Target: /2");
+    REQUIRE(first != std::string::npos);
+    REQUIRE(second != std::string::npos);
+    CHECK(first < second);
+}
+
+TEST_CASE("drain finishes requests in flight and closes kept connections", "[http]")
+{
+    // Guards against cutting a request during a graceful shutdown.
+    WorkerPool workers { 4, 64 };
+    absl::Notification started;
+    absl::Notification release;
+    auto server = serve(workers, [&](const HttpRequest& request) {
+        if (request.target == "/slow") {
+            started.Notify();
+            release.WaitForNotification();
+        }
+        return echo(request);
+    });
+    const Endpoint endpoint { "127.0.0.1", server->port() };
+    HttpClient kept { endpoint };
+    REQUIRE(kept.call({ "GET", "/", {}, {}, {} }, 10s));
+    std::thread slow { [&] {
+        HttpClient client { endpoint };
+        const auto answer = client.call({ "GET", "/slow", {}, {}, {} }, 30s);
+        REQUIRE(answer);
+        CHECK(answer->header("Connection") == "close");
+    } };
+    started.WaitForNotification();
+    CHECK_FALSE(server->drain(1ms));
+    release.Notify();
+    CHECK(server->drain(30s));
+    slow.join();
+    CHECK(server->connectionCount() == 0);
+    CHECK_FALSE(kept.call({ "GET", "/", {}, {}, {} }, 10s));
+}
+
+TEST_CASE("drain under load cuts no request", "[http]")
+{
+    // Guards against a lost answer while many clients send on kept connections.
+    WorkerPool workers { 4, 64 };
+    std::atomic<std::uint64_t> handled { 0 };
+    auto server = serve(workers, [&](const HttpRequest& request) {
+        ++handled;
+        return echo(request);
+    });
+    const Endpoint endpoint { "127.0.0.1", server->port() };
+    std::atomic<std::uint64_t> answered { 0 };
+    std::atomic<std::uint64_t> cut { 0 };
+    absl::Notification isLoaded;
+    std::vector<std::thread> clients;
+    clients.reserve(8);
+    for (int i = 0; i < 8; ++i) {
+        clients.emplace_back([&] {
+            HttpClient client { endpoint };
+            while (true) {
+                const auto answer = client.call({ "POST", "/", {}, "body", {} }, 30s);
+                if (!answer) {
+                    cut += answer.error() == make_error_code(ResultCode::HttpUnexpectedAnswer) ? 1 : 0;
+                    return;
+                }
+                if (++answered == 500) {
+                    isLoaded.Notify();
+                }
+            }
+        });
+    }
+    isLoaded.WaitForNotification();
+    CHECK(server->drain(30s));
+    for (auto& client : clients) {
+        client.join();
+    }
+    CHECK(cut == 0);
+    CHECK(handled == answered);
+}
--- /dev/null
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -0,0 +1,214 @@
+#include "adapters/http/UpstreamConnectionPool.h"
+
+#include "RawUpstream.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string goodAnswer = "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok";
+
+AttemptReport sendTo(UpstreamConnectionPool& pool, const Endpoint& endpoint, Duration longest = 10s,
+    std::uint32_t share = 4, bool wantsNew = false)
+{
+    const HttpHeaderView headers[] = { { "Teaselturn-Request-Id", "id" } };
+    const HttpRequest request { "GET", "/s/x/y", headers, {}, {} };
+    return pool.send({ endpoint, share, request, "id", SteadyClock {}.now() + longest, wantsNew, {} });
+}
+
+struct Case {
+    std::string name;
+    std::string answer;
+    AttemptResult result;
+};
+
+const Case cases[] = {
+    { "whole", goodAnswer, AttemptResult::Answered },
+    { "chunked",
+        "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        AttemptResult::Answered },
+    { "short body", "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nContent-Length: 3\r\n\r\nok",
+        AttemptResult::Incomplete },
+    { "short head", "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: i", AttemptResult::Incomplete },
+    { "unfinished chunks",
+        "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+        AttemptResult::Incomplete },
+    { "length not stated", "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\n\r\nok", AttemptResult::Incomplete },
+    { "two lengths",
+        "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
+        AttemptResult::Incomplete },
+    { "other id", "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: other\r\nContent-Length: 2\r\n\r\nok",
+        AttemptResult::Mismatched },
+    { "no id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Mismatched },
+    { "refused by fence",
+        "HTTP/1.1 409 Conflict\r\nTeaselturn-Request-Id: id\r\nTeaselturn-Refused: yes\r\nContent-Length: 0\r\n\r\n",
+        AttemptResult::RefusedByFence },
+    { "refused by load",
+        "HTTP/1.1 503 Busy\r\nTeaselturn-Request-Id: id\r\nTeaselturn-Refused: yes\r\nContent-Length: 0\r\n\r\n",
+        AttemptResult::RefusedByLoad },
+    { "refusal of another request",
+        "HTTP/1.1 409 Conflict\r\nTeaselturn-Request-Id: other\r\nTeaselturn-Refused: yes\r\nContent-Length: 0\r\n\r\n",
+        AttemptResult::Mismatched },
+    { "conflict of the application", "HTTP/1.1 409 Conflict\r\nTeaselturn-Request-Id: id\r\nContent-Length: 0\r\n\r\n",
+        AttemptResult::Answered },
+    { "no answer", "", AttemptResult::Broken },
+    { "no HTTP", "garbage\r\n\r\n", AttemptResult::Incomplete },
+};
+
+}
+
+TEST_CASE("upstream answers map to attempt results", "[http]")
+{
+    // Guards against taking a cut or crossed answer for the right one, and a crash for "not run".
+    for (const auto& row : cases) {
+        DYNAMIC_SECTION(row.name)
+        {
+            RawUpstream upstream { [&](Connection& connection, int) {
+                RawUpstream::readRequest(connection);
+                RawUpstream::answer(connection, row.answer);
+            } };
+            UpstreamConnectionPool pool;
+            const auto report = sendTo(pool, upstream.endpoint());
+            REQUIRE(report.kind == AttemptReport::Kind::Made);
+            CHECK(report.result == row.result);
+            if (report.result == AttemptResult::Answered && report.answer.status == 200) {
+                CHECK(report.answer.body == "ok");
+            }
+        }
+    }
+}
+
+TEST_CASE("a refused connection is the only failure that proves nothing was sent", "[http]")
+{
+    std::uint16_t port = 0;
+    const int descriptor = listenOn("127.0.0.1", port).value();
+    ::close(descriptor);
+    UpstreamConnectionPool pool;
+    const auto report = sendTo(pool, { "127.0.0.1", port });
+    REQUIRE(report.kind == AttemptReport::Kind::Made);
+    CHECK(report.result == AttemptResult::ConnectionRefused);
+    CHECK(pool.connectionCount({ "127.0.0.1", port }) == 0);
+}
+
+TEST_CASE("a kept connection that the upstream closes after reading is not reported as not run", "[http]")
+{
+    // Guards against a false "not run" and against sending the second request twice.
+    std::atomic<int> requests { 0 };
+    RawUpstream upstream { [&](Connection& connection, int) {
+        for (int i = 0; i < 2; ++i) {
+            if (RawUpstream::readRequest(connection).empty()) {
+                return;
+            }
+            ++requests;
+            if (i == 0) {
+                RawUpstream::answer(connection, goodAnswer);
+            }
+        }
+    } };
+    {
+        UpstreamConnectionPool pool;
+        REQUIRE(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
+        CHECK(sendTo(pool, upstream.endpoint()).result == AttemptResult::Broken);
+    }
+    CHECK(requests == 2);
+}
+
+TEST_CASE("a kept connection that was closed before is replaced without a failure", "[http]")
+{
+    std::atomic<int> connections { 0 };
+    RawUpstream upstream { [&](Connection& connection, int) {
+        ++connections;
+        RawUpstream::readRequest(connection);
+        RawUpstream::answer(connection, goodAnswer);
+    } };
+    UpstreamConnectionPool pool;
+    REQUIRE(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
+    // Either the close has arrived and another connection is made, or it has not and the outcome is open. The pool must
+    // never claim that nothing was sent.
+    const auto second = sendTo(pool, upstream.endpoint());
+    CHECK((second.result == AttemptResult::Answered || second.result == AttemptResult::Broken));
+}
+
+TEST_CASE("a silent connection times out, is closed and not used again", "[http]")
+{
+    RawUpstream upstream { [&](Connection& connection, int number) {
+        RawUpstream::readRequest(connection);
+        if (number > 0) {
+            RawUpstream::answer(connection, goodAnswer);
+        }
+        RawUpstream::waitForClose(connection);
+    } };
+    UpstreamConnectionPool pool;
+    CHECK(sendTo(pool, upstream.endpoint(), 50ms).result == AttemptResult::TimedOut);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 0);
+    CHECK(sendTo(pool, upstream.endpoint(), 10s, 4, true).result == AttemptResult::Answered);
+}
+
+TEST_CASE("a late answer does not reach the next request", "[http]")
+{
+    // Guards against interleaved answers: the late one belongs to the first request.
+    RawUpstream upstream { [&](Connection& connection, int number) {
+        RawUpstream::readRequest(connection);
+        if (number == 0) {
+            RawUpstream::waitForClose(connection);
+            RawUpstream::answer(connection, goodAnswer);
+        } else {
+            RawUpstream::answer(connection, goodAnswer);
+            RawUpstream::waitForClose(connection);
+        }
+    } };
+    UpstreamConnectionPool pool;
+    CHECK(sendTo(pool, upstream.endpoint(), 50ms).result == AttemptResult::TimedOut);
+    CHECK(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
+}
+
+TEST_CASE("bytes beyond an answer end its connection", "[http]")
+{
+    // Guards against reading them as the answer to the next request.
+    RawUpstream upstream { [&](Connection& connection, int) {
+        RawUpstream::readRequest(connection);
+        RawUpstream::answer(connection, goodAnswer + goodAnswer);
+        RawUpstream::waitForClose(connection);
+    } };
+    UpstreamConnectionPool pool;
+    CHECK(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 0);
+}
+
+TEST_CASE("the pool keeps to the connection share", "[http]")
+{
+    RawUpstream upstream { [&](Connection& connection, int) {
+        RawUpstream::readRequest(connection);
+        RawUpstream::answer(connection, goodAnswer);
+        RawUpstream::waitForClose(connection);
+    } };
+    UpstreamConnectionPool pool;
+    CHECK(sendTo(pool, upstream.endpoint(), 10s, 0).kind == AttemptReport::Kind::Limited);
+    CHECK(sendTo(pool, upstream.endpoint(), 10s, 1).result == AttemptResult::Answered);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 1);
+    pool.closeUnused(SteadyClock {}.now() + 4s);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 1);
+    pool.closeUnused(SteadyClock {}.now() + 6s);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 0);
+}
+
+TEST_CASE("an attempt is withdrawn when its route changed before the first byte", "[http]")
+{
+    std::atomic<bool> hasReceived { false };
+    {
+        RawUpstream upstream { [&](Connection& connection, int) {
+            hasReceived = !RawUpstream::readRequest(connection).empty();
+        } };
+        UpstreamConnectionPool pool;
+        const HttpRequest request { "GET", "/s/x/y", {}, {}, {} };
+        const auto endpoint = upstream.endpoint();
+        const auto report
+            = pool.send({ endpoint, 1, request, "id", SteadyClock {}.now() + 10s, false, [] { return false; } });
+        CHECK(report.kind == AttemptReport::Kind::Withdrawn);
+    }
+    CHECK_FALSE(hasReceived);
+}
