Add the request handler with limiter, breaker, retry budget and outcome table

The handler drives RequestMachine over concepts for routes, upstream calls and the clock, so that its tests use no socket.

Ruled out: charging the retry budget for refused connections and refused fences. They cost the upstream nothing, and during a takeover nearly every request would fail instead of waiting for the next owner.

Before: no request path. Conclusion: the daemon can wire it; AdmissionQueue is still missing.

--- /dev/null
+++ b/src/node/RequestHandler.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "adapters/http/UpstreamAttempt.h"
+#include "core/request/RequestMachine.h"
+#include "node/CallerRequest.h"
+#include "node/LimiterTable.h"
+#include "node/OutcomeRegistry.h"
+#include "node/RouteSource.h"
+#include "teaselturn/Ports.h"
+
+#include <concepts>
+
+namespace teaselturn {
+
+/// Hears how each request and attempt ended, for counters and logs.
+template <typename T>
+concept RequestObserver = requires(T& observer, const RequestSpec& request, Outcome outcome, ResultCode code,
+    Duration latency, UpstreamId upstream, AttemptResult result)
+{
+    { observer.finished(request, outcome, code, latency) };
+    { observer.attempted(request, upstream, result, latency) };
+    { observer.circuitOpened(upstream) };
+};
+
+/// Observes nothing.
+struct NoRequestObserver {
+    void finished(const RequestSpec&, Outcome, ResultCode, Duration) { }
+    void attempted(const RequestSpec&, UpstreamId, AttemptResult, Duration) { }
+    void circuitOpened(UpstreamId) { }
+};
+
+/// Serves callers' requests: checks them, finds the owner, makes attempts as RequestMachine decides, and answers. Called
+/// by all workers at a time; a worker is held until its request ends.
+/// @tparam Routes Finds services, routes and owners.
+/// @tparam Upstreams Makes attempts.
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer = NoRequestObserver>
+class RequestHandler {
+public:
+    /// The collaborators outlive the handler.
+    RequestHandler(Routes& routes, Upstreams& upstreams, const ClockType& clock, LimiterTable<ClockType>& limiters,
+        OutcomeRegistry& outcomes, Observer& observer)
+        : routes(routes)
+        , upstreams(upstreams)
+        , clock(clock)
+        , limiters(limiters)
+        , outcomes(outcomes)
+        , observer(observer)
+    {
+    }
+
+    /// @return The whole answer to the caller.
+    HttpAnswer handle(const HttpRequest& http);
+
+private:
+    struct Attempt {
+        RequestStep step;
+        HttpAnswer answer;
+        bool wantsNewConnection {};
+    };
+
+    CallerOutcome run(const HttpRequest& http, const RequestSpec& spec, const ServiceInfo& service);
+    Attempt attempt(const HttpRequest& http, const RequestSpec& spec, const ServiceInfo& service, const Route& route,
+        const OwnerInfo& owner, RequestMachine& machine, bool wantsNewConnection);
+    bool isStillOwner(const RequestSpec& spec, const Route& route, const OwnerInfo& owner);
+    void learn(const RequestSpec& spec, UpstreamId owner, const AttemptReport& report);
+    CallerOutcome repeat(const OutcomeLookup& seen) const;
+    void record(const RequestSpec& spec, const CallerOutcome& outcome);
+
+    Routes& routes;
+    Upstreams& upstreams;
+    const ClockType& clock;
+    LimiterTable<ClockType>& limiters;
+    OutcomeRegistry& outcomes;
+    Observer& observer;
+};
+
+}
+
+#include "node/RequestHandlerInlines.h"
--- /dev/null
+++ b/src/node/RequestHandlerInlines.h
@@ -0,0 +1,193 @@
+#pragma once
+
+#include "node/RequestHandler.h"
+
+#include <optional>
+#include <utility>
+
+namespace teaselturn {
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+HttpAnswer RequestHandler<Routes, Upstreams, ClockType, Observer>::handle(const HttpRequest& http)
+{
+    auto parsed = parseCallerRequest(http, this->clock.now());
+    if (!parsed) {
+        const auto code = static_cast<ResultCode>(parsed.error().value());
+        return makeCallerAnswer({ Outcome::NotRun, code, {} }, http.header("Teaselturn-Request-Id"));
+    }
+    auto& spec = parsed->spec;
+    const auto service = this->routes.findService(parsed->service);
+    if (!service) {
+        return makeCallerAnswer({ Outcome::NotRun, ResultCode::RequestServiceUnknown, {} }, spec.requestId);
+    }
+    spec.service = service->id;
+    // A repeatable request may run again, so its id takes no place in the table.
+    if (!spec.isRepeatable) {
+        if (const auto seen = this->outcomes.begin(spec.arrivedAt, spec.requestId);
+            seen.kind != OutcomeLookup::Kind::New) {
+            return makeCallerAnswer(this->repeat(seen), spec.requestId);
+        }
+    }
+    this->limiters.countRequest(service->id, service->retryBudgetPercent);
+    auto outcome = this->run(http, spec, *service);
+    this->observer.finished(spec, outcome.outcome, outcome.code, this->clock.now() - spec.arrivedAt);
+    if (!spec.isRepeatable) {
+        this->record(spec, outcome);
+    }
+    return makeCallerAnswer(std::move(outcome), spec.requestId);
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+CallerOutcome RequestHandler<Routes, Upstreams, ClockType, Observer>::run(
+    const HttpRequest& http, const RequestSpec& spec, const ServiceInfo& service)
+{
+    RequestMachine machine { spec };
+    bool wantsNewConnection = false;
+    while (true) {
+        const auto version = this->routes.version();
+        auto route = this->routes.find(spec.service, spec.key);
+        std::optional<OwnerInfo> owner;
+        if (route && route->owner != UpstreamId {}) {
+            owner = this->routes.findOwner(route->owner);
+            if (!owner) {
+                // The owner was forgotten between the two lookups.
+                route->owner = {};
+            }
+        }
+        const auto now = this->clock.now();
+        auto step = machine.route(now, route, owner && owner->checksGrants, this->routes.isTableFresh(now));
+        HttpAnswer answer;
+        if (step.kind == RequestStep::Kind::Send) {
+            auto made = this->attempt(http, spec, service, *route, *owner, machine, wantsNewConnection);
+            step = made.step;
+            answer = std::move(made.answer);
+            wantsNewConnection = made.wantsNewConnection;
+        }
+        if (step.kind == RequestStep::Kind::Finish) {
+            return { step.outcome, step.code, std::move(answer) };
+        }
+        this->routes.waitForChange(version, step.pause);
+    }
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+auto RequestHandler<Routes, Upstreams, ClockType, Observer>::attempt(const HttpRequest& http, const RequestSpec& spec,
+    const ServiceInfo& service, const Route& route, const OwnerInfo& owner, RequestMachine& machine,
+    bool wantsNewConnection) -> Attempt
+{
+    const UpstreamCapacity capacity { owner.requestSlots, owner.connectionShare };
+    switch (this->limiters.acquire(route.owner, capacity, spec.deadline)) {
+    case Admission::Granted:
+        break;
+    case Admission::CircuitOpen:
+        return { machine.refusedLocally(this->clock.now(), ResultCode::RequestCircuitOpen), {}, wantsNewConnection };
+    case Admission::Waited:
+        return { machine.withdrawn(this->clock.now()), {}, wantsNewConnection };
+    case Admission::Shed:
+        return { machine.refusedLocally(this->clock.now(), ResultCode::RequestShed), {}, wantsNewConnection };
+    }
+    const auto now = this->clock.now();
+    const auto deadline = machine.attemptDeadline(now);
+    const UpstreamHeaders headers { http, spec, route, owner.endpoint, deadline - now };
+    const HttpRequest outgoing { http.method, http.target, headers.headerViews(), http.body, {} };
+    auto report = this->upstreams.send({ owner.endpoint, owner.connectionShare, outgoing, spec.requestId, deadline,
+        wantsNewConnection, [&] { return this->isStillOwner(spec, route, owner); } });
+    this->learn(spec, route.owner, report);
+    const auto endedAt = this->clock.now();
+    switch (report.kind) {
+    case AttemptReport::Kind::Limited:
+        return { machine.refusedLocally(endedAt, ResultCode::RequestShed), {}, wantsNewConnection };
+    case AttemptReport::Kind::Withdrawn:
+        return { machine.withdrawn(endedAt), {}, wantsNewConnection };
+    case AttemptReport::Kind::Made:
+        break;
+    }
+    const bool mayRetry = !machine.usesRetryBudget(report.result) || this->limiters.tryRetry(service.id);
+    const bool wasSilent = report.result == AttemptResult::TimedOut || report.result == AttemptResult::Broken;
+    return { machine.attempted(endedAt, report.result, mayRetry), std::move(report.answer), wasSilent };
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+bool RequestHandler<Routes, Upstreams, ClockType, Observer>::isStillOwner(
+    const RequestSpec& spec, const Route& route, const OwnerInfo& owner)
+{
+    const auto current = this->routes.find(spec.service, spec.key);
+    if (!current || current->slot != route.slot || current->owner != route.owner || current->fence != route.fence) {
+        return false;
+    }
+    return owner.checksGrants || (!current->isMoving && this->routes.isTableFresh(this->clock.now()));
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+void RequestHandler<Routes, Upstreams, ClockType, Observer>::learn(
+    const RequestSpec& spec, UpstreamId owner, const AttemptReport& report)
+{
+    using Health = typename LimiterTable<ClockType>::Health;
+    /// Attempts shorter than this say nothing about the upstream when they time out.
+    constexpr std::chrono::milliseconds tellingTime { 100 };
+    auto sample = LimiterSample::Ignored;
+    auto health = Health::Ignored;
+    if (report.kind == AttemptReport::Kind::Made) {
+        this->observer.attempted(spec, owner, report.result, report.latency);
+        switch (report.result) {
+        case AttemptResult::Answered:
+            sample = LimiterSample::Good;
+            health = Health::Responds;
+            break;
+        case AttemptResult::RefusedByFence:
+            health = Health::Responds;
+            break;
+        case AttemptResult::RefusedByLoad:
+            sample = LimiterSample::Overload;
+            health = Health::Responds;
+            break;
+        case AttemptResult::TimedOut:
+            sample = LimiterSample::Overload;
+            health = report.latency >= tellingTime ? Health::Fails : Health::Ignored;
+            break;
+        case AttemptResult::ConnectionRefused:
+        case AttemptResult::Broken:
+        case AttemptResult::Incomplete:
+        case AttemptResult::Mismatched:
+            health = Health::Fails;
+            break;
+        }
+    }
+    if (this->limiters.release(owner, sample, report.latency, health)) {
+        this->observer.circuitOpened(owner);
+    }
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+CallerOutcome RequestHandler<Routes, Upstreams, ClockType, Observer>::repeat(const OutcomeLookup& seen) const
+{
+    if (seen.kind == OutcomeLookup::Kind::Full) {
+        return { Outcome::NotRun, ResultCode::RequestShed, {} };
+    }
+    if (seen.kind == OutcomeLookup::Kind::InProgress || !seen.recorded->isAnswerKept) {
+        return { Outcome::Unknown, ResultCode::RequestDuplicate, {} };
+    }
+    const auto& recorded = *seen.recorded;
+    CallerOutcome outcome { recorded.outcome, recorded.code, { recorded.status, {}, recorded.body } };
+    if (!recorded.contentType.empty()) {
+        outcome.answer.headers.push_back({ "Content-Type", recorded.contentType });
+    }
+    return outcome;
+}
+
+template <RouteSource Routes, UpstreamCall Upstreams, Clock ClockType, RequestObserver Observer>
+void RequestHandler<Routes, Upstreams, ClockType, Observer>::record(
+    const RequestSpec& spec, const CallerOutcome& outcome)
+{
+    RecordedOutcome recorded { outcome.outcome, outcome.code, outcome.answer.status };
+    if (outcome.outcome == Outcome::Answered) {
+        recorded.isAnswerKept = outcome.answer.body.size() <= OutcomeTable::maxKeptBodyBytes;
+        if (recorded.isAnswerKept) {
+            recorded.body = outcome.answer.body;
+        }
+        recorded.contentType = outcome.answer.header("Content-Type");
+    }
+    this->outcomes.finish(this->clock.now(), spec.requestId, std::move(recorded));
+}
+
+}
--- /dev/null
+++ b/src/node/RouteSource.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/Mutex.h"
+#include "core/routing/RouteTable.h"
+#include "teaselturn/Types.h"
+
+#include <concepts>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace teaselturn {
+
+/// What the request path needs to know about a service.
+struct ServiceInfo {
+    ServiceId id;
+    /// Larger numbers are shed later.
+    std::uint8_t priority { 1 };
+    std::uint32_t retryBudgetPercent { 10 };
+};
+
+/// What the request path needs to know about an upstream.
+struct OwnerInfo {
+    Endpoint endpoint;
+    bool checksGrants {};
+    /// Requests that the upstream runs at a time.
+    std::uint32_t requestSlots {};
+    /// This entry VM's share of the upstream's connection limit.
+    std::uint32_t connectionShare {};
+};
+
+/// Finds services, routes and owners for the request path, and tells when routes change.
+template <typename T>
+concept RouteSource = requires(T& routes, std::string_view text, ServiceId service, UpstreamId owner, Instant now,
+    std::uint64_t version, Duration longest)
+{
+    {
+        routes.findService(text)
+        } -> std::same_as<std::optional<ServiceInfo>>;
+    {
+        routes.find(service, text)
+        } -> std::same_as<std::optional<Route>>;
+    {
+        routes.findOwner(owner)
+        } -> std::same_as<std::optional<OwnerInfo>>;
+    {
+        routes.isTableFresh(now)
+        } -> std::same_as<bool>;
+    /// Grows with every change of a route or of the table's freshness.
+    {
+        routes.version()
+        } -> std::same_as<std::uint64_t>;
+    /// Returns once the version differs from the given one, or after the longest time.
+    { routes.waitForChange(version, longest) };
+};
+
+/// Counts changes of routes and wakes those that wait for one. Its mutex is a leaf: nothing is locked under it.
+class RouteSignal {
+public:
+    /// Called after routes have changed.
+    void notifyChanged()
+    {
+        {
+            const MutexLock lock { this->mutex };
+            ++this->changes;
+        }
+        this->changed.notifyAll();
+    }
+
+    std::uint64_t version()
+    {
+        const MutexLock lock { this->mutex };
+        return this->changes;
+    }
+
+    /// Waits at most once; a spurious return only repeats a lookup.
+    void waitForChange(std::uint64_t seen, Duration longest)
+    {
+        const MutexLock lock { this->mutex };
+        if (this->changes == seen && longest > Duration::zero()) {
+            this->changed.waitFor(this->mutex, longest);
+        }
+    }
+
+private:
+    Mutex mutex;
+    ConditionVariable changed;
+    std::uint64_t changes ABSL_GUARDED_BY(mutex) {};
+};
+
+}
