Add the stand-in upstream and the load driver

Cause: faults and invariants must be checked from outside, with processes.

The load driver sends seeded Zipf load on schedule, records outcomes, and compares the records of both sides.

Before: none. Not yet run against an entry VM.

--- /dev/null
+++ b/tools/load-driver/Load.cpp
@@ -0,0 +1,183 @@
+#include "Load.h"
+
+#include "adapters/clock/SteadyClock.h"
+#include "adapters/http/HttpClient.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <thread>
+
+using namespace teaselturn;
+
+namespace {
+
+/// SplitMix64: a number for each position of a seeded sequence, without state.
+std::uint64_t mix(std::uint64_t seed, std::uint64_t position)
+{
+    auto value = seed * 0x9e3779b97f4a7c15U + position * 0xbf58476d1ce4e5b9U + 0x94d049bb133111ebU;
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+/// Answers may come this much after the deadline before the connection counts as broken.
+constexpr std::chrono::milliseconds grace { 1'000 };
+
+}
+
+Duration LoadResult::percentile(double share) const
+{
+    if (this->latencies.empty()) {
+        return {};
+    }
+    const auto last = this->latencies.size() - 1;
+    return this->latencies[std::min(last, static_cast<std::size_t>(share * static_cast<double>(last)))];
+}
+
+/// Sends the requests of one thread over one kept connection to each entry VM.
+class Load::Sender {
+public:
+    Sender(const Options& options)
+        : options(options)
+    {
+        for (const auto& entry : options.entries) {
+            this->clients.push_back(std::make_unique<HttpClient>(entry));
+        }
+    }
+
+    struct Ending {
+        std::string outcome;
+        std::string code;
+    };
+
+    Ending send(std::uint64_t number, const Planned& request)
+    {
+        const auto deadline = std::to_string(this->options.deadline.count());
+        const HttpHeaderView headers[] = { { "Teaselturn-Key", request.key },
+            { "Teaselturn-Request-Id", request.id }, { "Teaselturn-Deadline-Ms", deadline },
+            { "Teaselturn-Repeatable", request.isRepeatable ? "yes" : "no" },
+            { "Teaselturn-Customer", request.customer }, { "Content-Type", "text/plain" } };
+        const auto target = "/s/" + this->options.service + "/load";
+        const HttpRequest message { "POST", target, headers, request.id, {} };
+        const auto count = this->clients.size();
+        // As a load balancer would, it tries another entry VM only where nothing was sent.
+        for (std::size_t i = 0; i < count; ++i) {
+            auto answer = this->clients[(number + i) % count]->call(message, this->options.deadline + grace);
+            if (answer) {
+                return judge(*answer, request);
+            }
+            if (answer.error() != make_error_code(ResultCode::HttpUnreachable)) {
+                return { "unknown", std::to_string(answer.error().value()) };
+            }
+        }
+        return { "not-run", std::to_string(static_cast<int>(ResultCode::HttpUnreachable)) };
+    }
+
+private:
+    static Ending judge(const HttpAnswer& answer, const Planned& request)
+    {
+        Ending ending { std::string { answer.header("Teaselturn-Outcome") },
+            std::string { answer.header("Teaselturn-Code") } };
+        if (ending.outcome.empty()) {
+            return { "unknown", std::to_string(answer.status) };
+        }
+        const bool isOwn = answer.header("Teaselturn-Request-Id") == request.id
+            && (ending.outcome != "answered" || answer.body == "ran " + request.id + " " + request.key + "\n");
+        return isOwn ? ending : Ending { "wrong-answer", ending.code };
+    }
+
+    const Options& options;
+    std::vector<std::unique_ptr<HttpClient>> clients;
+};
+
+Load::Load(const Options& options)
+    : options(options)
+    , runName(std::to_string(makeBootId().value))
+    , total(static_cast<std::uint64_t>(options.rate) * static_cast<std::uint64_t>(options.duration.count()) / 1'000)
+    , file(options.recordFile.empty() ? nullptr : std::fopen(options.recordFile.c_str(), "a"))
+{
+    double sum = 0;
+    this->cumulative.reserve(options.keys);
+    for (std::uint32_t rank = 1; rank <= options.keys; ++rank) {
+        sum += 1 / std::pow(rank, options.skew);
+        this->cumulative.push_back(sum);
+    }
+}
+
+Load::~Load()
+{
+    if (this->file) {
+        std::fclose(this->file);
+    }
+}
+
+Load::Planned Load::plan(std::uint64_t number) const
+{
+    const auto random = mix(this->options.seed, 3 * number);
+    const auto point = static_cast<double>(random >> 11U) * 0x1.0p-53 * this->cumulative.back();
+    const auto rank = std::lower_bound(this->cumulative.begin(), this->cumulative.end(), point) - this->cumulative.begin();
+    Planned request;
+    request.id = this->runName + "-" + std::to_string(number);
+    request.key = "key-" + std::to_string(rank);
+    request.customer = "customer-" + std::to_string(mix(this->options.seed, 3 * number + 1) % this->options.customers);
+    request.isRepeatable = mix(this->options.seed, 3 * number + 2) % 100 >= this->options.nonRepeatablePercent;
+    return request;
+}
+
+void Load::note(
+    const Planned& request, std::string_view outcome, std::string_view code, Instant sentAt, Instant endedAt)
+{
+    const auto line = "req " + std::to_string(sentAt.time_since_epoch().count()) + " "
+        + std::to_string(endedAt.time_since_epoch().count()) + " " + request.id + " " + this->options.service
+        + (request.isRepeatable ? " yes " : " no ") + std::string { outcome } + " " + std::string { code } + " "
+        + request.key + "\n";
+    const MutexLock lock { this->mutex };
+    ++this->result.sent;
+    if (outcome == "answered") {
+        ++this->result.answered;
+        this->result.latencies.push_back(endedAt - sentAt);
+    } else if (outcome == "not-run") {
+        ++this->result.shed;
+    } else if (outcome == "wrong-answer") {
+        ++this->result.answered;
+        ++this->result.wrongAnswers;
+    } else {
+        ++this->result.unknown;
+    }
+    if (this->file) {
+        std::fwrite(line.data(), 1, line.size(), this->file);
+        std::fflush(this->file);
+    }
+}
+
+void Load::work(Instant start)
+{
+    const SteadyClock clock;
+    Sender sender { this->options };
+    const Duration interval = std::chrono::nanoseconds { std::chrono::seconds { 1 } } / this->options.rate;
+    for (auto number = this->next++; number < this->total; number = this->next++) {
+        const auto due = start + static_cast<std::int64_t>(number) * interval;
+        std::this_thread::sleep_for(due - clock.now());
+        const auto request = this->plan(number);
+        const auto sentAt = clock.now();
+        const auto ending = sender.send(number, request);
+        // Latency counts from when the request was due, so that a stall is not hidden by requests sent late.
+        this->note(request, ending.outcome, ending.code, std::min(due, sentAt), clock.now());
+    }
+}
+
+LoadResult Load::run()
+{
+    const auto start = SteadyClock {}.now();
+    std::vector<std::thread> threads;
+    for (std::uint32_t i = 0; i < this->options.workers; ++i) {
+        threads.emplace_back([this, start] { this->work(start); });
+    }
+    for (auto& thread : threads) {
+        thread.join();
+    }
+    const MutexLock lock { this->mutex };
+    std::sort(this->result.latencies.begin(), this->result.latencies.end());
+    return this->result;
+}
--- /dev/null
+++ b/tools/load-driver/Options.cpp
@@ -0,0 +1,120 @@
+#include "Options.h"
+
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <getopt.h>
+#include <sstream>
+
+using teaselturn::Endpoint;
+
+namespace {
+
+constexpr const char* usage
+    = "usage: load-driver --entries ADDRESS:PORT,... --service NAME [--seed N] [--keys N] [--skew X]\n"
+      "         [--non-repeatable PERCENT] [--rate N] [--duration-ms N] [--deadline-ms N] [--workers N]\n"
+      "         [--customers N] [--record FILE]\n"
+      "       load-driver --check FILE...\n";
+
+constexpr std::uint32_t maxWorkers = 256;
+constexpr std::uint32_t maxKeys = 1'000'000;
+
+template <typename Number>
+bool parseNumber(const std::string& text, Number& number)
+{
+    const auto* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc {} && rest == end;
+}
+
+bool parseMilliseconds(const std::string& text, std::chrono::milliseconds& result)
+{
+    std::uint32_t number = 0;
+    const bool isNumber = parseNumber(text, number);
+    result = std::chrono::milliseconds { number };
+    return isNumber;
+}
+
+bool parseEntries(const std::string& text, std::vector<Endpoint>& entries)
+{
+    std::stringstream stream { text };
+    for (std::string part; std::getline(stream, part, ',');) {
+        const auto colon = part.rfind(':');
+        Endpoint endpoint;
+        if (colon == std::string::npos || !parseNumber(part.substr(colon + 1), endpoint.port)) {
+            return false;
+        }
+        endpoint.address = part.substr(0, colon);
+        entries.push_back(endpoint);
+    }
+    return !entries.empty();
+}
+
+bool apply(int option, const std::string& value, Options& options)
+{
+    switch (option) {
+    case 'e':
+        return parseEntries(value, options.entries);
+    case 's':
+        options.service = value;
+        return true;
+    case 'S':
+        return parseNumber(value, options.seed);
+    case 'k':
+        return parseNumber(value, options.keys) && options.keys >= 1 && options.keys <= maxKeys;
+    case 'z':
+        options.skew = std::strtod(value.c_str(), nullptr);
+        return options.skew >= 0;
+    case 'n':
+        return parseNumber(value, options.nonRepeatablePercent) && options.nonRepeatablePercent <= 100;
+    case 'r':
+        return parseNumber(value, options.rate) && options.rate >= 1;
+    case 'd':
+        return parseMilliseconds(value, options.duration);
+    case 'D':
+        return parseMilliseconds(value, options.deadline) && options.deadline.count() >= 1
+            && options.deadline <= teaselturn::limits::maxDeadline;
+    case 'w':
+        return parseNumber(value, options.workers) && options.workers >= 1 && options.workers <= maxWorkers;
+    case 'c':
+        return parseNumber(value, options.customers) && options.customers >= 1;
+    case 'f':
+        options.recordFile = value;
+        return true;
+    case 'C':
+        options.isCheck = true;
+        return true;
+    default:
+        return false;
+    }
+}
+
+}
+
+std::optional<Options> parseOptions(int count, char** arguments)
+{
+    static const option table[] = { { "entries", required_argument, nullptr, 'e' },
+        { "service", required_argument, nullptr, 's' }, { "seed", required_argument, nullptr, 'S' },
+        { "keys", required_argument, nullptr, 'k' }, { "skew", required_argument, nullptr, 'z' },
+        { "non-repeatable", required_argument, nullptr, 'n' }, { "rate", required_argument, nullptr, 'r' },
+        { "duration-ms", required_argument, nullptr, 'd' }, { "deadline-ms", required_argument, nullptr, 'D' },
+        { "workers", required_argument, nullptr, 'w' }, { "customers", required_argument, nullptr, 'c' },
+        { "record", required_argument, nullptr, 'f' }, { "check", no_argument, nullptr, 'C' },
+        { nullptr, 0, nullptr, 0 } };
+    Options options;
+    for (int option = 0; (option = getopt_long(count, arguments, "", table, nullptr)) != -1;) {
+        if (!apply(option, optarg ? optarg : "", options)) {
+            std::fputs(usage, stderr);
+            return std::nullopt;
+        }
+    }
+    options.checkFiles.assign(arguments + optind, arguments + count);
+    const bool isValid = options.isCheck ? !options.checkFiles.empty()
+                                         : options.checkFiles.empty() && !options.entries.empty()
+            && !options.service.empty();
+    if (!isValid) {
+        std::fputs(usage, stderr);
+        return std::nullopt;
+    }
+    return options;
+}
--- /dev/null
+++ b/tools/stand-in-upstream/Grants.cpp
@@ -0,0 +1,206 @@
+#include "Grants.h"
+
+#include "adapters/clock/SteadyClock.h"
+
+#include <algorithm>
+
+using teaselturn::HeartbeatMessage;
+using teaselturn::HeartbeatReplyMessage;
+using teaselturn::Instant;
+using teaselturn::MutexLock;
+using teaselturn::SteadyClock;
+
+Grants::Grants(const Options& options, Record& record)
+    : options(options)
+    , record(record)
+{
+}
+
+HeartbeatMessage Grants::heartbeat(std::uint64_t incarnation, std::uint16_t port, bool isLeaving)
+{
+    const MutexLock lock { this->mutex };
+    HeartbeatMessage message;
+    message.name = this->options.name;
+    message.incarnation = incarnation;
+    message.session = this->session;
+    message.service = this->options.service;
+    message.zone = this->options.zone;
+    message.endpoint = { this->options.listen.address, port };
+    message.requestSlots = this->options.requestSlots;
+    message.connectionLimit = this->options.connectionLimit;
+    message.checksGrants = this->options.checksGrants;
+    message.isLeaving = isLeaving;
+    message.grantsVersion = this->grantsVersion;
+    for (auto& [slot, grant] : this->grants) {
+        if (grant.isReleasing && grant.inFlight == 0) {
+            // The next owner may have the slot as soon as this message arrives.
+            this->closeInterval(slot, grant, std::min(SteadyClock {}.now(), this->leaseEnd));
+            message.released.push_back({ slot, grant.fence });
+        }
+    }
+    return message;
+}
+
+void Grants::closeInterval(std::uint32_t slot, Grant& grant, Instant end)
+{
+    if (grant.isOwned) {
+        grant.isOwned = false;
+        this->record.owned(grant.ownedSince, std::max(grant.ownedSince, end), slot, grant.fence);
+    }
+}
+
+void Grants::replaceGrants(const HeartbeatReplyMessage& reply, Instant now)
+{
+    std::map<std::uint32_t, Grant> next;
+    for (const auto& wanted : reply.grants) {
+        const auto found = this->grants.find(wanted.slot);
+        if (found != this->grants.end() && found->second.fence == wanted.fence) {
+            next.insert(this->grants.extract(found));
+            next.at(wanted.slot).isReleasing = false;
+        } else {
+            next[wanted.slot].fence = wanted.fence;
+        }
+    }
+    for (auto& [slot, grant] : this->grants) {
+        const bool isAskedBack = std::any_of(reply.releaseWanted.begin(), reply.releaseWanted.end(),
+            [slot = slot, fence = grant.fence](
+                const auto& wanted) { return wanted.slot == slot && wanted.fence == fence; });
+        if ((isAskedBack || grant.inFlight > 0) && next.count(slot) == 0) {
+            grant.isReleasing = true;
+            next[slot] = grant;
+        } else {
+            this->closeInterval(slot, grant, std::min(now, this->leaseEnd));
+        }
+    }
+    this->grants = std::move(next);
+    this->grantsVersion = reply.grantsVersion;
+}
+
+void Grants::askBack(const HeartbeatReplyMessage& reply)
+{
+    for (const auto& wanted : reply.releaseWanted) {
+        const auto found = this->grants.find(wanted.slot);
+        if (found != this->grants.end() && found->second.fence == wanted.fence) {
+            found->second.isReleasing = true;
+        }
+    }
+    // Dropped only once the steward no longer asks for the slot, that is, when it knows of the release.
+    for (auto entry = this->grants.begin(); entry != this->grants.end();) {
+        auto& [slot, grant] = *entry;
+        const bool isAskedBack = std::any_of(reply.releaseWanted.begin(), reply.releaseWanted.end(),
+            [slot = slot](const auto& wanted) { return wanted.slot == slot; });
+        if (grant.isReleasing && grant.inFlight == 0 && !isAskedBack) {
+            this->closeInterval(slot, grant, std::min(SteadyClock {}.now(), this->leaseEnd));
+            entry = this->grants.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+}
+
+void Grants::replied(Instant sentAt, const HeartbeatReplyMessage& reply)
+{
+    const MutexLock lock { this->mutex };
+    const auto now = SteadyClock {}.now();
+    if (reply.session < this->session) {
+        return;
+    }
+    this->session = reply.session;
+    if (reply.grantsIncluded) {
+        this->replaceGrants(reply, now);
+    }
+    this->askBack(reply);
+    if (reply.leaseMilliseconds == 0) {
+        return;
+    }
+    // Counted from before the heartbeat was sent: the steward counts from after it answered.
+    const auto newEnd = sentAt + std::chrono::milliseconds { reply.leaseMilliseconds };
+    const bool hadLapsed = now >= this->leaseEnd;
+    for (auto& [slot, grant] : this->grants) {
+        if (hadLapsed) {
+            this->closeInterval(slot, grant, this->leaseEnd);
+        }
+        if (!grant.isOwned && !grant.isReleasing && now < newEnd) {
+            grant.isOwned = true;
+            grant.ownedSince = now;
+        }
+        if (grant.isReleasing && grant.inFlight == 0) {
+            this->closeInterval(slot, grant, now);
+        }
+    }
+    this->leaseEnd = std::max(this->leaseEnd, newEnd);
+}
+
+void Grants::closeIntervals(Instant now)
+{
+    const MutexLock lock { this->mutex };
+    for (auto& [slot, grant] : this->grants) {
+        if (now >= this->leaseEnd) {
+            this->closeInterval(slot, grant, this->leaseEnd);
+        } else if (grant.isReleasing && grant.inFlight == 0) {
+            this->closeInterval(slot, grant, now);
+        }
+    }
+}
+
+bool Grants::isHeld(std::uint32_t slot, std::uint64_t fence, Instant now)
+{
+    const auto found = this->grants.find(slot);
+    return found != this->grants.end() && found->second.fence == fence && now < this->leaseEnd;
+}
+
+Verdict Grants::begin(std::uint32_t slot, std::uint64_t fence, Instant deadline)
+{
+    const MutexLock lock { this->mutex };
+    if (this->running >= this->options.requestSlots && this->queued >= this->options.queueLimit) {
+        return Verdict::RefusedByLoad;
+    }
+    ++this->queued;
+    while (this->running >= this->options.requestSlots) {
+        const auto now = SteadyClock {}.now();
+        if (now >= deadline) {
+            --this->queued;
+            return Verdict::RefusedByLoad;
+        }
+        this->changed.waitFor(this->mutex, deadline - now);
+    }
+    --this->queued;
+    if (this->options.checksGrants
+        && (!this->isHeld(slot, fence, SteadyClock {}.now()) || this->grants.at(slot).isReleasing)) {
+        this->changed.notifyOne();
+        return Verdict::RefusedByFence;
+    }
+    ++this->running;
+    if (const auto found = this->grants.find(slot); found != this->grants.end()) {
+        ++found->second.inFlight;
+    }
+    return Verdict::Run;
+}
+
+bool Grants::takeEffect(
+    std::uint32_t slot, std::uint64_t fence, std::string_view requestId, bool isRepeatable, std::string_view key)
+{
+    const MutexLock lock { this->mutex };
+    const auto now = SteadyClock {}.now();
+    if (this->options.checksGrants && !this->isHeld(slot, fence, now)) {
+        return false;
+    }
+    this->record.ran(now, requestId, slot, fence, isRepeatable, key);
+    return true;
+}
+
+void Grants::finish(std::uint32_t slot)
+{
+    const MutexLock lock { this->mutex };
+    --this->running;
+    if (const auto found = this->grants.find(slot); found != this->grants.end() && found->second.inFlight > 0) {
+        --found->second.inFlight;
+    }
+    this->changed.notifyOne();
+}
+
+bool Grants::isEmpty()
+{
+    const MutexLock lock { this->mutex };
+    return this->grants.empty();
+}
