Add the replicated ownership state

Cause: the ledger, the entry VMs and the coordinator need one deterministic rule for what each command does.

Choices, each with its reason: - A carved key and its partition both get the carving command's index as fence. With the old fence the owner would go on accepting the key from an entry VM with an old table after the key has moved to another owner. - A slot released by an owner that does not check grants becomes free instead of going to the target of its move, since tables that are not yet current still send to the former owner. - Slots freed by a retired zone or a removed service, and slots of services added later, count as freed by an owner that does not check grants: leases may still run when the bundle is applied. - A bundle accepted during a rollout takes over the regions reached, so no region falls back and no region gets the unfinished bundle. A service that a bundle removes is dropped once the bundle is in force everywhere. - ServiceRecord records since when the rule is `move` (shared header and codec changed): a steward that is cut off goes by the rule that it knows, so the leader must not take over sessions older than the change.

Ruled out: comparing bundles by their digest field only; it is not checked yet when the numbers are compared.

--- a/include/teaselturn/OwnershipTypes.h
+++ b/include/teaselturn/OwnershipTypes.h
@@ -33,7 +33,8 @@
     UpstreamId moveTarget;
     /// Log index at which the slot last became free. Zero where it never had an owner.
     LogIndex freedAt;
-    /// True where the last owner refuses requests by itself once its lease has ended.
+    /// True where the last owner refuses requests by itself once its lease has ended, and its lease has ended. False
+    /// also where the slot was freed by a bundle, since the lease may then still run.
     bool lastOwnerChecksGrants { true };
 
     friend bool operator==(const SlotRecord&, const SlotRecord&) = default;
@@ -52,6 +53,8 @@
 struct ServiceRecord {
     ServiceId service;
     std::vector<SlotRecord> partitions;
+    /// Log index since which the zone rule is `move` in every bundle in force; zero where it is `keep` in one of them.
+    LogIndex moveSince;
 
     friend bool operator==(const ServiceRecord&, const ServiceRecord&) = default;
 };
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -195,7 +195,7 @@
 template <typename Archive>
 void serialize(Archive& archive, ServiceRecord& value)
 {
-    archive(value.service, value.partitions);
+    archive(value.service, value.partitions, value.moveSince);
 }
 
 template <typename Archive>
--- a/src/core/ownership/OwnershipState.h
+++ b/src/core/ownership/OwnershipState.h
@@ -1,14 +1,20 @@
 #pragma once
 
+#include "core/StringHash.h"
 #include "teaselturn/Command.h"
 #include "teaselturn/OwnershipTypes.h"
 #include "teaselturn/Ports.h"
 #include "teaselturn/Types.h"
 
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <span>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace teaselturn {
@@ -16,8 +22,14 @@
 /// Checks a signed bundle against the bundle in force (null before the first one): signatures, threshold, validity.
 using BundleCheck = std::function<Status(const SignedBundle& candidate, const Bundle* inForce)>;
 
+/// Longest name of an upstream, in bytes.
+inline constexpr std::size_t maxUpstreamNameBytes = 128;
+
+/// Changed slots that a replica remembers for its route table. A table further behind is rebuilt.
+inline constexpr std::size_t maxSlotChanges = 65'536;
+
 /// The replicated state: every member and every entry VM holds a copy and applies the same commands to it.
-/// Not thread-safe.
+/// Pointers, views and spans that it returns are valid until the next apply() or restore(). Not thread-safe.
 class OwnershipState {
 public:
     /// @param check Verifies bundles. It must give the same answer on every replica.
@@ -34,25 +46,124 @@
     /// @return The bundle in force in a region under the rollout stage, or null.
     const SignedBundle* bundleInForce(RegionId region) const noexcept;
     std::uint32_t rolloutStage() const noexcept;
+    /// @return True while the accepted bundle is not yet in force everywhere.
+    bool isRollingOut() const noexcept;
+
+    /// @return True where an accepted bundle that is in force somewhere lists the entry VM.
+    bool hasEntry(NodeId entry) const noexcept;
+    /// @return True where the condition holds for each entry VM of the bundles in force.
+    bool allEntries(const std::function<bool(NodeId)>& condition) const;
+
+    /// @return A service as the accepted bundle states it, else as the bundle that is in force elsewhere does, or null.
+    const ServiceSpec* findService(ServiceId service) const noexcept;
+    /// @return The index since which the service's rule is `move` in every bundle in force; zero where it is not.
+    LogIndex moveSince(ServiceId service) const noexcept;
+    /// @return True where the service's rule is `keep` in every bundle in force, so that leases outlast delegations.
+    bool outlastsDelegation(ServiceId service) const noexcept;
 
     const UpstreamRecord* findUpstream(UpstreamId id) const noexcept;
     const UpstreamRecord* findUpstream(std::string_view name, std::uint64_t incarnation) const noexcept;
     /// Calls visit with every upstream, in order of id.
     void forEachUpstream(const std::function<void(const UpstreamRecord&)>& visit) const;
+    /// Calls visit with every upstream whose current session is held by an entry VM, in order of id.
+    void forEachUpstreamOf(NodeId steward, const std::function<void(const UpstreamRecord&)>& visit) const;
 
     const SlotRecord* findSlot(SlotId slot) const noexcept;
     /// @return The slots of a service's hash partitions, in order of index; empty where the service is unknown.
     std::span<const SlotRecord> partitions(ServiceId service) const noexcept;
     const HotKeyRecord* findHotKey(ServiceId service, std::string_view key) const noexcept;
+    const HotKeyRecord* findHotKey(SlotId slot) const noexcept;
     void forEachHotKey(const std::function<void(const HotKeyRecord&)>& visit) const;
+    std::size_t hotKeyCount() const noexcept;
     /// @return The slots owned by an upstream with their fences, in order of slot.
     std::vector<SlotRelease> slotsOf(UpstreamId owner) const;
+    std::size_t slotCount(UpstreamId owner) const noexcept;
+    /// @return The index at which an upstream's slots, or their pending moves, last changed. Local to this replica: a
+    /// restored snapshot counts as a change.
+    LogIndex slotsChangedAt(UpstreamId owner) const noexcept;
+    /// @return The slots that have no owner, in order.
+    const absl::btree_set<SlotId>& freeSlots() const noexcept;
+
+    /// @return Slots that changed after an index, with repetitions, or nothing where that is no longer known.
+    std::optional<std::vector<SlotId>> slotsChangedAfter(LogIndex index) const;
+    /// @return The last index at which services or the bundles in force changed.
+    LogIndex servicesChangedAt() const noexcept;
 
     std::span<const MemberSpec> members() const noexcept;
 
     OwnershipSnapshot snapshot() const;
     /// Replaces the state by a snapshot.
     void restore(OwnershipSnapshot snapshot);
+
+private:
+    struct UpstreamState {
+        UpstreamRecord record;
+        absl::btree_set<SlotId> slots;
+        LogIndex slotsChangedAt;
+    };
+    struct ServiceState {
+        std::vector<SlotRecord> partitions;
+        LogIndex moveSince;
+    };
+
+    ApplyOutcome run(const NoOperation& command);
+    ApplyOutcome run(const AttachUpstream& command);
+    ApplyOutcome run(const ExpireUpstream& command);
+    ApplyOutcome run(const DrainUpstream& command);
+    ApplyOutcome run(const AssignSlots& command);
+    ApplyOutcome run(const BeginMove& command);
+    ApplyOutcome run(const ReleaseSlots& command);
+    ApplyOutcome run(const AcceptBundle& command);
+    ApplyOutcome run(const AdvanceRollout& command);
+    ApplyOutcome run(const CarveHotKey& command);
+    ApplyOutcome run(const MergeHotKey& command);
+    ApplyOutcome run(const ChangeMembers& command);
+
+    ResultCode checkAttachment(const AttachUpstream& command) const;
+    ResultCode checkSession(UpstreamId upstream, SessionId session) const;
+    ApplyOutcome attachAgain(UpstreamState& upstream, const AttachUpstream& command);
+    void addUpstream(UpstreamRecord record);
+    void removeUpstream(UpstreamId id, bool leaseHasEnded);
+
+    ResultCode assign(const SlotAssignment& assignment);
+    ResultCode beginMove(const SlotAssignment& move);
+    ResultCode release(const UpstreamRecord& upstream, const SlotRelease& release);
+    bool canReceive(SlotId slot, UpstreamId target) const;
+
+    SlotRecord* editSlot(SlotId slot) noexcept;
+    void setOwner(SlotId slot, SlotRecord& record, UpstreamId owner);
+    void freeSlot(SlotId slot, SlotRecord& record, bool ownerChecksGrants);
+    void noteChange(SlotId slot, UpstreamId owner);
+
+    ResultCode checkServices(const Bundle& bundle) const;
+    std::uint32_t stageOf(const Bundle& next) const;
+    void updateServices(bool isFirst);
+    void addService(const ServiceSpec& service, bool isFirst);
+    void removeService(ServiceId service);
+    void updateRule(ServiceId service, ServiceState& state);
+    void expireRetired();
+    void removeHotKey(SlotId slot);
+    const ServiceSpec* specIn(const std::optional<SignedBundle>& bundle, ServiceId service) const noexcept;
+
+    BundleCheck check;
+    LogIndex index;
+    std::optional<SignedBundle> accepted;
+    std::optional<SignedBundle> previous;
+    std::uint32_t stage {};
+    absl::btree_map<UpstreamId, UpstreamState> upstreams;
+    absl::flat_hash_map<std::string, absl::btree_map<std::uint64_t, UpstreamId>, StringHash, std::equal_to<>> upstreamNames;
+    absl::btree_map<NodeId, absl::btree_set<UpstreamId>> stewards;
+    absl::btree_map<ServiceId, ServiceState> services;
+    absl::btree_map<SlotId, HotKeyRecord> hotKeys;
+    absl::btree_map<ServiceId, absl::flat_hash_map<std::string, SlotId, StringHash, std::equal_to<>>> hotKeyNames;
+    std::uint32_t nextHotKeySlot { firstHotKeySlot };
+    std::vector<MemberSpec> memberSpecs;
+
+    absl::btree_set<SlotId> unowned;
+    std::deque<std::pair<LogIndex, SlotId>> changes;
+    /// Every change after this index is in `changes`.
+    LogIndex changesComplete;
+    LogIndex servicesChanged;
 };
 
 }
--- a/tests/adapters/codec/CodecTest.cpp
+++ b/tests/adapters/codec/CodecTest.cpp
@@ -68,7 +68,7 @@
     snapshot.appliedIndex = LogIndex { 12 };
     snapshot.accepted = sampleBundle();
     snapshot.upstreams.push_back({ UpstreamId { 4 }, SessionId { 4 }, sampleAttachment(), true });
-    snapshot.services.push_back({ ServiceId { 1 }, { { UpstreamId { 4 }, Fence { 5 }, {}, {}, true } } });
+    snapshot.services.push_back({ ServiceId { 1 }, { { UpstreamId { 4 }, Fence { 5 }, {}, {}, true } }, LogIndex { 3 } });
     snapshot.hotKeys.push_back({ { ServiceId { 1 }, firstHotKeySlot }, "fabric-9", {} });
     const auto decoded = decodeOwnershipSnapshot(encodeOwnershipSnapshot(snapshot));
     REQUIRE(decoded);
