Add the lease steward

Cause: an entry VM grants leases within its delegation, and ends them only when they have certainly run out.

Choices, each with its reason: - A delegation counts only once the commit index that came with it is applied. Otherwise a steward with an old table renews a session that the log has replaced. - A session that is not an upstream's first one cannot be expired before withDrift(delegationLength) has passed since the steward saw it, or withDrift(leaseLength) after the upstream named it in a heartbeat: a former steward may renew the former session until then. Where the rule is or was `keep`, only the second counts. - A lease counts from the decision on, and from the answer once that has left, whichever ends later. - The version of a list of grants is a hash of the list, so another steward gives the same list the same version.

Before: declared only.

--- /dev/null
+++ b/src/core/ownership/Steward.cpp
@@ -0,0 +1,275 @@
+#include "core/ownership/Steward.h"
+
+#include <algorithm>
+#include <array>
+#include <xxhash.h>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Expiry of the lease of an upstream that has never been granted one.
+    constexpr auto firstLease = timing::withDrift(timing::leaseLength);
+
+    bool contains(const std::vector<SlotRelease>& list, const SlotRelease& item)
+    {
+        return std::find(list.begin(), list.end(), item) != list.end();
+    }
+
+    std::uint64_t versionOf(const std::vector<SlotRelease>& grants)
+    {
+        // Chained over the fields, since the structure has padding.
+        std::uint64_t version = 0;
+        for (const auto& grant : grants) {
+            const std::array<std::uint64_t, 3> fields { std::uint64_t { grant.slot.service.value } << 32U | grant.slot.index, grant.fence.value, version };
+            version = XXH3_64bits(fields.data(), sizeof(fields)) | 1U;
+        }
+        return version;
+    }
+
+}
+
+Steward::Steward(NodeId node, BootId boot)
+    : node(node)
+    , boot(boot)
+{
+}
+
+bool Steward::Pending::isDue(Instant now) noexcept
+{
+    if (this->proposedAt && now < *this->proposedAt + proposalResend) {
+        return false;
+    }
+    this->proposedAt = now;
+    return true;
+}
+
+void Steward::delegated(Instant sentAt, const DelegationReply& reply) { this->delegations.add(sentAt, reply); }
+
+Instant Steward::delegationEnd() const noexcept { return this->delegations.end(); }
+
+bool Steward::isTableFresh(Instant now, LogIndex appliedIndex) const noexcept { return now < this->delegations.endWith(appliedIndex); }
+
+std::size_t Steward::upstreamCount() const noexcept { return this->held.size(); }
+
+bool Steward::isValid(const Heartbeat& heartbeat) noexcept
+{
+    return !heartbeat.name.empty() && heartbeat.name.size() <= maxUpstreamNameBytes && heartbeat.requestSlots > 0
+        && heartbeat.connectionLimit > 0 && heartbeat.endpoint.port != 0;
+}
+
+bool Steward::isMine(const UpstreamRecord& record) const noexcept
+{
+    return record.attachment.steward == this->node && record.attachment.stewardBoot == this->boot;
+}
+
+Steward::Held& Steward::hold(Instant now, const UpstreamRecord& record)
+{
+    auto& held = this->held[record.id];
+    if (held.session != record.session) {
+        held = {};
+        held.session = record.session;
+        // A former steward may have renewed an earlier session until its delegation ended; after that it has applied
+        // the entry that attached the upstream here. The first session of an upstream has no predecessor.
+        const bool isFirst = record.session.value == record.id.value;
+        held.isConfirmed = isFirst;
+        held.leaseEnd = now + (isFirst ? firstLease : timing::withDrift(timing::delegationLength));
+    }
+    return held;
+}
+
+HeartbeatDecision Steward::heartbeat(Instant now, const Heartbeat& heartbeat, const OwnershipState& state)
+{
+    if (!isValid(heartbeat)) {
+        return { ResultCode::HeartbeatInvalid };
+    }
+    const auto* record = state.findUpstream(heartbeat.name, heartbeat.incarnation);
+    if (record == nullptr && heartbeat.isLeaving) {
+        return { ResultCode::UpstreamUnknown };
+    }
+    if (record == nullptr || !this->isMine(*record) || heartbeat.session > record->session) {
+        return this->attach(now, heartbeat, state);
+    }
+    auto& held = this->hold(now, *record);
+    if (held.expiry) {
+        // No grant after the expiry was proposed: it may be applied at any moment.
+        return *held.expiry == ExpiryReason::Left ? HeartbeatDecision { ResultCode::UpstreamDraining } : this->attach(now, heartbeat, state);
+    }
+    HeartbeatDecision decision;
+    decision.reply.upstream = record->id;
+    decision.reply.session = record->session;
+    if (heartbeat.session != record->session) {
+        decision.code = ResultCode::SessionOutdated;
+        return decision;
+    }
+    this->answer(now, heartbeat, state, held, decision);
+    return decision;
+}
+
+HeartbeatDecision Steward::attach(Instant now, const Heartbeat& heartbeat, const OwnershipState& state)
+{
+    const auto* bundle = state.acceptedBundle();
+    if (bundle == nullptr || state.partitions(heartbeat.service).empty()) {
+        return { ResultCode::RequestServiceUnknown };
+    }
+    const auto& retired = bundle->bundle.retiredZones;
+    if (std::find(retired.begin(), retired.end(), heartbeat.zone) != retired.end()) {
+        return { ResultCode::ZoneRetired };
+    }
+    const AttachKey key { heartbeat.name, heartbeat.incarnation };
+    if (!this->attaching.contains(key) && this->held.size() + this->attaching.size() >= limits::maxUpstreamsPerSteward) {
+        return { ResultCode::TooManyUpstreams };
+    }
+    HeartbeatDecision decision { ResultCode::SessionOutdated };
+    if (this->attaching[key].isDue(now)) {
+        decision.proposal = AttachUpstream { heartbeat.name, heartbeat.incarnation, heartbeat.service, heartbeat.zone,
+            heartbeat.endpoint, heartbeat.requestSlots, heartbeat.connectionLimit, heartbeat.checksGrants, this->node, this->boot };
+    }
+    return decision;
+}
+
+std::chrono::milliseconds Steward::leaseFor(Instant now, const UpstreamRecord& record, const OwnershipState& state) const
+{
+    if (state.outlastsDelegation(record.attachment.service)) {
+        return timing::leaseLength;
+    }
+    const auto rest = std::chrono::floor<std::chrono::milliseconds>(this->delegations.endWith(state.appliedIndex()) - now);
+    return std::clamp(rest, std::chrono::milliseconds::zero(), timing::leaseLength);
+}
+
+void Steward::answer(Instant now, const Heartbeat& heartbeat, const OwnershipState& state, Held& held, HeartbeatDecision& decision)
+{
+    const auto& record = *state.findUpstream(decision.reply.upstream);
+    auto& reply = decision.reply;
+    if (!held.isConfirmed) {
+        // Whatever an earlier session granted, the upstream asked for it before this heartbeat.
+        held.isConfirmed = true;
+        held.leaseEnd = now + firstLease;
+    }
+    held.wantsDrain = held.wantsDrain || heartbeat.isLeaving;
+    if (takeReleases(held, heartbeat, record.id, state)) {
+        held.releaseProposal = {};
+    }
+    forgetApplied(held, record.id, state);
+    listGrants(held, record.id, state);
+    reply.lease = this->leaseFor(now, record, state);
+    if (reply.lease == std::chrono::milliseconds::zero()) {
+        decision.code = ResultCode::DelegationMissing;
+        reply.grantsIncluded = heartbeat.grantsVersion != 0;
+    } else {
+        // Counted from here already, in case the answer leaves and this process stops before it can note that.
+        held.leaseEnd = std::max(held.leaseEnd, now + timing::withDrift(reply.lease));
+        reply.grantsVersion = held.version;
+        reply.grantsIncluded = heartbeat.grantsVersion != held.version;
+        if (reply.grantsIncluded) {
+            reply.grants = held.grants;
+        }
+    }
+    reply.releaseWanted = held.wanted;
+    decision.proposal = this->nextProposal(now, record, held, state);
+}
+
+void Steward::heartbeatAnswered(Instant now, UpstreamId upstream, SessionId session, std::chrono::milliseconds lease)
+{
+    const auto found = this->held.find(upstream);
+    if (found != this->held.end() && found->second.session == session && lease > std::chrono::milliseconds::zero()) {
+        found->second.leaseEnd = std::max(found->second.leaseEnd, now + timing::withDrift(lease));
+    }
+}
+
+bool Steward::takeReleases(Held& held, const Heartbeat& heartbeat, UpstreamId upstream, const OwnershipState& state)
+{
+    bool isNew = false;
+    for (const auto& released : heartbeat.released) {
+        const auto* slot = state.findSlot(released.slot);
+        if (slot != nullptr && slot->owner == upstream && slot->fence == released.fence && !contains(held.given, released)) {
+            held.given.push_back(released);
+            held.listedAt = {};
+            isNew = true;
+        }
+    }
+    return isNew;
+}
+
+void Steward::forgetApplied(Held& held, UpstreamId upstream, const OwnershipState& state)
+{
+    std::erase_if(held.given, [&](const SlotRelease& given) {
+        const auto* slot = state.findSlot(given.slot);
+        return slot == nullptr || slot->owner != upstream || slot->fence != given.fence;
+    });
+}
+
+void Steward::listGrants(Held& held, UpstreamId upstream, const OwnershipState& state)
+{
+    const auto changedAt = state.slotsChangedAt(upstream);
+    if (held.listedAt == changedAt && held.listedAt != LogIndex {}) {
+        return;
+    }
+    held.grants.clear();
+    held.wanted.clear();
+    for (const auto& owned : state.slotsOf(upstream)) {
+        const bool isMoving = state.findSlot(owned.slot)->moveTarget != UpstreamId {};
+        if (isMoving || contains(held.given, owned)) {
+            held.wanted.push_back(owned);
+        } else {
+            held.grants.push_back(owned);
+        }
+    }
+    held.version = versionOf(held.grants);
+    held.listedAt = changedAt;
+}
+
+std::optional<Command> Steward::nextProposal(Instant now, const UpstreamRecord& record, Held& held, const OwnershipState& state)
+{
+    if (held.wantsDrain && !record.isDraining && held.drainProposal.isDue(now)) {
+        return DrainUpstream { record.id, record.session };
+    }
+    if (!held.given.empty() && held.releaseProposal.isDue(now)) {
+        return ReleaseSlots { record.id, record.session, held.given };
+    }
+    if (held.wantsDrain && record.isDraining && state.slotCount(record.id) == 0 && !held.expiry) {
+        held.expiry = ExpiryReason::Left;
+    }
+    if (held.expiry && held.expiryProposal.isDue(now)) {
+        return ExpireUpstream { record.id, record.session, *held.expiry };
+    }
+    return std::nullopt;
+}
+
+bool Steward::hasLeaseEnded(Instant now, const UpstreamRecord& record, const Held& held, const OwnershipState& state) const
+{
+    // Where leases outlast delegations, or did when the upstream was first attached, a former steward that is cut off
+    // may renew an earlier session without end, until the upstream itself has heard of the later one.
+    const auto moveSince = state.moveSince(record.attachment.service);
+    const bool wasEverKept = moveSince == LogIndex {} || record.id.value < moveSince.value;
+    const bool mayBeRenewedElsewhere = !held.isConfirmed && wasEverKept;
+    return now >= held.leaseEnd && !mayBeRenewedElsewhere;
+}
+
+std::vector<Command> Steward::tick(Instant now, const OwnershipState& state)
+{
+    absl::erase_if(this->held, [&](const auto& item) {
+        const auto* record = state.findUpstream(item.first);
+        return record == nullptr || record->session != item.second.session || !this->isMine(*record);
+    });
+    absl::erase_if(this->attaching, [&](const auto& item) {
+        return now >= *item.second.proposedAt + proposalResend;
+    });
+    std::vector<Command> proposals;
+    state.forEachUpstreamOf(this->node, [&](const UpstreamRecord& record) {
+        if (!this->isMine(record)) {
+            return;
+        }
+        auto& held = this->hold(now, record);
+        forgetApplied(held, record.id, state);
+        if (!held.expiry && this->hasLeaseEnded(now, record, held, state)) {
+            held.expiry = ExpiryReason::LeaseEnded;
+        }
+        if (auto proposal = this->nextProposal(now, record, held, state)) {
+            proposals.push_back(std::move(*proposal));
+        }
+    });
+    return proposals;
+}
+
+}
--- a/src/core/ownership/Steward.h
+++ b/src/core/ownership/Steward.h
@@ -1,13 +1,16 @@
 #pragma once
 
 #include "core/ownership/OwnershipState.h"
+#include "core/ownership/StewardDelegations.h"
 #include "teaselturn/Message.h"
 #include "teaselturn/Result.h"
 #include "teaselturn/Types.h"
 
+#include <absl/container/btree_map.h>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace teaselturn {
@@ -25,18 +28,21 @@
     std::uint32_t connectionLimit {};
     bool checksGrants {};
     bool isLeaving {};
-    /// Version of the list of grants that the upstream holds.
+    /// Version of the list of grants that the upstream holds. Zero where it holds none.
     std::uint64_t grantsVersion {};
-    /// Slots that the upstream has drained after it was asked to release them.
+    /// Slots that the upstream has drained after it was asked to release them. It repeats them until they are no
+    /// longer wanted.
     std::vector<SlotRelease> released;
 };
 
-/// Answer to a heartbeat.
+/// Answer to a heartbeat. An upstream ignores answers to other heartbeats than its latest one, and sessions with a
+/// smaller number than the one it knows.
 struct HeartbeatReply {
     UpstreamId upstream;
     SessionId session;
     /// Zero where no lease is granted; counted by the upstream from before it sent the heartbeat.
     std::chrono::milliseconds lease {};
+    /// Derived from the grants themselves, so that two stewards give one list the same version. Zero for an empty list.
     std::uint64_t grantsVersion {};
     /// The whole list where the upstream's version differs, else empty.
     std::vector<SlotRelease> grants;
@@ -53,6 +59,9 @@
     std::optional<Command> proposal;
 };
 
+/// Time after which a proposal that was not applied is sent again.
+inline constexpr std::chrono::milliseconds proposalResend { 500 };
+
 /// Lease decisions of one entry VM for the upstreams attached to it. Not thread-safe.
 class Steward {
 public:
@@ -80,6 +89,60 @@
     /// @return True where requests may go to an upstream that does not check grants: the delegation is valid and the
     /// table has reached the commit index that the leader named.
     bool isTableFresh(Instant now, LogIndex appliedIndex) const noexcept;
+
+    /// @return Number of upstreams whose current session this steward holds.
+    std::size_t upstreamCount() const noexcept;
+
+private:
+    /// A proposal that may have to be sent again.
+    struct Pending {
+        std::optional<Instant> proposedAt;
+
+        /// @return True where it is to be proposed now, and notes that.
+        bool isDue(Instant now) noexcept;
+    };
+
+    /// An upstream whose current session this steward holds.
+    struct Held {
+        SessionId session;
+        /// No lease of this session, nor of an earlier one, runs from here on.
+        Instant leaseEnd;
+        /// True once the upstream has named the session in a heartbeat: from then on it refuses grants of earlier ones.
+        bool isConfirmed {};
+        std::optional<ExpiryReason> expiry;
+        Pending expiryProposal;
+        Pending drainProposal;
+        Pending releaseProposal;
+        bool wantsDrain {};
+        /// Slots that the upstream gave up, until that is applied. They are never granted again under their fence.
+        std::vector<SlotRelease> given;
+
+        // Grants as of an index of the state, so that a heartbeat without changes does not list the slots again.
+        LogIndex listedAt;
+        std::vector<SlotRelease> grants;
+        std::vector<SlotRelease> wanted;
+        std::uint64_t version {};
+    };
+
+    using AttachKey = std::pair<std::string, std::uint64_t>;
+
+    static bool isValid(const Heartbeat& heartbeat) noexcept;
+    bool isMine(const UpstreamRecord& record) const noexcept;
+    Held& hold(Instant now, const UpstreamRecord& record);
+    HeartbeatDecision attach(Instant now, const Heartbeat& heartbeat, const OwnershipState& state);
+    void answer(Instant now, const Heartbeat& heartbeat, const OwnershipState& state, Held& held, HeartbeatDecision& decision);
+    std::chrono::milliseconds leaseFor(Instant now, const UpstreamRecord& record, const OwnershipState& state) const;
+    static void listGrants(Held& held, UpstreamId upstream, const OwnershipState& state);
+    static bool takeReleases(Held& held, const Heartbeat& heartbeat, UpstreamId upstream, const OwnershipState& state);
+    static void forgetApplied(Held& held, UpstreamId upstream, const OwnershipState& state);
+    std::optional<Command> nextProposal(Instant now, const UpstreamRecord& record, Held& held, const OwnershipState& state);
+    bool hasLeaseEnded(Instant now, const UpstreamRecord& record, const Held& held, const OwnershipState& state) const;
+
+    NodeId node;
+    BootId boot;
+    StewardDelegations delegations;
+    absl::btree_map<UpstreamId, Held> held;
+    absl::btree_map<AttachKey, Pending> attaching;
 };
 
 }
--- /dev/null
+++ b/tests/core/ownership/StewardTest.cpp
@@ -0,0 +1,225 @@
+#include "core/ownership/Steward.h"
+
+#include "core/support/OwnershipFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 1h };
+constexpr NodeId node { 1 };
+constexpr BootId boot { 1 };
+constexpr SlotId slot { tills, 3 };
+
+struct StewardFixture : OwnershipFixture {
+    Steward steward { node, boot };
+
+    StewardFixture() { this->apply(AcceptBundle { this->bundle(1) }); }
+
+    void delegate(Instant sentAt)
+    {
+        this->steward.delegated(sentAt, { 1, ResultCode::Ok, timing::delegationLength, this->state.appliedIndex(), {} });
+    }
+
+    static Heartbeat beat(const std::string& name, ServiceId service, SessionId session = {})
+    {
+        return { name, 7, session, service, paarl, { "127.0.0.1", 8080 }, 3, 110, true };
+    }
+
+    HeartbeatDecision heartbeat(Instant now, const std::string& name, SessionId session = {}, ServiceId service = tills)
+    {
+        return this->steward.heartbeat(now, beat(name, service, session), this->state);
+    }
+
+    /// Attaches an upstream that this steward holds, with one slot.
+    ApplyOutcome attachOwner(const std::string& name, ServiceId service = tills)
+    {
+        auto attached = this->attach(name, service, node, boot);
+        this->assign({ service, 3 }, attached.upstream);
+        return attached;
+    }
+
+    std::vector<Command> tick(Instant now) { return this->steward.tick(now, this->state); }
+};
+
+bool isExpiry(const std::vector<Command>& commands, const ApplyOutcome& attached)
+{
+    return commands == std::vector<Command> { ExpireUpstream { attached.upstream, attached.session, ExpiryReason::LeaseEnded } };
+}
+
+}
+
+TEST_CASE("an unknown upstream is attached, and learns its session from a later heartbeat")
+{
+    // Guards against a lost attach answer that leaves the upstream without a session, or attaches it over and over.
+    StewardFixture fixture;
+    fixture.delegate(start);
+    const auto first = fixture.heartbeat(start, "a");
+    CHECK(first.code == ResultCode::SessionOutdated);
+    REQUIRE(first.proposal);
+    CHECK(std::holds_alternative<AttachUpstream>(*first.proposal));
+    CHECK_FALSE(fixture.heartbeat(start + 250ms, "a").proposal);
+    CHECK(fixture.heartbeat(start + 500ms, "a").proposal);
+    const auto attached = fixture.apply(*first.proposal);
+    const auto told = fixture.heartbeat(start + 750ms, "a");
+    CHECK(told.code == ResultCode::SessionOutdated);
+    CHECK(told.reply.session == attached.session);
+    CHECK(told.reply.lease == 0ms);
+    CHECK_FALSE(told.proposal);
+    const auto granted = fixture.heartbeat(start + 1000ms, "a", attached.session);
+    CHECK(granted.code == ResultCode::Ok);
+    CHECK(granted.reply.lease == timing::leaseLength);
+}
+
+TEST_CASE("a lease never outlasts the delegation, except for a service with the rule keep")
+{
+    // Guards against an owner that serves on after the leader gave its slots away.
+    StewardFixture fixture;
+    const auto mover = fixture.attachOwner("a", tills);
+    const auto keeper = fixture.attachOwner("b", catalogue);
+    fixture.delegate(start);
+    const auto end = start + timing::delegationLength;
+    CHECK(fixture.steward.delegationEnd() == end);
+    CHECK(fixture.heartbeat(end - 1001ms, "a", mover.session).reply.lease == 1000ms);
+    CHECK(fixture.heartbeat(end - 300ms, "a", mover.session).reply.lease == 300ms);
+    CHECK(fixture.heartbeat(end - 1ns, "a", mover.session).reply.lease == 0ms);
+    const auto ended = fixture.heartbeat(end, "a", mover.session);
+    CHECK(ended.code == ResultCode::DelegationMissing);
+    CHECK(ended.reply.lease == 0ms);
+    CHECK(ended.reply.grants.empty());
+    CHECK(ended.reply.grantsVersion == 0);
+    const auto kept = fixture.heartbeat(end + 1h, "b", keeper.session, catalogue);
+    CHECK(kept.reply.lease == timing::leaseLength);
+    CHECK(kept.reply.grants.size() == 1);
+}
+
+TEST_CASE("a delegation counts only once its commit index is applied")
+{
+    // Guards against a steward with an old table that renews a session which another steward has taken over.
+    StewardFixture fixture;
+    const auto attached = fixture.attachOwner("a");
+    const LogIndex ahead { fixture.state.appliedIndex().value + 1 };
+    fixture.steward.delegated(start, { 1, ResultCode::Ok, timing::delegationLength, ahead, {} });
+    CHECK(fixture.heartbeat(start, "a", attached.session).reply.lease == 0ms);
+    CHECK_FALSE(fixture.steward.isTableFresh(start, fixture.state.appliedIndex()));
+    fixture.apply(NoOperation {});
+    CHECK(fixture.heartbeat(start, "a", attached.session).reply.lease == timing::leaseLength);
+    CHECK(fixture.steward.isTableFresh(start + 1999ms, fixture.state.appliedIndex()));
+    CHECK_FALSE(fixture.steward.isTableFresh(start + 2s, fixture.state.appliedIndex()));
+}
+
+TEST_CASE("a lease is expired only once it has certainly ended, and nothing is granted afterwards")
+{
+    // Guards against an upstream that returns from a freeze while its expiry is on its way through the log.
+    StewardFixture fixture;
+    const auto attached = fixture.attachOwner("a");
+    fixture.delegate(start);
+    fixture.heartbeat(start, "a", attached.session);
+    fixture.steward.heartbeatAnswered(start + 40ms, attached.upstream, attached.session, 1000ms);
+    const auto end = start + 40ms + timing::withDrift(timing::leaseLength);
+    CHECK(fixture.tick(end - 1ns).empty());
+    CHECK(isExpiry(fixture.tick(end), attached));
+    CHECK(fixture.tick(end + 499ms).empty());
+    CHECK(isExpiry(fixture.tick(end + 500ms), attached));
+    fixture.delegate(end);
+    const auto back = fixture.heartbeat(end, "a", attached.session);
+    CHECK(back.code == ResultCode::SessionOutdated);
+    CHECK(back.reply.lease == 0ms);
+    REQUIRE(back.proposal);
+
+    // The attachment overtakes the expiry: the upstream keeps its slots and the expiry has no effect.
+    const auto again = fixture.apply(*back.proposal);
+    CHECK(again.upstream == attached.upstream);
+    CHECK(fixture.tick(end + 1000ms).empty());
+    CHECK(fixture.heartbeat(end + 1000ms, "a", again.session).code == ResultCode::Ok);
+}
+
+TEST_CASE("an upstream that attached here is not expired while its former steward may still renew it")
+{
+    // Guards against the loss of the attach answer: the upstream goes back to its former steward, whose table is old.
+    StewardFixture fixture;
+    const auto service = GENERATE(tills, catalogue);
+    const auto before = fixture.attach("a", service, NodeId { 2 });
+    const auto attached = fixture.attach("a", service, node, boot);
+    REQUIRE(attached.upstream == before.upstream);
+    const auto end = start + timing::withDrift(timing::delegationLength);
+    CHECK(fixture.tick(start).empty());
+    CHECK(fixture.tick(end - 1ns).empty());
+    CHECK(isExpiry(fixture.tick(end), attached) == (service == tills));
+    if (service == catalogue) {
+        // Once the upstream names the session, it refuses its former steward.
+        fixture.heartbeat(end, "a", attached.session, catalogue);
+        CHECK(fixture.tick(end + timing::withDrift(timing::leaseLength) - 1ns).empty());
+        CHECK(isExpiry(fixture.tick(end + timing::withDrift(timing::leaseLength)), attached));
+    }
+}
+
+TEST_CASE("sessions of another steward, another boot or a later number are not renewed")
+{
+    StewardFixture fixture;
+    fixture.delegate(start);
+    const auto other = fixture.attach("a", tills, NodeId { 2 });
+    CHECK(fixture.heartbeat(start, "a", other.session).reply.lease == 0ms);
+    const auto oldBoot = fixture.attach("b", tills, node, BootId { boot.value - 1 });
+    CHECK(fixture.heartbeat(start, "b", oldBoot.session).reply.lease == 0ms);
+    CHECK(fixture.tick(start + 1h).empty());
+    const auto mine = fixture.attach("c", tills, node, boot);
+    CHECK(fixture.heartbeat(start, "c", SessionId { mine.session.value + 1 }).reply.lease == 0ms);
+    // Forgotten here once the state shows a later session.
+    CHECK(fixture.heartbeat(start, "c", mine.session).reply.lease == 1000ms);
+    fixture.attach("c", tills, NodeId { 2 });
+    CHECK(fixture.tick(start + 1h).empty());
+    CHECK(fixture.steward.upstreamCount() == 0);
+}
+
+TEST_CASE("a moving slot is withheld, and its release is proposed until it is applied")
+{
+    StewardFixture fixture;
+    const auto a = fixture.attachOwner("a");
+    const auto b = fixture.attach("b", tills, node, boot);
+    fixture.delegate(start);
+    const auto granted = fixture.heartbeat(start, "a", a.session).reply;
+    CHECK(granted.grants == fixture.state.slotsOf(a.upstream));
+    fixture.move(slot, b.upstream);
+    auto beat = StewardFixture::beat("a", tills, a.session);
+    beat.grantsVersion = granted.grantsVersion;
+    const auto asked = fixture.steward.heartbeat(start + 250ms, beat, fixture.state);
+    CHECK(asked.reply.grantsIncluded);
+    CHECK(asked.reply.grants.empty());
+    CHECK(asked.reply.releaseWanted == fixture.state.slotsOf(a.upstream));
+    CHECK_FALSE(asked.proposal);
+    beat.released = asked.reply.releaseWanted;
+    beat.grantsVersion = asked.reply.grantsVersion;
+    const auto released = fixture.steward.heartbeat(start + 500ms, beat, fixture.state);
+    REQUIRE(released.proposal == Command { ReleaseSlots { a.upstream, a.session, beat.released } });
+    // A duplicate of the heartbeat does not propose again; the resend does.
+    CHECK_FALSE(fixture.steward.heartbeat(start + 500ms, beat, fixture.state).proposal);
+    CHECK(fixture.tick(start + 999ms).empty());
+    CHECK(fixture.tick(start + 1000ms) == std::vector<Command> { *released.proposal });
+    CHECK(fixture.apply(*released.proposal).code == ResultCode::Ok);
+    CHECK(fixture.state.findSlot(slot)->owner == b.upstream);
+    CHECK(fixture.heartbeat(start + 1100ms, "a", a.session).reply.releaseWanted.empty());
+}
+
+TEST_CASE("a leaving upstream is drained, keeps its slots until it released them, and then leaves")
+{
+    StewardFixture fixture;
+    const auto a = fixture.attachOwner("a");
+    fixture.delegate(start);
+    auto beat = StewardFixture::beat("a", tills, a.session);
+    beat.isLeaving = true;
+    const auto leaving = fixture.steward.heartbeat(start, beat, fixture.state);
+    CHECK(leaving.reply.grants.size() == 1);
+    REQUIRE(leaving.proposal == Command { DrainUpstream { a.upstream, a.session } });
+    fixture.apply(*leaving.proposal);
+    CHECK_FALSE(fixture.steward.heartbeat(start + 250ms, beat, fixture.state).proposal);
+    fixture.release(a, slot);
+    const auto left = fixture.steward.heartbeat(start + 500ms, beat, fixture.state);
+    REQUIRE(left.proposal == Command { ExpireUpstream { a.upstream, a.session, ExpiryReason::Left } });
+    CHECK(fixture.steward.heartbeat(start + 750ms, beat, fixture.state).reply.lease == 0ms);
+    fixture.apply(*left.proposal);
+    CHECK(fixture.steward.heartbeat(start + 1s, beat, fixture.state).code == ResultCode::UpstreamUnknown);
+}
