Add the coordinator and placement by bounded load

Cause: the leader delegates to entry VMs, takes over from silent ones, places and balances slots, advances rollouts and carves hot keys.

Choices, each with its reason: - SettledIndex: an entry of the log counts as settled withDrift(delegationLength) after this leader saw it applied. Takeovers need a settled session, and slots of owners that do not check grants a settled release. A new leader settles everything anew, which is the wait after an election. - While an expiry of a session is pending, its steward gets no delegation: it could renew the session just before the expiry commits. - Moves away from draining upstreams are not limited by movesPerMinute, since a leaving upstream must get no new work after 2 s. No balance in the first 10 s of a leader, whose loads are not known yet. - A region that fell silent after a bundle reached it holds the rollout. - Bounds of work: 1,024 slots in a command, 256 commands in a decision.

Before: declared only. After: tests/core/ownership/CoordinatorTest.cpp, 11 cases, green with the whole fast run. Conclusion: usable; the model with random schedules is still to come.

--- /dev/null
+++ b/src/core/ownership/BoundedLoadPlacement.cpp
@@ -0,0 +1,238 @@
+#include "core/ownership/BoundedLoadPlacement.h"
+
+#include <absl/container/btree_map.h>
+#include <algorithm>
+#include <optional>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Balance starts where an upstream's load per request slot is further than this from the mean, as a share of it.
+    constexpr double outerBand = 0.25;
+    /// Balance goes on until every upstream is this close to the mean.
+    constexpr double innerBand = 0.10;
+    /// A new upstream gets its whole share after this time, and this part of it at first.
+    constexpr std::chrono::seconds slowStart { 30 };
+    constexpr double coldShare = 0.25;
+
+    double capacityOf(const PlacementUpstream& upstream)
+    {
+        const auto warmth = std::chrono::duration<double> { upstream.age } / std::chrono::duration<double> { slowStart };
+        return upstream.requestSlots * std::clamp(warmth, coldShare, 1.0);
+    }
+
+    /// Working state of one decision for one service.
+    class Balance {
+    public:
+        Balance(std::span<const PlacementUpstream> upstreams, std::span<const PlacementSlot> slots)
+            : slots(slots)
+        {
+            this->addTargets(upstreams);
+            this->weighSlots();
+        }
+
+        bool hasTargets() const noexcept { return !this->targets.empty(); }
+
+        void assignFree(PlacementDecision& decision)
+        {
+            for (const auto i : this->selected([](const PlacementSlot& slot) { return slot.owner == UpstreamId {} && slot.isAssignable && !slot.isMoving; })) {
+                decision.assignments.push_back({ this->slots[i].slot, this->take(i), this->slots[i].fence });
+            }
+        }
+
+        void drain(PlacementDecision& decision)
+        {
+            const auto isDraining = [this](const PlacementSlot& slot) { return slot.owner != UpstreamId {} && !slot.isMoving && !this->indexes.contains(slot.owner); };
+            for (const auto i : this->selected(isDraining)) {
+                decision.moves.push_back({ this->slots[i].slot, this->take(i), this->slots[i].fence });
+            }
+        }
+
+        /// @return True while the loads are within a band around the mean.
+        bool isWithin(double band) const
+        {
+            const auto mean = this->mean();
+            return this->order.rbegin()->ratio <= mean * (1 + band) && this->order.begin()->ratio >= mean * (1 - band);
+        }
+
+        /// Moves one slot to the least loaded upstream, from the most loaded one that has a fitting slot.
+        /// @return False where no move improves the balance.
+        bool moveOne(PlacementDecision& decision)
+        {
+            const auto target = this->order.begin()->index;
+            const auto mean = this->mean();
+            for (auto source = this->order.rbegin(); source != this->order.rend() && source->ratio > mean; ++source) {
+                if (const auto slot = this->slotToMove(source->index, target)) {
+                    this->move(*slot, source->index, target, decision);
+                    return true;
+                }
+            }
+            return false;
+        }
+
+    private:
+        struct Target {
+            UpstreamId id;
+            double capacity {};
+            double load {};
+            /// Breaks ties between equal loads so that zones alternate.
+            std::size_t rank {};
+        };
+        struct Position {
+            double ratio {};
+            std::size_t rank {};
+            std::size_t index {};
+
+            // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads the operator.
+            friend auto operator<=>(const Position&, const Position&) = default;
+        };
+
+        void addTargets(std::span<const PlacementUpstream> upstreams)
+        {
+            absl::btree_map<ZoneId, std::size_t> inZone;
+            std::vector<std::pair<std::pair<std::size_t, ZoneId>, std::size_t>> ranked;
+            for (const auto& upstream : upstreams) {
+                if (!upstream.isDraining) {
+                    ranked.push_back({ { inZone[upstream.zone]++, upstream.zone }, this->targets.size() });
+                    this->indexes[upstream.id] = this->targets.size();
+                    this->targets.push_back({ upstream.id, capacityOf(upstream) });
+                }
+            }
+            std::sort(ranked.begin(), ranked.end());
+            for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+                this->targets[ranked[rank].second].rank = rank;
+            }
+        }
+
+        void weighSlots()
+        {
+            double total = 0;
+            for (const auto& slot : this->slots) {
+                total += slot.load;
+            }
+            // Every slot weighs something, so that idle slots are spread as well.
+            const auto floor = std::max(total * 0.1 / static_cast<double>(std::max<std::size_t>(1, this->slots.size())), 0.001);
+            for (const auto& slot : this->slots) {
+                this->weights.push_back(slot.load + floor);
+                this->owners.push_back(slot.owner);
+                if (const auto found = this->indexes.find(slot.owner); found != this->indexes.end()) {
+                    this->targets[found->second].load += this->weights.back();
+                }
+            }
+            for (std::size_t i = 0; i < this->targets.size(); ++i) {
+                this->order.insert(this->position(i));
+            }
+        }
+
+        Position position(std::size_t index) const
+        {
+            const auto& target = this->targets[index];
+            return { target.load / target.capacity, target.rank, index };
+        }
+
+        void add(std::size_t index, double weight)
+        {
+            this->order.erase(this->position(index));
+            this->targets[index].load += weight;
+            this->order.insert(this->position(index));
+        }
+
+        /// @return Indexes of the slots that match, the heaviest first.
+        template <typename Predicate>
+        std::vector<std::size_t> selected(Predicate matches) const
+        {
+            std::vector<std::size_t> chosen;
+            for (std::size_t i = 0; i < this->slots.size(); ++i) {
+                if (matches(this->slots[i])) {
+                    chosen.push_back(i);
+                }
+            }
+            std::stable_sort(chosen.begin(), chosen.end(), [this](auto left, auto right) { return this->weights[left] > this->weights[right]; });
+            return chosen;
+        }
+
+        /// @return The slot whose move from source to target lowers the higher of both loads the most.
+        std::optional<std::size_t> slotToMove(std::size_t source, std::size_t target) const
+        {
+            const auto& from = this->targets[source];
+            const auto& to = this->targets[target];
+            // A smaller gain is within the noise of the measurement, and the slot would move back soon.
+            auto best = from.load / from.capacity - 0.05 * this->mean();
+            std::optional<std::size_t> chosen;
+            for (std::size_t i = 0; i < this->slots.size(); ++i) {
+                if (this->owners[i] != from.id || this->slots[i].isMoving || this->slots[i].owner != from.id) {
+                    continue;
+                }
+                const auto after = std::max((from.load - this->weights[i]) / from.capacity, (to.load + this->weights[i]) / to.capacity);
+                if (after < best) {
+                    best = after;
+                    chosen = i;
+                }
+            }
+            return chosen;
+        }
+
+        void move(std::size_t slot, std::size_t source, std::size_t target, PlacementDecision& decision)
+        {
+            this->add(source, -this->weights[slot]);
+            this->add(target, this->weights[slot]);
+            this->owners[slot] = this->targets[target].id;
+            decision.moves.push_back({ this->slots[slot].slot, this->targets[target].id, this->slots[slot].fence });
+        }
+
+        /// Gives a slot to the least loaded upstream.
+        UpstreamId take(std::size_t slot)
+        {
+            const auto index = this->order.begin()->index;
+            this->add(index, this->weights[slot]);
+            this->owners[slot] = this->targets[index].id;
+            return this->targets[index].id;
+        }
+
+        double mean() const
+        {
+            double load = 0;
+            double capacity = 0;
+            for (const auto& target : this->targets) {
+                load += target.load;
+                capacity += target.capacity;
+            }
+            return load / capacity;
+        }
+
+        std::span<const PlacementSlot> slots;
+        std::vector<double> weights;
+        std::vector<UpstreamId> owners;
+        std::vector<Target> targets;
+        absl::btree_map<UpstreamId, std::size_t> indexes;
+        absl::btree_set<Position> order;
+    };
+
+}
+
+PlacementDecision BoundedLoadPlacement::place(Instant, const ServiceSpec& service, std::span<const PlacementUpstream> upstreams,
+    std::span<const PlacementSlot> slots, std::size_t allowedMoves)
+{
+    PlacementDecision decision;
+    Balance balance { upstreams, slots };
+    if (!balance.hasTargets()) {
+        return decision;
+    }
+    balance.assignFree(decision);
+    balance.drain(decision);
+    if (!balance.isWithin(outerBand)) {
+        this->rebalancing.insert(service.id);
+    }
+    bool canImprove = this->rebalancing.contains(service.id);
+    while (canImprove && allowedMoves > 0 && !balance.isWithin(innerBand)) {
+        canImprove = balance.moveOne(decision);
+        --allowedMoves;
+    }
+    if (!canImprove || balance.isWithin(innerBand)) {
+        this->rebalancing.erase(service.id);
+    }
+    return decision;
+}
+
+}
--- a/src/core/ownership/Coordinator.h
+++ b/src/core/ownership/Coordinator.h
@@ -1,52 +1,29 @@
 #pragma once
 
+#include "core/ownership/DelegationTable.h"
+#include "core/ownership/HotKeyWindow.h"
 #include "core/ownership/OwnershipState.h"
+#include "core/ownership/PlacementPolicy.h"
+#include "core/ownership/RolloutGate.h"
+#include "core/ownership/SettledIndex.h"
+#include "core/ownership/SlotLoads.h"
 #include "teaselturn/Message.h"
 #include "teaselturn/Types.h"
 
-#include <concepts>
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <deque>
 #include <span>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace teaselturn {
 
-/// An upstream as placement sees it.
-struct PlacementUpstream {
-    UpstreamId id;
-    ZoneId zone;
-    std::uint32_t requestSlots {};
-    /// Time since it was first attached, as far as this leader knows.
-    Duration age {};
-    bool isDraining {};
-};
-
-/// A slot as placement sees it.
-struct PlacementSlot {
-    SlotId slot;
-    UpstreamId owner;
-    Fence fence;
-    /// Smoothed requests a second.
-    double load {};
-    /// False while the slot must wait before it is given to anyone.
-    bool isAssignable { true };
-    bool isMoving {};
-};
-
-/// What placement decided for one service.
-struct PlacementDecision {
-    std::vector<SlotAssignment> assignments;
-    std::vector<SlotAssignment> moves;
-};
-
-/// Chooses owners for the slots of one service.
-template <typename T>
-concept PlacementPolicy = requires(T& policy, Instant now, const ServiceSpec& service,
-    std::span<const PlacementUpstream> upstreams, std::span<const PlacementSlot> slots, std::size_t allowedMoves)
-{
-    {
-        policy.place(now, service, upstreams, slots, allowedMoves)
-        } -> std::same_as<PlacementDecision>;
-};
+/// Slots in one command. It keeps a command near 20 KiB, well below the bound of a message of entries.
+inline constexpr std::size_t maxSlotsPerCommand = 1'024;
+/// Commands that one call of decide() returns; the next call goes on.
+inline constexpr std::size_t maxCommandsPerDecision = 256;
 
 /// Leader-only decisions: delegations to entry VMs, takeovers, placement, rollout of bundles, hot keys. It keeps its
 /// memory between elections in no durable form: becameLeader() starts it afresh. Not thread-safe.
@@ -60,6 +37,8 @@
     void becameLeader(Instant now, const OwnershipState& state);
 
     /// Answers a renewal. Call only while the leader lease is held; the caller sends the answer after this returns.
+    /// The caller raises the commit index of the reply to the ledger's commit index, where that is higher than what it
+    /// has applied: the holder may use the delegation only with every entry that was committed when it was granted.
     DelegationReply delegate(Instant now, NodeId entry, const DelegationRequest& request, const OwnershipState& state);
 
     /// Counts a delegation from the instant at which its answer was sent.
@@ -74,6 +53,56 @@
 
     /// Takes note of an applied entry.
     void applied(Instant now, const LogEntry& entry, const ApplyOutcome& outcome, const OwnershipState& state);
+
+private:
+    struct PendingExpiry {
+        SessionId session;
+        NodeId steward;
+        BootId boot;
+        /// False once the proposal was dropped. The entry VM gets no delegation until it is decided again and applied.
+        bool isProposed {};
+    };
+
+    bool mayTakeOver(Instant now, const UpstreamRecord& upstream, const OwnershipState& state) const;
+    void decideExpiries(Instant now, const OwnershipState& state, std::vector<Command>& commands);
+    void decideRollout(Instant now, const OwnershipState& state, std::vector<Command>& commands);
+    void decideHotKeys(Instant now, const OwnershipState& state, std::vector<Command>& commands);
+    void decideMerge(SlotId slot, const OwnershipState& state, std::vector<Command>& commands);
+    void decidePlacement(Instant now, const OwnershipState& state, std::vector<Command>& commands);
+    void place(Instant now, const ServiceSpec& service, std::span<const PlacementUpstream> upstreams, const OwnershipState& state, std::vector<Command>& commands);
+    PlacementSlot viewSlot(SlotId slot, const SlotRecord& record, const OwnershipState& state) const;
+    std::size_t allowedMoves(Instant now, const ServiceSpec& service);
+    Duration ageOf(Instant now, UpstreamId upstream) const;
+    template <typename Batch>
+    void propose(std::span<const SlotAssignment> assignments, std::vector<SlotAssignment> Batch::*list, std::vector<Command>& commands);
+    void forget(std::span<const SlotAssignment> assignments);
+    void forgetUpstreams(const OwnershipState& state);
+
+    Policy policy;
+    Instant leaderSince;
+    Instant balancedAt;
+    Instant hotKeysAt;
+    LogIndex settled;
+    DelegationTable delegations;
+    SettledIndex settledIndex;
+    SlotLoads loads;
+    HotKeyWindow hotKeyWindow;
+    RolloutGate rollout;
+    /// Upstreams first attached under this leader, for slow start.
+    absl::btree_map<UpstreamId, Instant> attachedAt;
+    /// Moves for balance within the last minute.
+    absl::btree_map<ServiceId, std::deque<Instant>> moves;
+
+    absl::btree_map<UpstreamId, PendingExpiry> pendingExpiries;
+    /// Slots in proposals that are not yet applied, with the owner to be.
+    absl::btree_map<SlotId, UpstreamId> pendingSlots;
+    absl::btree_set<std::pair<ServiceId, std::string>> pendingCarves;
+    absl::btree_set<SlotId> pendingMerges;
+    /// Carved keys that go back to their partition.
+    absl::btree_set<SlotId> merging;
+    bool isRolloutPending {};
 };
 
 }
+
+#include "core/ownership/CoordinatorInlines.h"
--- /dev/null
+++ b/src/core/ownership/CoordinatorInlines.h
@@ -0,0 +1,326 @@
+#pragma once
+
+#include "core/ownership/Coordinator.h"
+#include "core/routing/RouteTable.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+/// How often balance and hot keys are looked at; slots without an owner are placed at every call.
+inline constexpr std::chrono::seconds balanceInterval { 1 };
+/// Loads are too new for moves until this time after an election.
+inline constexpr std::chrono::seconds balanceDelay { 10 };
+
+template <PlacementPolicy Policy>
+Coordinator<Policy>::Coordinator(Policy policy)
+    : policy(std::move(policy))
+{
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::becameLeader(Instant now, const OwnershipState& state)
+{
+    *this = Coordinator { std::move(this->policy) };
+    this->leaderSince = now;
+    this->settledIndex.reset(now, state.appliedIndex());
+    this->hotKeyWindow.reset(now);
+}
+
+template <PlacementPolicy Policy>
+DelegationReply Coordinator<Policy>::delegate(Instant now, NodeId entry, const DelegationRequest& request, const OwnershipState& state)
+{
+    DelegationReply reply { request.sequence, ResultCode::DelegationMissing, {}, state.appliedIndex() };
+    if (!state.hasEntry(entry)) {
+        return reply;
+    }
+    // The entry VM could grant a lease under a session whose expiry is about to be applied.
+    const auto isLosing = [&](const auto& item) { return item.second.steward == entry && item.second.boot == request.boot; };
+    if (std::any_of(this->pendingExpiries.begin(), this->pendingExpiries.end(), isLosing)) {
+        return reply;
+    }
+    const auto* contact = this->delegations.find(entry);
+    const bool isRepeated = contact != nullptr && contact->boot == request.boot && request.sequence <= contact->sequence;
+    if (!this->delegations.renew(now, entry, request)) {
+        return reply;
+    }
+    if (!isRepeated) {
+        this->loads.add(request.loads);
+        this->hotKeyWindow.add(now, request.loads, request.hotKeys);
+    }
+    reply.code = ResultCode::Ok;
+    reply.length = timing::delegationLength;
+    return reply;
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::delegationSent(Instant now, NodeId entry, BootId boot)
+{
+    this->delegations.extend(now, entry, boot);
+}
+
+template <PlacementPolicy Policy>
+std::vector<Command> Coordinator<Policy>::decide(Instant now, const OwnershipState& state)
+{
+    std::vector<Command> commands;
+    if (state.acceptedBundle() == nullptr) {
+        return commands;
+    }
+    this->settled = this->settledIndex.at(now);
+    this->loads.fold(now);
+    this->decideExpiries(now, state, commands);
+    this->decideRollout(now, state, commands);
+    this->decideHotKeys(now, state, commands);
+    this->decidePlacement(now, state, commands);
+    return commands;
+}
+
+template <PlacementPolicy Policy>
+bool Coordinator<Policy>::mayTakeOver(Instant now, const UpstreamRecord& upstream, const OwnershipState& state) const
+{
+    const auto& attachment = upstream.attachment;
+    // An unsettled session may have begun under a delegation that an earlier leader granted, and an earlier session
+    // may still be renewed by its steward.
+    if (upstream.session.value > this->settled.value || !this->delegations.hasEnded(now, attachment.steward, attachment.stewardBoot)) {
+        return false;
+    }
+    const auto haveAllApplied = [&](LogIndex index) {
+        return state.allEntries([&](NodeId entry) { return this->delegations.hasApplied(entry, index); });
+    };
+    const auto moveSince = state.moveSince(attachment.service);
+    if (moveSince != LogIndex {}) {
+        // A steward that has not heard of a change of rule from `keep` renews beyond its delegation.
+        return upstream.id.value >= moveSince.value || haveAllApplied(moveSince);
+    }
+    return this->delegations.isSuperseded(now, attachment.steward, attachment.stewardBoot)
+        && haveAllApplied({ upstream.session.value });
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::decideExpiries(Instant now, const OwnershipState& state, std::vector<Command>& commands)
+{
+    state.forEachUpstream([&](const UpstreamRecord& upstream) {
+        const auto pending = this->pendingExpiries.find(upstream.id);
+        const bool isPending = pending != this->pendingExpiries.end() && pending->second.session == upstream.session && pending->second.isProposed;
+        if (isPending || commands.size() >= maxCommandsPerDecision || !this->mayTakeOver(now, upstream, state)) {
+            return;
+        }
+        this->pendingExpiries[upstream.id] = { upstream.session, upstream.attachment.steward, upstream.attachment.stewardBoot, true };
+        commands.push_back(ExpireUpstream { upstream.id, upstream.session, ExpiryReason::DelegationEnded });
+    });
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::decideRollout(Instant now, const OwnershipState& state, std::vector<Command>& commands)
+{
+    const auto floor = this->leaderSince + timing::withDrift(timing::delegationLength);
+    const auto next = this->rollout.next(now, floor, state, this->delegations);
+    if (next && !this->isRolloutPending) {
+        this->isRolloutPending = true;
+        commands.push_back(*next);
+    }
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::decideHotKeys(Instant now, const OwnershipState& state, std::vector<Command>& commands)
+{
+    if (now < this->hotKeysAt + balanceInterval) {
+        return;
+    }
+    this->hotKeysAt = now;
+    const auto cold = this->hotKeyWindow.coldKeys(now, state);
+    this->merging = { cold.begin(), cold.end() };
+    for (const auto slot : cold) {
+        this->decideMerge(slot, state, commands);
+    }
+    for (auto& carve : this->hotKeyWindow.hotKeys(now, state)) {
+        const bool hasRoom = state.hotKeyCount() + this->pendingCarves.size() < maxPlacedHotKeys;
+        if (hasRoom && this->pendingCarves.emplace(carve.service, carve.key).second) {
+            commands.push_back(std::move(carve));
+        }
+    }
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::decideMerge(SlotId slot, const OwnershipState& state, std::vector<Command>& commands)
+{
+    const auto& hotKey = *state.findHotKey(slot);
+    const auto partitions = state.partitions(slot.service);
+    const auto& partition = partitions[hashKey(hotKey.key) % partitions.size()];
+    const auto& record = hotKey.record;
+    const bool isBusy = record.moveTarget != UpstreamId {} || partition.moveTarget != UpstreamId {} || this->pendingSlots.contains(slot);
+    if (isBusy || record.owner == UpstreamId {} || partition.owner == UpstreamId {}) {
+        return;
+    }
+    if (record.owner != partition.owner) {
+        const SlotAssignment move { slot, partition.owner, record.fence };
+        this->propose({ &move, 1 }, &BeginMove::moves, commands);
+    } else if (this->pendingMerges.insert(slot).second) {
+        commands.push_back(MergeHotKey { slot });
+    }
+}
+
+template <PlacementPolicy Policy>
+Duration Coordinator<Policy>::ageOf(Instant now, UpstreamId upstream) const
+{
+    // An upstream that was there before this leader is taken as warm.
+    const auto found = this->attachedAt.find(upstream);
+    return found == this->attachedAt.end() ? Duration::max() : now - found->second;
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::decidePlacement(Instant now, const OwnershipState& state, std::vector<Command>& commands)
+{
+    const bool isBalanceDue = now >= this->balancedAt + balanceInterval;
+    if (isBalanceDue) {
+        this->balancedAt = now;
+    }
+    absl::btree_map<ServiceId, std::vector<PlacementUpstream>> upstreams;
+    absl::btree_set<ServiceId> draining;
+    state.forEachUpstream([&](const UpstreamRecord& record) {
+        // An upstream whose takeover is pending gets nothing more.
+        const bool isLeaving = record.isDraining || this->pendingExpiries.contains(record.id);
+        const auto& attachment = record.attachment;
+        upstreams[attachment.service].push_back({ record.id, attachment.zone, attachment.requestSlots, this->ageOf(now, record.id), isLeaving });
+        if (isLeaving && state.slotCount(record.id) > 0) {
+            draining.insert(attachment.service);
+        }
+    });
+    for (const auto& [service, candidates] : upstreams) {
+        const auto* spec = state.findService(service);
+        const auto firstFree = state.freeSlots().lower_bound(SlotId { service, 0 });
+        const bool hasFree = firstFree != state.freeSlots().end() && firstFree->service == service;
+        if (spec != nullptr && (hasFree || isBalanceDue || draining.contains(service))) {
+            this->place(now, *spec, candidates, state, commands);
+        }
+    }
+}
+
+template <PlacementPolicy Policy>
+PlacementSlot Coordinator<Policy>::viewSlot(SlotId slot, const SlotRecord& record, const OwnershipState& state) const
+{
+    PlacementSlot view { slot, record.owner, record.fence, this->loads.rate(slot) };
+    view.isAssignable = record.lastOwnerChecksGrants || record.freedAt <= this->settled;
+    const auto* target = state.findUpstream(record.moveTarget);
+    if (target != nullptr && !target->isDraining) {
+        view.owner = target->id;
+        view.isMoving = true;
+    }
+    if (const auto pending = this->pendingSlots.find(slot); pending != this->pendingSlots.end()) {
+        view.owner = pending->second;
+        view.isMoving = true;
+    }
+    view.isMoving = view.isMoving || (view.owner != UpstreamId {} && this->merging.contains(slot));
+    return view;
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::place(Instant now, const ServiceSpec& service, std::span<const PlacementUpstream> upstreams, const OwnershipState& state, std::vector<Command>& commands)
+{
+    std::vector<PlacementSlot> slots;
+    const auto partitions = state.partitions(service.id);
+    slots.reserve(partitions.size());
+    for (std::uint32_t i = 0; i < partitions.size(); ++i) {
+        slots.push_back(this->viewSlot({ service.id, i }, partitions[i], state));
+    }
+    state.forEachHotKey([&](const HotKeyRecord& hotKey) {
+        if (hotKey.slot.service == service.id) {
+            slots.push_back(this->viewSlot(hotKey.slot, hotKey.record, state));
+        }
+    });
+    const auto decision = this->policy.place(now, service, upstreams, slots, this->allowedMoves(now, service));
+    this->propose(decision.assignments, &AssignSlots::assignments, commands);
+    for (const auto& move : decision.moves) {
+        const auto* owner = state.findUpstream(state.findSlot(move.slot)->owner);
+        if (owner != nullptr && !owner->isDraining && !this->pendingExpiries.contains(owner->id)) {
+            this->moves[service.id].push_back(now);
+        }
+    }
+    this->propose(decision.moves, &BeginMove::moves, commands);
+}
+
+template <PlacementPolicy Policy>
+std::size_t Coordinator<Policy>::allowedMoves(Instant now, const ServiceSpec& service)
+{
+    if (now < this->leaderSince + balanceDelay) {
+        return 0;
+    }
+    auto& recent = this->moves[service.id];
+    while (!recent.empty() && recent.front() + std::chrono::minutes { 1 } <= now) {
+        recent.pop_front();
+    }
+    return service.movesPerMinute - std::min<std::size_t>(service.movesPerMinute, recent.size());
+}
+
+template <PlacementPolicy Policy>
+template <typename Batch>
+void Coordinator<Policy>::propose(std::span<const SlotAssignment> assignments, std::vector<SlotAssignment> Batch::*list, std::vector<Command>& commands)
+{
+    for (std::size_t i = 0; i < assignments.size() && commands.size() < maxCommandsPerDecision; i += maxSlotsPerCommand) {
+        const auto part = assignments.subspan(i, std::min(maxSlotsPerCommand, assignments.size() - i));
+        Batch batch;
+        (batch.*list).assign(part.begin(), part.end());
+        for (const auto& assignment : part) {
+            this->pendingSlots[assignment.slot] = assignment.owner;
+        }
+        commands.push_back(std::move(batch));
+    }
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::proposalsDropped()
+{
+    this->pendingSlots.clear();
+    this->pendingCarves.clear();
+    this->pendingMerges.clear();
+    this->isRolloutPending = false;
+    // Some of them may have reached the log, so the entry VMs concerned still get no delegation.
+    for (auto& [upstream, pending] : this->pendingExpiries) {
+        pending.isProposed = false;
+    }
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::forget(std::span<const SlotAssignment> assignments)
+{
+    for (const auto& assignment : assignments) {
+        this->pendingSlots.erase(assignment.slot);
+    }
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::forgetUpstreams(const OwnershipState& state)
+{
+    const auto isGone = [&state](const auto& item) { return state.findUpstream(item.first) == nullptr; };
+    absl::erase_if(this->attachedAt, isGone);
+    absl::erase_if(this->pendingExpiries, isGone);
+}
+
+template <PlacementPolicy Policy>
+void Coordinator<Policy>::applied(Instant now, const LogEntry& entry, const ApplyOutcome& outcome, const OwnershipState& state)
+{
+    this->settledIndex.applied(now, entry.index);
+    if (const auto* assign = std::get_if<AssignSlots>(&entry.command)) {
+        this->forget(assign->assignments);
+    } else if (const auto* begin = std::get_if<BeginMove>(&entry.command)) {
+        this->forget(begin->moves);
+    } else if (const auto* carve = std::get_if<CarveHotKey>(&entry.command)) {
+        this->pendingCarves.erase({ carve->service, carve->key });
+    } else if (const auto* merge = std::get_if<MergeHotKey>(&entry.command)) {
+        this->pendingMerges.erase(merge->slot);
+    } else if (std::holds_alternative<AdvanceRollout>(entry.command) || std::holds_alternative<AcceptBundle>(entry.command)) {
+        this->isRolloutPending = false;
+        this->forgetUpstreams(state);
+    } else if (std::holds_alternative<AttachUpstream>(entry.command) && outcome.code == ResultCode::Ok) {
+        // A later session has another steward, or another start of it.
+        this->pendingExpiries.erase(outcome.upstream);
+        if (outcome.upstream.value == entry.index.value) {
+            this->attachedAt[outcome.upstream] = now;
+        }
+    } else if (const auto* expire = std::get_if<ExpireUpstream>(&entry.command); expire != nullptr && outcome.code == ResultCode::Ok) {
+        this->pendingExpiries.erase(expire->upstream);
+        this->attachedAt.erase(expire->upstream);
+    }
+}
+
+}
--- /dev/null
+++ b/src/core/ownership/SlotLoads.cpp
@@ -0,0 +1,50 @@
+#include "core/ownership/SlotLoads.h"
+
+#include <cmath>
+
+namespace teaselturn {
+
+void SlotLoads::clear()
+{
+    this->loads.clear();
+    this->foldedAt = {};
+}
+
+void SlotLoads::add(std::span<const SlotLoad> summary)
+{
+    for (const auto& load : summary) {
+        if (const auto found = this->loads.find(load.slot); found != this->loads.end()) {
+            found->second.added += load.requests;
+        } else if (this->loads.size() < maxLoads) {
+            this->loads[load.slot].added = load.requests;
+        }
+    }
+}
+
+void SlotLoads::fold(Instant now)
+{
+    if (this->foldedAt == Instant {}) {
+        this->foldedAt = now;
+    }
+    if (now < this->foldedAt + foldInterval) {
+        return;
+    }
+    const std::chrono::duration<double> elapsed = now - this->foldedAt;
+    const auto weight = 1 - std::exp(-elapsed / std::chrono::duration<double> { smoothing });
+    this->foldedAt = now;
+    constexpr double negligible = 0.001; // One request in a quarter of an hour.
+    absl::erase_if(this->loads, [&](auto& item) {
+        auto& load = item.second;
+        load.rate += weight * (static_cast<double>(load.added) / elapsed.count() - load.rate);
+        load.added = 0;
+        return load.rate < negligible;
+    });
+}
+
+double SlotLoads::rate(SlotId slot) const noexcept
+{
+    const auto found = this->loads.find(slot);
+    return found == this->loads.end() ? 0 : found->second.rate;
+}
+
+}
--- /dev/null
+++ b/tests/core/ownership/CoordinatorTest.cpp
@@ -0,0 +1,319 @@
+#include "core/ownership/Coordinator.h"
+#include "core/ownership/BoundedLoadPlacement.h"
+
+#include "core/support/OwnershipFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 1h };
+constexpr auto delegation = timing::withDrift(timing::delegationLength);
+constexpr SlotId slot { tills, 3 };
+
+struct CoordinatorFixture : OwnershipFixture {
+    Coordinator<BoundedLoadPlacement> coordinator { BoundedLoadPlacement {} };
+    Instant now { start };
+    std::uint64_t sequence {};
+
+    CoordinatorFixture()
+    {
+        this->apply(AcceptBundle { this->bundle(1) });
+        this->coordinator.becameLeader(this->now, this->state);
+    }
+
+    ApplyOutcome commit(const Command& command)
+    {
+        auto outcome = this->apply(command);
+        this->coordinator.applied(this->now, { Term { 1 }, this->state.appliedIndex(), command }, outcome, this->state);
+        return outcome;
+    }
+
+    ApplyOutcome join(const std::string& name, NodeId steward, ServiceId service = tills, BootId boot = { 1 }, bool checksGrants = true)
+    {
+        return this->commit(attachment(name, service, steward, boot, checksGrants));
+    }
+
+    DelegationReply renew(NodeId entry, BootId boot = { 1 }, BundleVersion version = { 1 }, bool isHealthy = true)
+    {
+        const DelegationRequest request { ++this->sequence, boot, this->state.appliedIndex(), version, isHealthy, {}, {} };
+        auto reply = this->coordinator.delegate(this->now, entry, request, this->state);
+        if (reply.code == ResultCode::Ok) {
+            this->coordinator.delegationSent(this->now, entry, boot);
+        }
+        return reply;
+    }
+
+    std::vector<Command> decide() { return this->coordinator.decide(this->now, this->state); }
+
+    /// Decides and commits until nothing more is decided.
+    void settle()
+    {
+        for (auto commands = this->decide(); !commands.empty(); commands = this->decide()) {
+            for (const auto& command : commands) {
+                this->commit(command);
+            }
+        }
+    }
+};
+
+template <typename T>
+std::vector<T> only(const std::vector<Command>& commands)
+{
+    std::vector<T> found;
+    for (const auto& command : commands) {
+        if (const auto* match = std::get_if<T>(&command)) {
+            found.push_back(*match);
+        }
+    }
+    return found;
+}
+
+}
+
+TEST_CASE("slots without an owner are spread over the live upstreams of their service, and proposed once")
+{
+    CoordinatorFixture fixture;
+    const auto a = fixture.join("a", { 1 });
+    const auto b = fixture.join("b", { 2 });
+    const auto first = only<AssignSlots>(fixture.decide());
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].assignments.size() == fixturePartitions);
+    CHECK(fixture.decide().empty());
+    fixture.coordinator.proposalsDropped();
+    const auto second = only<AssignSlots>(fixture.decide());
+    REQUIRE(second == first);
+    fixture.commit(second[0]);
+    CHECK(fixture.state.slotCount(a.upstream) == fixturePartitions / 2);
+    CHECK(fixture.state.slotCount(b.upstream) == fixturePartitions / 2);
+}
+
+TEST_CASE("a session is taken over exactly when its steward's delegation has certainly ended, by the rule move only")
+{
+    CoordinatorFixture fixture;
+    const auto mover = fixture.join("a", { 1 }, tills);
+    fixture.join("b", { 1 }, catalogue);
+    fixture.settle();
+    fixture.now += 5s;
+    fixture.renew({ 1 });
+    CHECK(only<ExpireUpstream>(fixture.decide()).empty());
+    fixture.now += delegation - 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()).empty());
+    fixture.now += 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()) == std::vector<ExpireUpstream> { { mover.upstream, mover.session, ExpiryReason::DelegationEnded } });
+}
+
+TEST_CASE("a new leader waits a whole delegation before it takes anything from a silent entry VM")
+{
+    // Guards against a leader change: the former leader may have delegated just before it was cut off.
+    CoordinatorFixture fixture;
+    fixture.join("a", { 1 });
+    fixture.settle();
+    fixture.now += 1h;
+    fixture.coordinator.becameLeader(fixture.now, fixture.state);
+    fixture.now += delegation - 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()).empty());
+    fixture.now += 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()).size() == 1);
+}
+
+TEST_CASE("an entry VM gets no delegation while the expiry of a session that it holds is pending")
+{
+    // Guards against a steward that returns, is delegated, and renews a session whose expiry commits a moment later.
+    CoordinatorFixture fixture;
+    fixture.join("a", { 1 });
+    fixture.settle();
+    fixture.now += 10s;
+    const auto expiries = only<ExpireUpstream>(fixture.decide());
+    REQUIRE(expiries.size() == 1);
+    CHECK(fixture.renew({ 1 }).code == ResultCode::DelegationMissing);
+    fixture.coordinator.proposalsDropped();
+    CHECK(fixture.renew({ 1 }).code == ResultCode::DelegationMissing);
+    CHECK(only<ExpireUpstream>(fixture.decide()) == expiries);
+    fixture.commit(expiries[0]);
+    const auto renewed = fixture.renew({ 1 });
+    CHECK(renewed.code == ResultCode::Ok);
+    CHECK(renewed.commitIndex == fixture.state.appliedIndex());
+}
+
+TEST_CASE("an old boot's sessions end with its last delegation, though the entry VM is back")
+{
+    CoordinatorFixture fixture;
+    const auto a = fixture.join("a", { 1 });
+    fixture.settle();
+    fixture.now += 5s;
+    fixture.renew({ 1 }, { 1 });
+    fixture.now += 500ms;
+    fixture.renew({ 1 }, { 2 });
+    CHECK(fixture.renew({ 1 }, { 1 }).code == ResultCode::DelegationMissing);
+    fixture.now += delegation - 500ms - 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()).empty());
+    fixture.now += 1ns;
+    CHECK(only<ExpireUpstream>(fixture.decide()).size() == 1);
+    CHECK(fixture.state.findUpstream(a.upstream) != nullptr);
+}
+
+TEST_CASE("after a change of rule from keep to move, a steward that may not know of it keeps its sessions")
+{
+    // Guards against two owners: a steward that is cut off goes by the rule that it knows.
+    CoordinatorFixture fixture;
+    fixture.join("a", { 1 }, catalogue);
+    auto next = fixture.bundle(2);
+    next.bundle.services[0].zoneRule = ZoneRule::Move;
+    fixture.settle();
+    const bool hasHeard = GENERATE(true, false);
+    if (!hasHeard) {
+        fixture.renew({ 1 });
+    }
+    fixture.commit(AcceptBundle { next });
+    fixture.renew({ 2 });
+    fixture.renew({ 3 });
+    if (hasHeard) {
+        fixture.renew({ 1 });
+    }
+    fixture.now += 1h;
+    CHECK(only<ExpireUpstream>(fixture.decide()).size() == (hasHeard ? 1 : 0));
+}
+
+TEST_CASE("a slot of an owner that does not check grants waits for every table to be current")
+{
+    // Guards against an entry VM that still forwards to the former owner, which would accept the request.
+    CoordinatorFixture fixture;
+    const auto a = fixture.join("a", { 1 }, tills, { 1 }, false);
+    fixture.settle();
+    const auto b = fixture.join("b", { 2 });
+    fixture.now += 10s;
+    fixture.renew({ 2 });
+    fixture.commit(ExpireUpstream { a.upstream, a.session, ExpiryReason::LeaseEnded });
+    const bool changesLeader = GENERATE(false, true);
+    if (changesLeader) {
+        fixture.now += 1s;
+        fixture.coordinator.becameLeader(fixture.now, fixture.state);
+    }
+    fixture.now += delegation - 1ns;
+    fixture.renew({ 2 });
+    CHECK(only<AssignSlots>(fixture.decide()).empty());
+    fixture.now += 1ns;
+    const auto assigned = only<AssignSlots>(fixture.decide());
+    REQUIRE(assigned.size() == 1);
+    CHECK(assigned[0].assignments.front().owner == b.upstream);
+}
+
+TEST_CASE("a draining upstream's slots move at once, whatever the service allows for balance")
+{
+    CoordinatorFixture fixture;
+    const auto a = fixture.join("a", { 1 });
+    fixture.settle();
+    const auto b = fixture.join("b", { 1 });
+    fixture.settle();
+    fixture.commit(DrainUpstream { a.upstream, a.session });
+    const auto moves = only<BeginMove>(fixture.decide());
+    REQUIRE(moves.size() == 1);
+    CHECK(moves[0].moves.size() == fixture.state.slotCount(a.upstream));
+    CHECK(moves[0].moves.front().owner == b.upstream);
+}
+
+TEST_CASE("a new upstream gets slots by moves, no more in a minute than its service allows")
+{
+    CoordinatorFixture fixture;
+    auto next = fixture.bundle(2);
+    next.bundle.services[1].movesPerMinute = 2;
+    fixture.commit(AcceptBundle { next });
+    fixture.join("a", { 1 });
+    fixture.settle();
+    const auto b = fixture.join("b", { 2 });
+    std::size_t moved = 0;
+    for (int second = 0; second < 130; ++second) {
+        fixture.now += 1s;
+        fixture.renew({ 1 });
+        fixture.renew({ 2 });
+        for (const auto& command : fixture.decide()) {
+            fixture.commit(command);
+            for (const auto& begun : only<BeginMove>({ command })) {
+                moved += begun.moves.size();
+                CHECK(begun.moves.front().owner == b.upstream);
+            }
+        }
+        // The first moves come 10 s after the election, when loads are known.
+        CHECK(moved <= (second < 69 ? 2U : 4U));
+    }
+    CHECK(moved == 4);
+}
+
+TEST_CASE("a bundle reaches the next region once the entry VMs in contact run it and are healthy")
+{
+    CoordinatorFixture fixture;
+    auto next = fixture.bundle(2);
+    next.bundle.rollout = { wcape, ecape };
+    for (std::uint32_t entry = 1; entry <= 3; ++entry) {
+        fixture.renew({ entry });
+    }
+    fixture.now += delegation;
+    fixture.commit(AcceptBundle { next });
+    fixture.renew({ 1 }, { 1 }, { 2 });
+    fixture.renew({ 2 }, { 1 }, { 1 });
+    fixture.renew({ 3 }, { 1 }, { 1 });
+    CHECK(only<AdvanceRollout>(fixture.decide()).empty());
+    SECTION("unhealthy")
+    {
+        fixture.renew({ 2 }, { 1 }, { 2 }, false);
+        CHECK(only<AdvanceRollout>(fixture.decide()).empty());
+    }
+    SECTION("silent since the bundle reached it")
+    {
+        // Guards against a bundle that stops the entry VMs of its first region and then goes on to the next.
+        fixture.now += delegation;
+        fixture.renew({ 3 }, { 1 }, { 1 });
+        CHECK(only<AdvanceRollout>(fixture.decide()).empty());
+    }
+    SECTION("healthy")
+    {
+        fixture.renew({ 2 }, { 1 }, { 2 });
+        const auto advanced = only<AdvanceRollout>(fixture.decide());
+        REQUIRE(advanced == std::vector<AdvanceRollout> { { { 2 }, 2 } });
+        CHECK(only<AdvanceRollout>(fixture.decide()).empty());
+        fixture.commit(advanced[0]);
+        CHECK(fixture.state.bundleInForce(ecape)->bundle.version == BundleVersion { 2 });
+    }
+}
+
+TEST_CASE("hot keys are carved by their share of the load and merged when cold")
+{
+    CoordinatorFixture fixture;
+    fixture.join("a", { 1 });
+    fixture.join("b", { 1 });
+    fixture.settle();
+    const auto report = [&](std::uint32_t hot) {
+        fixture.now += 500ms;
+        DelegationRequest request { ++fixture.sequence, { 1 }, fixture.state.appliedIndex(), { 1 }, true, {}, {} };
+        request.loads = { { slot, 1000 } };
+        request.hotKeys = { { tills, "fabric", hot }, { tills, "thread", 2 } };
+        fixture.coordinator.delegate(fixture.now, { 1 }, request, fixture.state);
+        fixture.settle();
+    };
+    for (int i = 0; i < 30; ++i) {
+        report(100);
+    }
+    REQUIRE(fixture.state.findHotKey(tills, "fabric") != nullptr);
+    CHECK(fixture.state.findHotKey(tills, "thread") == nullptr);
+    for (int i = 0; i < 30; ++i) {
+        report(3);
+    }
+    // Between both thresholds it stays as it is.
+    CHECK(fixture.state.findHotKey(tills, "fabric") != nullptr);
+    for (int i = 0; i < 30; ++i) {
+        report(0);
+        fixture.state.forEachUpstream([&](const UpstreamRecord& upstream) {
+            for (const auto& owned : fixture.state.slotsOf(upstream.id)) {
+                if (fixture.state.findSlot(owned.slot)->moveTarget != UpstreamId {}) {
+                    fixture.commit(ReleaseSlots { upstream.id, upstream.session, { owned } });
+                    return;
+                }
+            }
+        });
+    }
+    CHECK(fixture.state.findHotKey(tills, "fabric") == nullptr);
+}
