Add the hot-key sketch and the slot load counter of an entry VM

An entry VM reports load and frequent keys with each renewal of its delegation, in one datagram. Reports were specified but nothing produced them.

HotKeySketch counts with the space-saving algorithm in 128 places and reports only the part of a count that is certain: the plain count would report a cold key with the count of the key whose place it took. SlotLoadCounter keeps the counts of slots that a report has no room for, so the sums that decide which key is hot stay right; resetting everything at each report was ruled out for that reason. Counters of hot keys hold slot and count in one word, so that a place changes its slot without a lock.

--- /dev/null
+++ b/src/core/ownership/HotKeySketch.cpp
@@ -0,0 +1,81 @@
+#include "core/ownership/HotKeySketch.h"
+
+#include "core/routing/RouteTable.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::uint32_t minCertainRequests = 2;
+
+}
+
+void HotKeySketch::Key::assign(ServiceId newService, std::string_view key) noexcept
+{
+    this->service = newService;
+    this->length = static_cast<std::uint16_t>(key.size());
+    std::copy(key.begin(), key.end(), this->bytes.begin());
+}
+
+std::size_t HotKeySketch::find(ServiceId service, std::string_view key, std::uint64_t hash) const noexcept
+{
+    for (std::size_t i = 0; i < this->used; ++i) {
+        if (this->hashes[i] == hash && this->keys[i].service == service && this->keys[i].text() == key) {
+            return i;
+        }
+    }
+    return this->used;
+}
+
+std::size_t HotKeySketch::leastCounted() const noexcept
+{
+    return static_cast<std::size_t>(std::min_element(this->counts.begin(), this->counts.end()) - this->counts.begin());
+}
+
+void HotKeySketch::add(ServiceId service, std::string_view key) noexcept { this->add(service, key, hashKey(key)); }
+
+void HotKeySketch::add(ServiceId service, std::string_view key, std::uint64_t hash) noexcept
+{
+    if (key.size() > limits::maxKeyBytes) {
+        return;
+    }
+    auto place = this->find(service, key, hash);
+    if (place == this->used) {
+        if (this->used < capacity) {
+            ++this->used;
+        } else {
+            place = this->leastCounted();
+            this->errors[place] = this->counts[place];
+        }
+        this->hashes[place] = hash;
+        this->keys[place].assign(service, key);
+    }
+    ++this->counts[place];
+}
+
+std::vector<HotKeySample> HotKeySketch::drain(std::size_t maxBytes)
+{
+    const auto certain = [this](std::size_t place) { return this->counts[place] - this->errors[place]; };
+    std::array<std::size_t, capacity> order {};
+    std::iota(order.begin(), order.end(), std::size_t { 0 });
+    std::stable_sort(order.begin(), order.end(), [&](auto left, auto right) { return certain(left) > certain(right); });
+    std::vector<HotKeySample> samples;
+    std::size_t bytes = 0;
+    for (const auto place : order) {
+        const auto& key = this->keys[place];
+        const auto size = limits::keySampleFixedBytes + key.length;
+        if (certain(place) >= minCertainRequests && bytes + size <= maxBytes) {
+            bytes += size;
+            samples.push_back({ key.service, std::string { key.text() }, certain(place) });
+        }
+    }
+    this->used = 0;
+    this->counts.fill(0);
+    this->errors.fill(0);
+    return samples;
+}
+
+}
--- /dev/null
+++ b/src/core/ownership/SlotLoadCounter.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/ownership/LoadReport.h"
+#include "teaselturn/Message.h"
+#include "teaselturn/Types.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace teaselturn {
+
+/// Counts the requests of each slot at one entry VM. Workers add without a lock; one thread drains. Counters of
+/// partitions live in blocks that appear at the first request to one of their slots, so the memory is about 4 bytes for
+/// each partition in use.
+class SlotLoadCounter {
+public:
+    SlotLoadCounter() = default;
+    ~SlotLoadCounter();
+    SlotLoadCounter(const SlotLoadCounter&) = delete;
+    SlotLoadCounter& operator=(const SlotLoadCounter&) = delete;
+
+    /// Counts a request. It allocates only at the first request to a slot of a block; where that fails, the request is
+    /// not counted.
+    void add(SlotId slot) noexcept;
+
+    /// Takes the counts of the busiest slots. The other counts stay, so that every slot is reported in its turn and no
+    /// request is lost from the sums. Call from one thread at a time.
+    /// @return At most maxSlots slots, the busiest first.
+    std::vector<SlotLoad> drain(std::size_t maxSlots = limits::maxReportedSlots);
+
+private:
+    static constexpr std::uint32_t blockSize = 1'024;
+    /// Full blocks of all partitions, and one started block for each of 1,024 services, fill half of it.
+    static constexpr std::size_t directorySize = 4'096;
+    /// Hot-key slots are numbered in order over all services, so that places this many apart rarely meet.
+    static constexpr std::size_t hotKeyPlaces = 4 * limits::maxHotKeys;
+    static constexpr unsigned hotCountBits = 17;
+
+    struct Block {
+        ServiceId service;
+        std::uint32_t first {};
+        std::array<std::atomic<std::uint32_t>, blockSize> counts {};
+    };
+    struct Candidate {
+        SlotLoad load;
+        std::size_t place {};
+    };
+
+    Block* blockOf(SlotId slot) noexcept;
+    void addHotKey(SlotId slot) noexcept;
+    void offer(std::vector<Candidate>& best, std::size_t maxSlots, Candidate candidate) const;
+    std::uint32_t take(const Candidate& candidate) noexcept;
+
+    std::array<std::atomic<Block*>, directorySize> directory {};
+    /// Service, number of the hot key and count in one word, so that a place changes its slot in one step.
+    std::array<std::atomic<std::uint64_t>, hotKeyPlaces> hotKeys {};
+};
+
+}
