--- a/src/core/ledger/MemberReplicationInlines.h
+++ b/src/core/ledger/MemberReplicationInlines.h
@@ -115,9 +115,10 @@
 template <RandomSource Random>
 void Member<Random>::refused(PeerProgress& progress, LogIndex hint)
 {
-    if (progress.mode == ReplicationMode::Snapshot || hint < progress.matchIndex) {
+    if (progress.mode == ReplicationMode::Snapshot) {
         return;
     }
+    // The hint can be below what already matches, because it skips a whole term of the peer's log.
     const auto next = std::max(LogIndex { progress.matchIndex.value + 1 }, std::min(progress.nextIndex, LogIndex { hint.value + 1 }));
     // A late refusal that teaches nothing new must not cause another probe; the next heartbeat probes again.
     if (next < progress.nextIndex || progress.mode == ReplicationMode::Replicate) {
