Let an entry VM leave a feed source that lags behind the leader

Ruled out: refusing feeds at members without a leader, since a member in an isolated zone must still serve its peers.

--- a/src/core/ownership/EntryService.h
+++ b/src/core/ownership/EntryService.h
@@ -62,6 +62,9 @@
     inline constexpr Duration delegationPatience = std::chrono::milliseconds { 250 };
     /// Longer than a member holds a feed request open.
     inline constexpr Duration feedPatience = std::chrono::milliseconds { 1'000 };
+    /// A feed source that does not have a commit index named by the leader after this long is given up: it may be cut off
+    /// from the leader or removed from the ledger. Twice the time that a commit takes to cross the link between regions.
+    inline constexpr Duration feedLagPatience = std::chrono::milliseconds { 200 };
     /// Pause between parts of a long feed: 48 KiB every 390 ms are 1 Mbit/s, so that several receivers that catch up
     /// after a cut leave most of a 30 Mbit/s link to requests.
     inline constexpr Duration feedPause = std::chrono::milliseconds { 390 };
@@ -134,6 +137,7 @@
     void resendProposals(Instant now);
     void proposeForSteward(Instant now, Command command);
     void askAnotherMember();
+    void askAnotherFeedSource();
     NodeId leaderGuess() const;
     void takeDelegationReply(Instant now, NodeId from, const DelegationReply& reply);
     void takeFeedReply(Instant now, const FeedReply& reply);
@@ -157,6 +161,9 @@
     Instant feedDueAt;
     Instant feedNotBefore;
     std::size_t feedTurn {};
+    /// Highest commit index that the leader named, and when it was first known.
+    LogIndex knownCommit;
+    Instant knownCommitAt;
     std::optional<SnapshotTransfer> transfer;
     std::optional<SnapshotTransfer> servedSnapshot;
     absl::btree_map<std::uint64_t, Proposal> proposals;
--- a/src/core/ownership/EntryServiceInlines.h
+++ b/src/core/ownership/EntryServiceInlines.h
@@ -150,6 +150,14 @@
     ++this->memberTurn;
 }
 
+template <SnapshotCodec Codec>
+void EntryService<Codec>::askAnotherFeedSource()
+{
+    this->isFeedRequested = false;
+    this->transfer.reset();
+    ++this->feedTurn;
+}
+
 template <SnapshotCodec Codec>
 void EntryService<Codec>::renewDelegation(Instant now)
 {
@@ -180,6 +188,10 @@
     }
     const auto sentAt = this->delegationRequest->sentAt;
     this->delegationRequest.reset();
+    if (reply.code == ResultCode::Ok && reply.commitIndex > this->knownCommit) {
+        this->knownCommitAt = this->knownCommit > this->ownership.appliedIndex() ? this->knownCommitAt : now;
+        this->knownCommit = reply.commitIndex;
+    }
     if (reply.code == ResultCode::Ok) {
         this->leader = from;
         this->steward.delegated(sentAt, reply);
@@ -197,10 +209,10 @@
 template <SnapshotCodec Codec>
 void EntryService<Codec>::requestFeed(Instant now)
 {
-    if (this->isFeedRequested && now >= this->feedDueAt) {
-        this->isFeedRequested = false;
-        this->transfer.reset();
-        ++this->feedTurn;
+    const auto isLagging = this->knownCommit > this->ownership.appliedIndex() && !this->transfer && now >= this->knownCommitAt + timing::feedLagPatience && now >= this->feedNotBefore;
+    if (this->isFeedRequested && (now >= this->feedDueAt || isLagging)) {
+        this->askAnotherFeedSource();
+        this->knownCommitAt = now;
     }
     const auto sources = this->feedSources();
     if (this->isFeedRequested || now < this->feedNotBefore || sources.empty()) {
