--- /dev/null
+++ b/src/core/metrics/RequestVerdict.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "core/request/RequestMachine.h"
+#include "teaselturn/ResultCode.h"
+#include "teaselturn/Types.h"
+
+#include <cstdint>
+
+namespace teaselturn {
+
+/// How a request counts against its service's objective.
+enum class RequestVerdict : std::uint8_t {
+    Good,
+    Bad,
+    /// The caller's mistake; it says nothing about the service.
+    Ignored,
+};
+
+/// @param upstreamStatus HTTP status of an answered request; zero where there is none.
+/// @param objectiveLatency Requests that take longer are bad.
+constexpr RequestVerdict judgeRequest(Outcome outcome, ResultCode code, int upstreamStatus, Duration latency,
+    Duration objectiveLatency) noexcept
+{
+    constexpr int firstServerError = 500;
+    if (code >= ResultCode::RequestMalformed && code <= ResultCode::RequestTooLarge) {
+        return RequestVerdict::Ignored;
+    }
+    const bool isGood = outcome == Outcome::Answered && upstreamStatus < firstServerError && latency <= objectiveLatency;
+    return isGood ? RequestVerdict::Good : RequestVerdict::Bad;
+}
+
+}
--- /dev/null
+++ b/tests/core/metrics/BurnWindowsTest.cpp
@@ -0,0 +1,97 @@
+#include "core/metrics/BurnWindows.h"
+#include "core/metrics/RequestVerdict.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant origin { 1'000'000s };
+
+/// Length of the intervals of each window.
+constexpr std::array<std::chrono::seconds, 4> intervals { 10s, 60s, 300s, 3600s };
+
+}
+
+// Guards against a window that drops a failure before its length has passed, or keeps it for another one.
+TEST_CASE("A count leaves each window after its length and before one more interval")
+{
+    for (std::size_t i = 0; i < burnWindowLengths.size(); ++i) {
+        for (const auto offset : { Duration { 0 }, Duration { intervals[i] } - 1ns }) {
+            CAPTURE(i, offset.count());
+            BurnWindows windows;
+            const auto at = origin - origin.time_since_epoch() % intervals[i] + offset;
+            windows.add(at, { 3, 2 });
+            CHECK(windows.totals(at)[i] == RequestCounts { 3, 2 });
+            CHECK(windows.totals(at + burnWindowLengths[i])[i] == RequestCounts { 3, 2 });
+            CHECK(windows.totals(at + burnWindowLengths[i] + intervals[i])[i] == RequestCounts {});
+        }
+    }
+}
+
+// Guards against counts of a former turn of the ring that come back when their place is used again.
+TEST_CASE("Windows agree with a list of every count, over gaps of all lengths")
+{
+    constexpr std::uint32_t seed = 20260801;
+    CAPTURE(seed);
+    std::mt19937 random { seed };
+    BurnWindows windows;
+    std::multimap<Instant, RequestCounts> all;
+    auto now = origin;
+    for (int step = 0; step < 2'000; ++step) {
+        const RequestCounts counts { random() % 5, random() % 3 };
+        windows.add(now, counts);
+        all.emplace(now, counts);
+        for (std::size_t i = 0; i < intervals.size(); ++i) {
+            RequestCounts expected;
+            const auto first = now.time_since_epoch() / intervals[i] - burnWindowLengths[i] / intervals[i];
+            for (auto item = all.lower_bound(Instant { first * Duration { intervals[i] } }); item != all.end(); ++item) {
+                expected += item->second;
+            }
+            REQUIRE(windows.totals(now)[i] == expected);
+        }
+        // Mostly short steps, and a long one now and then.
+        now += std::chrono::seconds { random() % 50 == 0 ? random() % 400'000 : random() % 200 };
+    }
+}
+
+// Guards against late counts of a slow thread that overwrite newer ones or land in a place of the next turn.
+TEST_CASE("Counts that arrive late are added within the window and dropped beyond it")
+{
+    BurnWindows windows;
+    windows.add(origin, { 1, 0 });
+    windows.add(origin - 20s, { 0, 1 });
+    windows.add(origin - 400s, { 0, 8 });
+    CHECK(windows.totals(origin)[0] == RequestCounts { 1, 1 });
+    CHECK(windows.totals(origin)[1] == RequestCounts { 1, 9 });
+    CHECK(windows.totals(origin - 5s)[0] == RequestCounts { 1, 1 });
+}
+
+TEST_CASE("The burn rate is the bad share over the allowed share")
+{
+    CHECK(burnRate({}, 999'000) == 0);
+    CHECK(burnRate({ 999, 1 }, 999'000) == Approx(1));
+    CHECK(burnRate({ 0, 7 }, 999'500) == Approx(2000));
+    CHECK(burnRate({ 50, 50 }, 500'000) == Approx(1));
+}
+
+// Guards against callers' mistakes that use up a service's error budget, and against failures that do not.
+TEST_CASE("Requests are judged by outcome, upstream's status and latency")
+{
+    const auto judge = [](Outcome outcome, ResultCode code, int status, Duration latency) {
+        return judgeRequest(outcome, code, status, latency, 250ms);
+    };
+    CHECK(judge(Outcome::Answered, ResultCode::Ok, 200, 250ms) == RequestVerdict::Good);
+    CHECK(judge(Outcome::Answered, ResultCode::Ok, 200, 250ms + 1ns) == RequestVerdict::Bad);
+    CHECK(judge(Outcome::Answered, ResultCode::Ok, 499, 1ms) == RequestVerdict::Good);
+    CHECK(judge(Outcome::Answered, ResultCode::Ok, 500, 1ms) == RequestVerdict::Bad);
+    CHECK(judge(Outcome::NotRun, ResultCode::RequestShed, 0, 1ms) == RequestVerdict::Bad);
+    CHECK(judge(Outcome::Unknown, ResultCode::RequestOutcomeUnknown, 0, 1ms) == RequestVerdict::Bad);
+    CHECK(judge(Outcome::NotRun, ResultCode::RequestMalformed, 0, 1ms) == RequestVerdict::Ignored);
+    CHECK(judge(Outcome::NotRun, ResultCode::RequestTooLarge, 0, 1ms) == RequestVerdict::Ignored);
+    CHECK(judge(Outcome::NotRun, ResultCode::RequestNoOwner, 0, 1ms) == RequestVerdict::Bad);
+}
