--- a/include/teaselturn/Command.h
+++ b/include/teaselturn/Command.h
@@ -26,6 +26,8 @@
     bool checksGrants {};
     NodeId steward;
     BootId stewardBoot;
+    /// Session that the upstream itself names. Zero before it has heard of one.
+    SessionId knownSession;
 
     friend bool operator==(const AttachUpstream&, const AttachUpstream&) = default;
 };
--- a/include/teaselturn/OwnershipTypes.h
+++ b/include/teaselturn/OwnershipTypes.h
@@ -19,6 +19,8 @@
     /// The attaching command of the current session.
     AttachUpstream attachment;
     bool isDraining {};
+    /// Sessions in a row that the upstream had not heard of when the next one began.
+    std::uint32_t unheardSessions {};
 
     friend bool operator==(const UpstreamRecord&, const UpstreamRecord&) = default;
 };
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -82,7 +82,7 @@
 template <typename Archive>
 void serialize(Archive& archive, AttachUpstream& value)
 {
-    archive(value.name, value.incarnation, value.service, value.zone, value.endpoint, value.requestSlots, value.connectionLimit, value.checksGrants, value.steward, value.stewardBoot);
+    archive(value.name, value.incarnation, value.service, value.zone, value.endpoint, value.requestSlots, value.connectionLimit, value.checksGrants, value.steward, value.stewardBoot, value.knownSession);
 }
 
 template <typename Archive>
@@ -177,7 +177,7 @@
 template <typename Archive>
 void serialize(Archive& archive, UpstreamRecord& value)
 {
-    archive(value.id, value.session, value.attachment, value.isDraining);
+    archive(value.id, value.session, value.attachment, value.isDraining, value.unheardSessions);
 }
 
 template <typename Archive>
--- a/src/core/ledger/LedgerService.h
+++ b/src/core/ledger/LedgerService.h
@@ -58,6 +58,12 @@
     inline constexpr std::size_t feedBytes = 48 * 1024;
 }
 
+/// Settings of a ledger process besides the timing of elections.
+struct LedgerOptions {
+    /// Log entries after which the state is written as a snapshot and the log is cut.
+    std::uint64_t snapshotInterval { limits::snapshotInterval };
+};
+
 /// Everything that one ledger process decides: the replicated log, the state applied from it, the coordinator while it
 /// leads, and the answers to entry VMs. It does no I/O. Not thread-safe: the driver holds its lock around every call.
 /// @tparam Random Source of election timeouts.
@@ -66,7 +72,7 @@
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
 class LedgerService {
 public:
-    LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now);
+    LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now, LedgerOptions options = {});
 
     void tick(Instant now);
 
@@ -143,6 +149,7 @@
     OwnershipState ownership;
     Coordinator<Policy> coordinator;
     Codec codec;
+    LedgerOptions options;
     std::optional<Failure> failure;
     /// Term in which this member acts as coordinator. Zero where it does not.
     Term coordinatedTerm;
--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -12,11 +12,12 @@
 inline constexpr std::size_t feedSnapshotPartBytes = 48 * 1024;
 
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
-LedgerService<Random, Policy, Codec>::LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now)
+LedgerService<Random, Policy, Codec>::LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now, LedgerOptions options)
     : member(state, timing, std::move(random), now)
     , ownership(std::move(check))
     , coordinator(std::move(policy))
     , codec(std::move(codec))
+    , options(options)
 {
     if (state.snapshot) {
         this->install(*state.snapshot);
@@ -182,7 +183,7 @@
     std::ranges::move(std::exchange(this->replies, {}), std::back_inserter(effects.immediate));
     std::ranges::move(std::exchange(this->queuedDelegations, {}), std::back_inserter(this->takenDelegations));
     const auto applied = this->ownership.appliedIndex();
-    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + limits::snapshotInterval) {
+    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + this->options.snapshotInterval) {
         this->isSnapshotPending = true;
         const auto members = this->member.membersAt(applied);
         effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->ownership.snapshot()) };
@@ -213,6 +214,8 @@
         this->appliedTerm = entry.term;
         if (this->coordinatedTerm != Term {}) {
             this->coordinator.applied(now, entry, outcome, this->ownership);
+        } else {
+            this->coordinator.appliedAsFollower(now, entry.index);
         }
         if (const auto found = this->pending.find(entry.index); found != this->pending.end()) {
             if (const auto proposer = found->second.proposer) {
--- a/src/core/ownership/Coordinator.h
+++ b/src/core/ownership/Coordinator.h
@@ -51,6 +51,13 @@
     /// Tells that a proposal of decide() was dropped, so that it may be decided again.
     void proposalsDropped();
 
+    /// Takes note of an applied entry that this member applied while it did not lead.
+    void appliedAsFollower(Instant now, LogIndex index)
+    {
+        this->settledIndex.applied(now, index);
+        static_cast<void>(this->settledIndex.at(now));
+    }
+
     /// Takes note of an applied entry.
     void applied(Instant now, const LogEntry& entry, const ApplyOutcome& outcome, const OwnershipState& state);
 
@@ -70,7 +77,9 @@
     void decideMerge(SlotId slot, const OwnershipState& state, std::vector<Command>& commands);
     void decidePlacement(Instant now, const OwnershipState& state, std::vector<Command>& commands);
     void place(Instant now, const ServiceSpec& service, std::span<const PlacementUpstream> upstreams, const OwnershipState& state, std::vector<Command>& commands);
-    PlacementSlot viewSlot(SlotId slot, const SlotRecord& record, const OwnershipState& state) const;
+    /// @return True where no entry VM can still forward by a table from before an index.
+    bool haveHoldersApplied(Instant now, LogIndex index) const;
+    PlacementSlot viewSlot(Instant now, SlotId slot, const SlotRecord& record, const OwnershipState& state) const;
     std::size_t allowedMoves(Instant now, const ServiceSpec& service);
     Duration ageOf(Instant now, UpstreamId upstream) const;
     template <typename Batch>
--- a/src/core/ownership/CoordinatorInlines.h
+++ b/src/core/ownership/CoordinatorInlines.h
@@ -21,9 +21,13 @@
 template <PlacementPolicy Policy>
 void Coordinator<Policy>::becameLeader(Instant now, const OwnershipState& state)
 {
+    auto settling = std::move(this->settledIndex);
     *this = Coordinator { std::move(this->policy) };
     this->leaderSince = now;
-    this->settledIndex.reset(now, state.appliedIndex());
+    // What this member applied a whole delegation ago was committed before that under any leader, so the time counts
+    // from there. Entries that it never noted, such as those of a snapshot, count from now.
+    this->settledIndex = std::move(settling);
+    this->settledIndex.applied(now, state.appliedIndex());
     this->hotKeyWindow.reset(now);
 }
 
@@ -79,6 +83,10 @@
 bool Coordinator<Policy>::mayTakeOver(Instant now, const UpstreamRecord& upstream, const OwnershipState& state) const
 {
     const auto& attachment = upstream.attachment;
+    // Earlier leaders may have granted delegations until this one began.
+    if (now < this->leaderSince + timing::withDrift(timing::delegationLength)) {
+        return false;
+    }
     // An unsettled session may have begun under a delegation that an earlier leader granted, and an earlier session
     // may still be renewed by its steward.
     if (upstream.session.value > this->settled.value || !this->delegations.hasEnded(now, attachment.steward, attachment.stewardBoot)) {
@@ -197,10 +205,16 @@
 }
 
 template <PlacementPolicy Policy>
-PlacementSlot Coordinator<Policy>::viewSlot(SlotId slot, const SlotRecord& record, const OwnershipState& state) const
+bool Coordinator<Policy>::haveHoldersApplied(Instant now, LogIndex index) const
+{
+    return now >= this->leaderSince + timing::withDrift(timing::delegationLength) && this->delegations.haveHoldersApplied(now, index);
+}
+
+template <PlacementPolicy Policy>
+PlacementSlot Coordinator<Policy>::viewSlot(Instant now, SlotId slot, const SlotRecord& record, const OwnershipState& state) const
 {
     PlacementSlot view { slot, record.owner, record.fence, this->loads.rate(slot) };
-    view.isAssignable = record.lastOwnerChecksGrants || record.freedAt <= this->settled;
+    view.isAssignable = record.lastOwnerChecksGrants || record.freedAt <= this->settled || this->haveHoldersApplied(now, record.freedAt);
     const auto* target = state.findUpstream(record.moveTarget);
     if (target != nullptr && !target->isDraining) {
         view.owner = target->id;
@@ -221,11 +235,11 @@
     const auto partitions = state.partitions(service.id);
     slots.reserve(partitions.size());
     for (std::uint32_t i = 0; i < partitions.size(); ++i) {
-        slots.push_back(this->viewSlot({ service.id, i }, partitions[i], state));
+        slots.push_back(this->viewSlot(now, { service.id, i }, partitions[i], state));
     }
     state.forEachHotKey([&](const HotKeyRecord& hotKey) {
         if (hotKey.slot.service == service.id) {
-            slots.push_back(this->viewSlot(hotKey.slot, hotKey.record, state));
+            slots.push_back(this->viewSlot(now, hotKey.slot, hotKey.record, state));
         }
     });
     const auto decision = this->policy.place(now, service, upstreams, slots, this->allowedMoves(now, service));
--- a/src/core/ownership/DelegationTable.cpp
+++ b/src/core/ownership/DelegationTable.cpp
@@ -61,6 +61,15 @@
     return contact != nullptr && !this->hasEnded(now, entry, contact->boot);
 }
 
+bool DelegationTable::haveHoldersApplied(Instant now, LogIndex index) const noexcept
+{
+    return std::all_of(this->ends.begin(), this->ends.end(), [&](const auto& item) {
+        const auto& [entry, boot] = item.first;
+        const auto* contact = this->find(entry);
+        return item.second <= now || (contact != nullptr && contact->boot == boot && contact->appliedIndex >= index);
+    });
+}
+
 bool DelegationTable::hasApplied(NodeId entry, LogIndex index) const noexcept
 {
     const auto* contact = this->find(entry);
--- a/src/core/ownership/DelegationTable.h
+++ b/src/core/ownership/DelegationTable.h
@@ -47,6 +47,10 @@
     /// @return True where the entry VM has reported an applied index of at least this.
     bool hasApplied(NodeId entry, LogIndex index) const noexcept;
 
+    /// @return True where every entry VM that holds a delegation of this leader has reported an applied index of at least
+    /// this.
+    bool haveHoldersApplied(Instant now, LogIndex index) const noexcept;
+
 private:
     absl::btree_map<NodeId, EntryContact> contacts;
     absl::btree_map<std::pair<NodeId, BootId>, Instant> ends;
--- a/src/core/ownership/EntryServiceInlines.h
+++ b/src/core/ownership/EntryServiceInlines.h
@@ -51,6 +51,8 @@
         this->proposeForSteward(now, std::move(*decision.proposal));
     }
     code = decision.code;
+    decision.reply.incarnation = heartbeat.incarnation;
+    decision.reply.sequence = heartbeat.sequence;
     return std::move(decision.reply);
 }
 
@@ -197,7 +199,10 @@
         this->steward.delegated(sentAt, reply);
         return;
     }
-    if (reply.leader != NodeId {} && reply.leader != from) {
+    if (reply.code != ResultCode::NotLeader) {
+        // The leader refuses a delegation while this entry VM is not in the bundle or an expiry here is pending.
+        this->leader = from;
+    } else if (reply.leader != NodeId {} && reply.leader != from) {
         this->leader = reply.leader;
         this->nextRenewal = now;
     } else {
@@ -243,6 +248,10 @@
         for (const auto& entry : reply.entries) {
             if (entry.index.value == this->ownership.appliedIndex().value + 1) {
                 auto outcome = this->ownership.apply(entry.index, entry.command);
+                if (std::holds_alternative<ExpireUpstream>(entry.command) || std::holds_alternative<ReleaseSlots>(entry.command)) {
+                    // The leader gives the freed slots away once every entry VM has reported that it applied this.
+                    this->nextRenewal = now;
+                }
                 this->appliedEntries.push_back({ entry, std::move(outcome) });
             }
         }
--- a/src/core/ownership/OwnershipUpstreams.cpp
+++ b/src/core/ownership/OwnershipUpstreams.cpp
@@ -59,6 +59,11 @@
     if (record.attachment.service != command.service || record.attachment.zone != command.zone) {
         return { ResultCode::HeartbeatInvalid };
     }
+    const auto hasHeard = command.knownSession == record.session;
+    if (!hasHeard && record.unheardSessions >= maxUnheardSessions) {
+        return { ResultCode::SessionOutdated };
+    }
+    record.unheardSessions = hasHeard ? 0 : record.unheardSessions + 1;
     // One attachment without checks is enough: requests sent under it may still arrive.
     const bool checksGrants = record.attachment.checksGrants && command.checksGrants;
     this->stewards[record.attachment.steward].erase(record.id);
--- a/src/core/ownership/Steward.cpp
+++ b/src/core/ownership/Steward.cpp
@@ -121,9 +121,14 @@
         return { ResultCode::TooManyUpstreams };
     }
     HeartbeatDecision decision { ResultCode::SessionOutdated };
+    if (const auto* record = state.findUpstream(heartbeat.name, heartbeat.incarnation)) {
+        // The upstream must have heard of its session before it may begin too many others.
+        decision.reply.upstream = record->id;
+        decision.reply.session = record->session;
+    }
     if (this->attaching[key].isDue(now)) {
         decision.proposal = AttachUpstream { heartbeat.name, heartbeat.incarnation, heartbeat.service, heartbeat.zone,
-            heartbeat.endpoint, heartbeat.requestSlots, heartbeat.connectionLimit, heartbeat.checksGrants, this->node, this->boot };
+            heartbeat.endpoint, heartbeat.requestSlots, heartbeat.connectionLimit, heartbeat.checksGrants, this->node, this->boot, heartbeat.session };
     }
     return decision;
 }
--- a/src/core/ownership/Steward.h
+++ b/src/core/ownership/Steward.h
@@ -19,6 +19,8 @@
 struct Heartbeat {
     std::string name;
     std::uint64_t incarnation {};
+    /// Grows with each heartbeat of the incarnation.
+    std::uint64_t sequence {};
     /// Zero before the first answer.
     SessionId session;
     ServiceId service;
@@ -38,6 +40,10 @@
 /// Answer to a heartbeat. An upstream ignores answers to other heartbeats than its latest one, and sessions with a
 /// smaller number than the one it knows.
 struct HeartbeatReply {
+    /// Incarnation and sequence of the heartbeat that this answers: an answer that arrives at another upstream, or late,
+    /// must not be taken.
+    std::uint64_t incarnation {};
+    std::uint64_t sequence {};
     UpstreamId upstream;
     SessionId session;
     /// Zero where no lease is granted; counted by the upstream from before it sent the heartbeat.
