--- a/src/core/request/ConcurrencyLimiter.h
+++ b/src/core/request/ConcurrencyLimiter.h
@@ -38,7 +38,8 @@
     /// Takes a change of what the upstream announces.
     void setCapacity(UpstreamCapacity capacity) noexcept
     {
-        // Requests beyond the slots wait in the upstream's queue, which keeps its slots busy between two requests.
+        // As many requests as run may wait in the upstream's queue, which keeps its slots busy between two requests. With
+        // four times the slots, a burst after a takeover made an upstream with 3 slots and 8 places in its queue shed.
         this->maximum = std::max<std::int64_t>(1, std::min(capacity.requestSlots * queueFactor, capacity.connectionShare))
             * unit;
         this->limit = std::min(this->limit, this->maximum);
@@ -103,7 +104,7 @@
     /// The limit is kept in thousandths, so that it can grow by fractions.
     static constexpr std::int64_t unit = 1'000;
     static constexpr std::int64_t slowStartLimit = 2 * unit;
-    static constexpr std::uint32_t queueFactor = 4;
+    static constexpr std::uint32_t queueFactor = 2;
     static constexpr std::int64_t slowFactor = 4;
     static constexpr std::int64_t averageWeight = 8;
     static constexpr std::chrono::milliseconds slowMargin { 20 };
--- a/src/node/LimiterTable.h
+++ b/src/node/LimiterTable.h
@@ -56,7 +56,7 @@
             }
             entry->breaker.abandoned(now);
             const auto remaining = deadline - now;
-            const auto queued = static_cast<std::int64_t>(entry->waiting + 1);
+            const auto queued = static_cast<std::int64_t>(entry->waiting) + 1;
             const auto expected = entry->limiter.typicalLatency() * queued / std::max(1U, entry->limiter.currentLimit());
             // Shed early: a request that would only time out in the queue takes a place from others.
             if (entry->waiting >= this->maxWaiting || expected >= remaining) {
--- a/tests/adapters/http/HttpServerTest.cpp
+++ b/tests/adapters/http/HttpServerTest.cpp
@@ -140,17 +140,18 @@
     const Endpoint endpoint { "127.0.0.1", server->port() };
     HttpClient kept { endpoint };
     REQUIRE(kept.call({ "GET", "/", {}, {}, {} }, 10s));
+    Result<HttpAnswer> answer { ResultCode::Internal };
     std::thread slow { [&] {
         HttpClient client { endpoint };
-        const auto answer = client.call({ "GET", "/slow", {}, {}, {} }, 30s);
-        REQUIRE(answer);
-        CHECK(answer->header("Connection") == "close");
+        answer = client.call({ "GET", "/slow", {}, {}, {} }, 30s);
     } };
     started.WaitForNotification();
     CHECK_FALSE(server->drain(1ms));
     release.Notify();
     CHECK(server->drain(30s));
     slow.join();
+    REQUIRE(answer);
+    CHECK(answer->header("Connection") == "close");
     CHECK(server->connectionCount() == 0);
     CHECK_FALSE(kept.call({ "GET", "/", {}, {}, {} }, 10s));
 }
--- a/tools/stand-in-upstream/Grants.cpp
+++ b/tools/stand-in-upstream/Grants.cpp
@@ -79,10 +79,15 @@
 void Grants::askBack(const HeartbeatReplyMessage& reply)
 {
     for (const auto& wanted : reply.releaseWanted) {
-        const auto found = this->grants.find(wanted.slot);
-        if (found != this->grants.end() && found->second.fence == wanted.fence) {
-            found->second.isReleasing = true;
+        // A slot can be asked back before its grant has ever arrived; the steward waits for its release all the same.
+        auto& grant = this->grants[wanted.slot];
+        if (grant.fence != wanted.fence) {
+            this->closeInterval(wanted.slot, grant, std::min(SteadyClock {}.now(), this->leaseEnd));
+            grant.fence = wanted.fence;
+            // What runs under the former fence is refused when it would take effect.
+            grant.inFlight = 0;
         }
+        grant.isReleasing = true;
     }
     // Dropped only once the steward no longer asks for the slot, that is, when it knows of the release.
     for (auto entry = this->grants.begin(); entry != this->grants.end();) {
@@ -171,7 +176,7 @@
         return Verdict::RefusedByFence;
     }
     ++this->running;
-    if (const auto found = this->grants.find(slot); found != this->grants.end()) {
+    if (const auto found = this->grants.find(slot); found != this->grants.end() && found->second.fence == fence) {
         ++found->second.inFlight;
     }
     return Verdict::Run;
@@ -189,18 +194,19 @@
     return true;
 }
 
-void Grants::finish(std::uint32_t slot)
+void Grants::finish(std::uint32_t slot, std::uint64_t fence)
 {
     const MutexLock lock { this->mutex };
     --this->running;
-    if (const auto found = this->grants.find(slot); found != this->grants.end() && found->second.inFlight > 0) {
+    if (const auto found = this->grants.find(slot);
+        found != this->grants.end() && found->second.fence == fence && found->second.inFlight > 0) {
         --found->second.inFlight;
     }
     this->changed.notifyOne();
 }
 
-bool Grants::isEmpty()
+bool Grants::isEmpty(Instant now)
 {
     const MutexLock lock { this->mutex };
-    return this->grants.empty();
+    return this->grants.empty() || (now >= this->leaseEnd && this->running == 0);
 }
--- a/tools/stand-in-upstream/Grants.h
+++ b/tools/stand-in-upstream/Grants.h
@@ -32,13 +32,13 @@
     /// @return False where the request must be refused after all.
     bool takeEffect(std::uint32_t slot, std::uint64_t fence, std::string_view requestId, bool isRepeatable,
         std::string_view key);
-    void finish(std::uint32_t slot);
+    void finish(std::uint32_t slot, std::uint64_t fence);
 
     /// Ends the ownership intervals of a lease that has passed.
     void closeIntervals(teaselturn::Instant now);
 
-    /// @return True where the upstream holds no slot.
-    bool isEmpty();
+    /// @return True where the upstream holds no slot: none is granted, or the lease has ended and nothing runs.
+    bool isEmpty(teaselturn::Instant now);
 
 private:
     struct Grant {
--- a/tools/stand-in-upstream/main.cpp
+++ b/tools/stand-in-upstream/main.cpp
@@ -73,7 +73,7 @@
         this->gate.pass();
         const bool hasRun = this->grants.takeEffect(slot, fence, id,
             request.header("Teaselturn-Repeatable") == "yes", request.header("Teaselturn-Key"));
-        this->grants.finish(slot);
+        this->grants.finish(slot, fence);
         return hasRun ? this->answer(request, id) : refusal(Verdict::RefusedByFence, id);
     }
 
@@ -199,7 +199,7 @@
         grants.closeIntervals(SteadyClock {}.now());
         const auto interval = isLeaving ? timing::heartbeatInterval / 5 : timing::heartbeatInterval;
         isLeaving = waitForSignal(signals, interval) || isLeaving;
-    } while (!isLeaving || !grants.isEmpty());
+    } while (!isLeaving || !grants.isEmpty(SteadyClock {}.now()));
     static_cast<void>((*server)->drain(std::chrono::seconds { 5 }));
     return 0;
 }
