Let bundles and settings state the disk identity of ledger members

Cause: a member's identity is (node id, disk identity), and operators admit a replaced disk by a signed bundle, which could not name the disk.

Ruled out: an identity of zero written out, which would make two forms of the same bundle; and comparing whole NodeSpecs between `entries` and `members`, which would refuse a VM with both roles as soon as its member entry states a disk. A bundle may change a member's disk, since that is how a lost disk is replaced.

Before: `disk` was an unknown member. After: optional in `members` of a bundle and in `bootstrap.members`; refused in `entries`, twice, zero, or in another form than 16 hexadecimal digits. The codec appends it to NodeSpec.

--- a/include/teaselturn/Bundle.h
+++ b/include/teaselturn/Bundle.h
@@ -40,6 +40,8 @@
     ZoneId zone;
     /// Where the other processes of the system reach it, over UDP and TCP.
     Endpoint peer;
+    /// Disk identity of a ledger member's data folder. Zero where the bundle states none, and for entry VMs.
+    DiskId disk;
 
     friend bool operator==(const NodeSpec&, const NodeSpec&) = default;
 };
--- a/src/adapters/settings/BundleJson.cpp
+++ b/src/adapters/settings/BundleJson.cpp
@@ -82,7 +82,11 @@
     json writeNode(const Bundle& bundle, const NodeSpec& node)
     {
         const auto zone = std::ranges::find(bundle.zones, node.zone, &ZoneSpec::id);
-        return { { "id", node.id.value }, { "zone", zone->name }, { "peer", { { "address", node.peer.address }, { "port", node.peer.port } } } };
+        json document { { "id", node.id.value }, { "zone", zone->name }, { "peer", { { "address", node.peer.address }, { "port", node.peer.port } } } };
+        if (node.disk != DiskId {}) {
+            document["disk"] = formatDiskId(node.disk);
+        }
+        return document;
     }
 
     json writeService(const ServiceSpec& service)
--- a/src/adapters/settings/BundleJson.h
+++ b/src/adapters/settings/BundleJson.h
@@ -26,7 +26,8 @@
 /// As readSignedBundle, with the problems as one failure: BundleTooLarge, BundleSyntax or BundleInvalid.
 Result<SignedBundle> parseSignedBundle(std::string_view text);
 
-/// @return The canonical bytes of a bundle: compact JSON with sorted members, every member written.
+/// @return The canonical bytes of a bundle: compact JSON with sorted members, every member written but
+/// disk identities that are not known.
 /// Requires validateBundle(bundle).
 std::string writeCanonicalBundle(const Bundle& bundle);
 
--- a/src/adapters/settings/BundleReader.cpp
+++ b/src/adapters/settings/BundleReader.cpp
@@ -1,5 +1,6 @@
 #include "adapters/settings/BundleReader.h"
 
+#include "adapters/crypto/Hex.h"
 #include "adapters/settings/IpNumber.h"
 #include "core/bundle/BundleRules.h"
 
@@ -84,14 +85,16 @@
         });
     }
 
-    std::vector<NodeSpec> readNodes(ObjectReader& reader, std::string_view member, const Bundle& bundle)
+    /// @param hasDisk Whether the elements may state a disk identity.
+    std::vector<NodeSpec> readNodes(ObjectReader& reader, std::string_view member, const Bundle& bundle, bool hasDisk)
     {
         std::vector<NodeSpec> nodes;
         reader.forEach(member, Presence::Required, [&](const json& element, const std::string& path) {
             ObjectReader node { element, path, reader.problemList() };
             const auto id = readId<NodeId>(node);
             const auto zone = resolve(bundle.zones, readName(node, "zone"), node.pathOf("zone"), reader.problemList());
-            nodes.push_back({ id, zone, readPeerEndpoint(node, "peer") });
+            auto peer = readPeerEndpoint(node, "peer");
+            nodes.push_back({ id, zone, std::move(peer), hasDisk ? readDiskId(node) : DiskId {} });
             node.refuseUnknown();
         });
         return nodes;
@@ -148,8 +151,8 @@
     bundle.version.value = reader.integer("version", Presence::Required, 1, limits::maxBundleVersion).value_or(0);
     readRegions(reader, bundle);
     readZones(reader, bundle);
-    bundle.entries = readNodes(reader, "entries", bundle);
-    bundle.members = readNodes(reader, "members", bundle);
+    bundle.entries = readNodes(reader, "entries", bundle, false);
+    bundle.members = readNodes(reader, "members", bundle, true);
     reader.forEach("services", Presence::Required, [&](const json& element, const std::string& where) { bundle.services.push_back(readService(element, where, problems)); });
     reader.forEach("operators", Presence::Required, [&](const json& element, const std::string& where) { bundle.operators.push_back(readOperatorKey(element, where, problems)); });
     bundle.threshold = static_cast<std::uint32_t>(reader.integer("threshold", Presence::Required, 1, limits::maxOperators).value_or(0));
@@ -206,6 +209,32 @@
     return key;
 }
 
+DiskId readDiskId(ObjectReader& reader)
+{
+    std::array<std::uint8_t, sizeof(DiskId::Representation)> bytes {};
+    if (!reader.hex("disk", Presence::Optional, bytes)) {
+        return {};
+    }
+    DiskId disk;
+    for (const auto byte : bytes) {
+        disk.value = disk.value << 8U | byte;
+    }
+    if (disk == DiskId {}) {
+        reader.problemList().add(ProblemKind::InvalidValue, reader.pathOf("disk"), "zero", "no such member where the identity is not known");
+    }
+    return disk;
+}
+
+std::string formatDiskId(DiskId disk)
+{
+    std::array<std::uint8_t, sizeof(DiskId::Representation)> bytes {};
+    for (auto byte = bytes.rbegin(); byte != bytes.rend(); ++byte) {
+        *byte = static_cast<std::uint8_t>(disk.value);
+        disk.value >>= 8U;
+    }
+    return encodeHex(bytes);
+}
+
 Endpoint readPeerEndpoint(ObjectReader& reader, std::string_view name)
 {
     Endpoint endpoint;
--- a/src/adapters/settings/BundleReader.h
+++ b/src/adapters/settings/BundleReader.h
@@ -25,6 +25,13 @@
 /// Reads an operator's public key `{"name", "publicKey"}`, as in bundles and settings.
 OperatorKey readOperatorKey(const nlohmann::json& element, const std::string& path, ProblemList& problems);
 
+/// Reads the optional member `disk`: a disk identity as formatDiskId writes it, and not zero.
+/// @return Zero where the member is missing.
+DiskId readDiskId(ObjectReader& reader);
+
+/// @return The identity as 16 hexadecimal digits, most significant first, as `teaselturnd --format` prints it.
+std::string formatDiskId(DiskId disk);
+
 /// Reads `{"address", "port"}` of another VM: an IP number that names one host, and a port other than 0.
 /// @param name Member that holds the object.
 Endpoint readPeerEndpoint(ObjectReader& reader, std::string_view name);
--- a/src/adapters/settings/Settings.h
+++ b/src/adapters/settings/Settings.h
@@ -66,6 +66,8 @@
     std::string zone;
     std::string region;
     Endpoint peer;
+    /// Disk identity of the member's data folder. Zero where the settings state none.
+    DiskId disk;
 
     friend bool operator==(const BootstrapMember&, const BootstrapMember&) = default;
 };
--- a/src/adapters/settings/SettingsBuilder.cpp
+++ b/src/adapters/settings/SettingsBuilder.cpp
@@ -1,5 +1,6 @@
 #include "adapters/settings/SettingsBuilder.h"
 
+#include "adapters/settings/BundleReader.h"
 #include "adapters/settings/IpNumber.h"
 #include "core/bundle/BundleRules.h"
 
@@ -96,6 +97,7 @@
                 this->invalid("bootstrap.members", "an array of " + std::to_string(members.size()), "1 to " + std::to_string(limits::maxMembers) + " members");
             }
             std::set<std::uint32_t> nodes;
+            std::set<DiskId> disks;
             std::set<std::pair<std::string_view, std::uint16_t>> peers;
             std::map<std::string, std::string> regionOfZone { { this->settings.zone, this->settings.region } };
             for (std::size_t i = 0; i < members.size(); ++i) {
@@ -105,6 +107,8 @@
                     this->invalid(path + ".node", std::to_string(members[i].node.value), "a node that is not in the list yet");
                 } else if (!peers.emplace(members[i].peer.address, members[i].peer.port).second) {
                     this->invalid(path, "the address and port of another member", "another address or port");
+                } else if (members[i].disk != DiskId {} && !disks.insert(members[i].disk).second) {
+                    this->invalid(path + ".disk", formatDiskId(members[i].disk), "the identity of a disk that no other member has");
                 }
                 const auto& region = regionOfZone.emplace(members[i].zone, members[i].region).first->second;
                 if (region != members[i].region) {
--- a/src/adapters/settings/SettingsLoader.cpp
+++ b/src/adapters/settings/SettingsLoader.cpp
@@ -174,7 +174,8 @@
                 const NodeId node { this->integer<std::uint32_t>(member, "node", Presence::Required, 1, std::numeric_limits<std::uint32_t>::max(), 0) };
                 auto zone = member.text("zone", Presence::Required).value_or("");
                 auto region = member.text("region", Presence::Required).value_or("");
-                bootstrap.members.push_back({ node, std::move(zone), std::move(region), this->endpointHere(member, 1) });
+                auto peer = this->endpointHere(member, 1);
+                bootstrap.members.push_back({ node, std::move(zone), std::move(region), std::move(peer), readDiskId(member) });
                 member.refuseUnknown();
             });
             reader->forEach("operators", Presence::Required, [&](const json& element, const std::string& path) { bootstrap.operators.push_back(readOperatorKey(element, path, this->problems)); });
--- a/src/core/bundle/BundleRules.cpp
+++ b/src/core/bundle/BundleRules.cpp
@@ -83,8 +83,15 @@
         return std::nullopt;
     }
 
+    /// Compares what both lists state of a VM; only members state a disk identity.
+    bool isSameNode(const NodeSpec& a, const NodeSpec& b)
+    {
+        return a.zone == b.zone && a.peer == b.peer;
+    }
+
     /// Nodes seen so far, by id and by peer address. A VM that is both entry VM and member occurs in both lists.
     struct SeenNodes {
+        absl::flat_hash_set<DiskId> disks;
         absl::flat_hash_map<NodeId, const NodeSpec*> byId;
         std::map<std::pair<std::string_view, std::uint16_t>, NodeId> byPeer;
     };
@@ -100,10 +107,16 @@
             if (!contains(bundle.zones, node.zone)) {
                 return invalid(elementPath(array, i, "zone"), "no such zone");
             }
+            if (node.disk != DiskId {} && array == "entries") {
+                return invalid(elementPath(array, i, "disk"), "only members have a disk identity");
+            }
             if (node.peer.address.empty() || node.peer.port == 0) {
                 return invalid(elementPath(array, i, "peer"), "an address and a port other than 0 are required");
             }
-            if (const auto [same, isNew] = seen.byId.emplace(node.id, &node); !isNew && *same->second != node) {
+            if (node.disk != DiskId {} && !seen.disks.insert(node.disk).second) {
+                return invalid(elementPath(array, i, "disk"), "another node has the same disk identity");
+            }
+            if (const auto [same, isNew] = seen.byId.emplace(node.id, &node); !isNew && !isSameNode(*same->second, node)) {
                 return invalid(elementPath(array, i), "differs from the entry with the same id");
             }
             if (const auto [same, isNew] = seen.byPeer.emplace(std::pair { std::string_view { node.peer.address }, node.peer.port }, node.id); !isNew && same->second != node.id) {
--- a/tests/adapters/codec/CodecTest.cpp
+++ b/tests/adapters/codec/CodecTest.cpp
@@ -16,6 +16,7 @@
     SignedBundle bundle;
     bundle.bundle.version = BundleVersion { 9 };
     bundle.bundle.services.push_back({ ServiceId { 1 }, "catalogue", 512, ZoneRule::Keep, 3 });
+    bundle.bundle.members.push_back({ NodeId { 7 }, ZoneId { 4 }, { "127.0.1.7", 9000 }, DiskId { 0x1234567890 } });
     bundle.bundle.rollout = { RegionId { 2 }, RegionId { 1 } };
     bundle.canonicalBytes = "{}";
     bundle.signatures.push_back({ "naledi", {} });
--- a/tests/adapters/settings/BundleJsonTest.cpp
+++ b/tests/adapters/settings/BundleJsonTest.cpp
@@ -22,7 +22,7 @@
     bundle.regions = { { { 1 }, "wcape" }, { { 2 }, "ecape" } };
     bundle.zones = { { { 1 }, "wc-paarl", { 1 } }, { { 2 }, "ec-makhanda", { 2 } } };
     bundle.entries = { { { 1 }, { 1 }, { "127.0.0.1", 9001 } } };
-    bundle.members = { { { 2 }, { 2 }, { "::1", 9002 } } };
+    bundle.members = { { { 2 }, { 2 }, { "::1", 9002 }, { 0x00fe'dcba'9876'5432 } }, { { 1 }, { 1 }, { "127.0.0.1", 9001 } } };
     bundle.services = { { .id = { 1 }, .name = "tills", .partitions = 64, .zoneRule = ZoneRule::Keep, .objectivePerMillion = 999'500 } };
     bundle.operators = trusted;
     bundle.threshold = 2;
@@ -60,6 +60,9 @@
     { R"([{"op":"replace","path":"/bundle/entries/0/zone","value":"nowhere"}])", ProblemKind::InvalidValue, "bundle.entries[0].zone" },
     { R"([{"op":"replace","path":"/bundle/entries/0/peer/address","value":"0.0.0.0"}])", ProblemKind::InvalidValue, "bundle.entries[0].peer.address" },
     { R"([{"op":"replace","path":"/bundle/members/0/peer/address","value":"0::1"}])", ProblemKind::InvalidValue, "bundle.members[0].peer.address" },
+    { R"([{"op":"replace","path":"/bundle/members/0/disk","value":"0000000000000000"}])", ProblemKind::InvalidValue, "bundle.members[0].disk" },
+    { R"([{"op":"replace","path":"/bundle/members/0/disk","value":"1"}])", ProblemKind::InvalidValue, "bundle.members[0].disk" },
+    { R"([{"op":"add","path":"/bundle/entries/0/disk","value":"0000000000000001"}])", ProblemKind::UnknownMember, "bundle.entries[0].disk" },
     { R"([{"op":"add","path":"/bundle/services/0/colour","value":"red"}])", ProblemKind::UnknownMember, "bundle.services[0].colour" },
     { R"([{"op":"replace","path":"/bundle/services/0/zoneRule","value":"stay"}])", ProblemKind::InvalidValue, "bundle.services[0].zoneRule" },
     { R"([{"op":"replace","path":"/bundle/services/0/objective","value":"100%"}])", ProblemKind::InvalidValue, "bundle.services[0].objective" },
@@ -82,6 +85,20 @@
     CHECK(*bytes == original.bundle);
 }
 
+// Guards against an identity that is read in another byte order than it is printed in, and against the bundle of a VM
+// with both roles being refused because only one of its entries states a disk.
+TEST_CASE("members state their disk identity as 16 hexadecimal digits")
+{
+    const auto document = json::parse(sealBundle(sample(3)).canonicalBytes);
+    CHECK(document["members"][0]["disk"] == "00fedcba98765432");
+    CHECK_FALSE(document["members"][1].contains("disk"));
+    auto changed = document;
+    changed["members"][1]["disk"] = "FFFFFFFFFFFFFFFF";
+    const auto read = parseCanonicalBundle(changed.dump());
+    REQUIRE(read);
+    CHECK(read->members[1].disk == DiskId { ~0ULL });
+}
+
 TEST_CASE("canonical bytes do not depend on the order of members, spaces and comments")
 {
     const auto original = sealBundle(sample(3));
--- a/tests/adapters/settings/SettingsLoaderTest.cpp
+++ b/tests/adapters/settings/SettingsLoaderTest.cpp
@@ -52,6 +52,8 @@
     { R"([{"op":"copy","path":"/bootstrap/members/1","from":"/bootstrap/members/0"}])", ProblemKind::InvalidValue, "bootstrap.members[1].node" },
     { R"([{"op":"replace","path":"/bootstrap/members/0/region","value":"ecape"}])", ProblemKind::InvalidValue, "bootstrap.members[0].region" },
     { R"([{"op":"replace","path":"/bootstrap/members/0/port","value":8090}])", ProblemKind::InvalidValue, "bootstrap.members[0]" },
+    { R"([{"op":"add","path":"/bootstrap/members/0/disk","value":"5a"}])", ProblemKind::InvalidValue, "bootstrap.members[0].disk" },
+    { R"([{"op":"add","path":"/bootstrap/members/0/disk","value":"5a0c3f6e91d27b48"},{"op":"add","path":"/bootstrap/members/1","value":{"node":2,"zone":"wc-paarl","region":"wcape","address":"127.0.0.2","port":8082,"disk":"5a0c3f6e91d27b48"}}])", ProblemKind::InvalidValue, "bootstrap.members[1].disk" },
     { R"([{"op":"replace","path":"/bootstrap/operators/0/publicKey","value":"abc"}])", ProblemKind::InvalidValue, "bootstrap.operators[0].publicKey" },
     { R"([{"op":"add","path":"/bootstrap/operators/1","value":{"name":"lerato","publicKey":"d75a980182b10ab7d54bfed3c964073a0ee172f3daa62325af021a68f707511a"}}])", ProblemKind::InvalidValue, "bootstrap.operators[1].publicKey" },
     { R"([{"op":"replace","path":"/bootstrap/threshold","value":2}])", ProblemKind::InvalidValue, "bootstrap.threshold" },
@@ -72,6 +74,7 @@
     CHECK(checked.value->entry->http.listen == Endpoint { "127.0.0.1", 8080 });
     CHECK(checked.value->admin == Endpoint { "127.0.0.1", 8081 });
     CHECK(checked.value->ledger->dataFolder == "/etc/teaselturn/data");
+    CHECK(checked.value->bootstrap.members.front().disk == DiskId {});
     CHECK(checked.value->bootstrap.operators.front().publicKey.back() == 0x1a);
     CHECK(checked.value->drain == std::chrono::milliseconds { 10'000 });
 }
@@ -93,6 +96,16 @@
     }
 }
 
+TEST_CASE("a first member may state its disk identity")
+{
+    auto document = exampleDocument();
+    document["bootstrap"]["members"][0]["disk"] = "5a0c3f6e91d27b48";
+    const auto checked = parseSettings(document.dump(), {});
+    INFO(describeProblems(checked.problems, {}));
+    REQUIRE(checked.value);
+    CHECK(checked.value->bootstrap.members.front().disk == DiskId { 0x5a0c'3f6e'91d2'7b48 });
+}
+
 TEST_CASE("all faults are reported at once")
 {
     auto document = exampleDocument();
--- a/tests/core/bundle/BundleRulesTest.cpp
+++ b/tests/core/bundle/BundleRulesTest.cpp
@@ -60,6 +60,8 @@
     { "members[1].id", [](Bundle& b) { b.members[1].id = { 1 }; } },
     { "members[0]", [](Bundle& b) { b.members[0].peer.port = 9003; } },
     { "members[1].peer", [](Bundle& b) { b.members[1].peer.port = 9001; } },
+    { "members[1].disk", [](Bundle& b) { b.members[0].disk = b.members[1].disk = { 5 }; } },
+    { "entries[0].disk", [](Bundle& b) { b.entries[0].disk = { 5 }; } },
     { "services[0].id", [](Bundle& b) { b.services[0].id = {}; } },
     { "services[0].partitions", [](Bundle& b) { b.services[0].partitions = 0; } },
     { "services[0].objective", [](Bundle& b) { b.services[0].objectivePerMillion = 1'000'000; } },
