Add report and watch to teaselturnctl

Cause: operators could not see burn rates, nor follow the state of VMs.

Ruled out: averaging the burn rates of VMs, since a VM with few requests would weigh as much as a busy one; the counts are added first. Handling SIGINT in a handler was ruled out because the HTTP library waits on through it; the signals are held back and taken in sigtimedwait, so watch sleeps and ends between two addresses. GET now waits 5 s instead of 20 s for a response, which bounds that delay; POST keeps 20 s.

After: `report` prints text or JSON and writes one self-contained HTML page; `watch` repeats `status`.

--- a/src/ctl/AdminClient.cpp
+++ b/src/ctl/AdminClient.cpp
@@ -9,13 +9,15 @@
     constexpr std::chrono::seconds connectTimeout { 2 };
     /// A bundle commits within its 15 s bound; a longer silence is reported as unreachable.
     constexpr std::chrono::seconds answerTimeout { 20 };
+    /// State is answered from memory.
+    constexpr std::chrono::seconds readTimeout { 5 };
     constexpr std::size_t maxAnswerBytes = 16 * 1024 * 1024;
 
-    Result<AdminAnswer> exchange(const Endpoint& to, httplib::Request request)
+    Result<AdminAnswer> exchange(const Endpoint& to, httplib::Request request, std::chrono::seconds timeout)
     {
         httplib::Client client { to.address, to.port };
         client.set_connection_timeout(connectTimeout);
-        client.set_read_timeout(answerTimeout);
+        client.set_read_timeout(timeout);
         client.set_tcp_nodelay(true);
         client.set_url_encode(false);
         AdminAnswer answer;
@@ -39,7 +41,7 @@
     httplib::Request request;
     request.method = "GET";
     request.path = target;
-    return exchange(to, std::move(request));
+    return exchange(to, std::move(request), readTimeout);
 }
 
 Result<AdminAnswer> adminPost(const Endpoint& to, std::string_view target, std::string_view body)
@@ -49,7 +51,7 @@
     request.path = target;
     request.body = body;
     request.set_header("Content-Type", "application/json");
-    return exchange(to, std::move(request));
+    return exchange(to, std::move(request), answerTimeout);
 }
 
 std::string encodeQueryValue(std::string_view text)
--- a/src/ctl/AdminCommands.cpp
+++ b/src/ctl/AdminCommands.cpp
@@ -3,9 +3,7 @@
 #include "adapters/settings/StrictJson.h"
 #include "ctl/AdminClient.h"
 #include "ctl/Program.h"
-#include "ctl/StatusView.h"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <ostream>
 
@@ -17,11 +15,6 @@
     constexpr int httpNotFound = 404;
     constexpr int httpUnavailable = 503;
 
-    ExitCode exitCodeOf(const Failure& failure)
-    {
-        return failure.code == ResultCode::HttpUnreachable ? ExitCode::Unreachable : ExitCode::Refused;
-    }
-
     /// Reads an answer that must be a JSON object.
     Result<nlohmann::json> parseAnswer(const AdminAnswer& answer)
     {
@@ -58,29 +51,6 @@
         console.out << "\n";
     }
 
-    Result<NodeStatus> fetchStatus(const Endpoint& to, std::string& body)
-    {
-        const auto answer = adminGet(to, "/status");
-        if (!answer) {
-            return answer.failure();
-        }
-        if (answer->status != httpOk) {
-            return { ResultCode::HttpUnexpectedAnswer, "status " + std::to_string(answer->status) };
-        }
-        body = answer->body;
-        return parseStatus(answer->body);
-    }
-
-    ExitCode judge(const std::vector<StatusRow>& rows)
-    {
-        const auto isUnreachable = [](const StatusRow& row) { return !row.status && exitCodeOf(row.status.failure()) == ExitCode::Unreachable; };
-        if (std::ranges::all_of(rows, isUnreachable)) {
-            return ExitCode::Unreachable;
-        }
-        const auto isHealthy = [](const StatusRow& row) { return row.status && findTroubles(*row.status).empty(); };
-        return std::ranges::all_of(rows, isHealthy) ? ExitCode::Success : ExitCode::Refused;
-    }
-
 }
 
 ExitCode submitCommand(const Arguments& arguments, Console& console)
@@ -116,35 +86,6 @@
     return answer->status == httpOk ? ExitCode::Success : ExitCode::Refused;
 }
 
-ExitCode statusCommand(const Arguments& arguments, Console& console)
-{
-    const auto addresses = parseAddresses(arguments.value("to"));
-    if (!addresses) {
-        return reportFailure(addresses.failure(), ExitCode::Usage, console);
-    }
-    std::vector<StatusRow> rows;
-    auto documents = nlohmann::json::array();
-    for (const auto& address : *addresses) {
-        std::string body;
-        auto status = fetchStatus(address, body);
-        nlohmann::json document { { "address", formatAddress(address) } };
-        if (status) {
-            document["status"] = nlohmann::json::parse(body);
-            document["troubles"] = findTroubles(*status);
-        } else {
-            document["error"] = status.failure().describe();
-        }
-        documents.push_back(std::move(document));
-        rows.push_back({ formatAddress(address), std::move(status) });
-    }
-    if (arguments.has("json")) {
-        console.out << documents.dump() << "\n";
-    } else {
-        console.out << renderStatusTable(rows);
-    }
-    return judge(rows);
-}
-
 ExitCode ownerCommand(const Arguments& arguments, Console& console)
 {
     const auto to = parseAddress(arguments.value("to"));
--- a/src/ctl/Arguments.cpp
+++ b/src/ctl/Arguments.cpp
@@ -109,6 +109,16 @@
     }
 }
 
+Result<std::uint64_t> parseNumber(std::string_view option, std::string_view text, std::uint64_t least, std::uint64_t most)
+{
+    std::uint64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error == std::errc {} && end == text.data() + text.size() && number >= least && number <= most) {
+        return number;
+    }
+    return usage("option '--" + std::string { option } + "' is '" + std::string { text } + "'; allowed: " + std::to_string(least) + " to " + std::to_string(most));
+}
+
 std::string formatAddress(const Endpoint& endpoint)
 {
     const auto port = std::to_string(endpoint.port);
--- a/src/ctl/Arguments.h
+++ b/src/ctl/Arguments.h
@@ -75,6 +75,11 @@
 /// Reads addresses separated by commas.
 Result<std::vector<Endpoint>> parseAddresses(std::string_view text);
 
+/// Reads a decimal number in [least, most].
+/// @param option Name of the option, for the message.
+/// @return The number, or UsageError.
+Result<std::uint64_t> parseNumber(std::string_view option, std::string_view text, std::uint64_t least, std::uint64_t most);
+
 /// @return ADDRESS:PORT as parseAddress reads it.
 std::string formatAddress(const Endpoint& endpoint);
 
--- a/src/ctl/Program.cpp
+++ b/src/ctl/Program.cpp
@@ -1,6 +1,8 @@
 #include "ctl/Program.h"
 
 #include <algorithm>
+#include <array>
+#include <ctime>
 #include <iomanip>
 #include <ostream>
 
@@ -28,6 +30,11 @@
                 signCommand },
             { "submit", "FILE", "submit a signed bundle", { toOne, json }, submitCommand },
             { "status", "", "show the state of VMs", { toMany, json }, statusCommand },
+            { "watch", "", "show the state of VMs again and again, until SIGINT",
+                { toMany, { "interval", "SECONDS", false, "wait between two rounds, 1 to 3600; 2 if not given" }, { "count", "N", false, "end after so many rounds" }, json },
+                watchCommand },
+            { "report", "", "show burn rates by service and zone, added up over VMs",
+                { toMany, { "html", "FILE", false, "also write the report as an HTML page" }, json }, reportCommand },
             { "owner", "KEY", "show which upstream owns a key", { toOne, { "service", "NAME", true, "service of the key" }, json }, ownerCommand },
         };
         return table;
@@ -113,4 +120,33 @@
     return code;
 }
 
+ExitCode exitCodeOf(const Failure& failure)
+{
+    return failure.code == ResultCode::HttpUnreachable ? ExitCode::Unreachable : ExitCode::Refused;
+}
+
+void AnswerCount::add(bool isGood, bool isUnreachable) noexcept
+{
+    ++this->total;
+    this->good += isGood ? 1 : 0;
+    this->unreachable += isUnreachable ? 1 : 0;
+}
+
+ExitCode AnswerCount::exitCode() const noexcept
+{
+    if (this->good == this->total) {
+        return ExitCode::Success;
+    }
+    return this->unreachable == this->total ? ExitCode::Unreachable : ExitCode::Refused;
+}
+
+std::string currentTimeText()
+{
+    const auto now = std::time(nullptr);
+    std::tm parts {};
+    std::array<char, 32> text {};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", gmtime_r(&now, &parts));
+    return { text.data(), length };
+}
+
 }
--- /dev/null
+++ b/src/ctl/SignalWait.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+#include <csignal>
+
+namespace teaselturn {
+
+/// Holds back SIGINT and SIGTERM in this thread for its lifetime, so that a command can end between two steps. The
+/// process has one thread.
+class SignalWait {
+public:
+    SignalWait() noexcept;
+    ~SignalWait();
+    SignalWait(const SignalWait&) = delete;
+    SignalWait& operator=(const SignalWait&) = delete;
+
+    /// @return True where one of the signals has arrived and not been taken by waitFor().
+    bool isPending() const noexcept;
+
+    /// Sleeps until one of the signals arrives or the time is over.
+    /// @return True where a signal arrived; it is taken.
+    bool waitFor(std::chrono::seconds longest) const noexcept;
+
+private:
+    sigset_t signals {};
+    sigset_t former {};
+};
+
+}
--- a/src/ctl/StatusView.cpp
+++ b/src/ctl/StatusView.cpp
@@ -1,9 +1,9 @@
 #include "ctl/StatusView.h"
 
 #include "adapters/settings/StrictJson.h"
+#include "ctl/TextTable.h"
 
 #include <algorithm>
-#include <array>
 #include <limits>
 
 namespace teaselturn {
@@ -67,7 +67,7 @@
         return text;
     }
 
-    using Cells = std::array<std::string, 10>;
+    using Cells = std::vector<std::string>;
 
     Cells describeRow(const StatusRow& row)
     {
@@ -134,20 +134,7 @@
 {
     std::vector<Cells> lines { { "ADDRESS", "NODE", "ZONE", "ROLES", "LEADER", "APPLIED", "BUNDLE", "UPSTREAMS", "OWNED", "STATE" } };
     std::ranges::transform(rows, std::back_inserter(lines), describeRow);
-    std::array<std::size_t, std::tuple_size_v<Cells>> widths {};
-    for (const auto& line : lines) {
-        for (std::size_t i = 0; i < line.size(); ++i) {
-            widths[i] = std::max(widths[i], line[i].size());
-        }
-    }
-    std::string text;
-    for (const auto& line : lines) {
-        for (std::size_t i = 0; i + 1 < line.size(); ++i) {
-            text += line[i] + std::string(widths[i] - line[i].size() + 2, ' ');
-        }
-        text += line.back() + "\n";
-    }
-    return text;
+    return renderTextTable(lines);
 }
 
 }
--- a/tests/ctl/AdminStandIn.cpp
+++ b/tests/ctl/AdminStandIn.cpp
@@ -19,6 +19,8 @@
         this->lastBody = request.body;
         response.status = this->status;
         response.set_content(this->body, "application/json");
+        ++this->requestCount;
+        this->requestCount.notify_all();
     };
     this->state->server.Get(".*", respond);
     this->state->server.Post(".*", respond);
--- a/tests/ctl/AdminStandIn.h
+++ b/tests/ctl/AdminStandIn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <string>
 
 namespace teaselturn {
@@ -16,11 +17,15 @@
     /// @return ADDRESS:PORT of the stand-in.
     std::string address() const;
 
+    /// Waits until a request has arrived.
+    void waitForRequest() const { this->requestCount.wait(0); }
+
     int status { 200 };
     std::string body;
     /// Target and body of the last request.
     std::string lastTarget;
     std::string lastBody;
+    std::atomic<int> requestCount {};
 
 private:
     struct State;
--- a/tests/ctl/ProgramRun.cpp
+++ b/tests/ctl/ProgramRun.cpp
@@ -1,7 +1,6 @@
 #include "ctl/ProgramRun.h"
 
-#include "adapters/settings/TemporaryFolder.h"
-
+#include <csignal>
 #include <cstdio>
 #include <fcntl.h>
 #include <fstream>
@@ -23,11 +22,10 @@
 
 }
 
-ProgramRun runCtl(const std::vector<std::string>& words)
+RunningProgram::RunningProgram(const std::vector<std::string>& words)
 {
-    const TemporaryFolder folder;
-    const auto out = folder.path() / "out";
-    const auto err = folder.path() / "err";
+    const auto out = this->folder.path() / "out";
+    const auto err = this->folder.path() / "err";
     std::vector<std::string> copies { TEASELTURN_BINARY_DIR "/src/ctl/teaselturnctl" };
     copies.insert(copies.end(), words.begin(), words.end());
     std::vector<char*> arguments;
@@ -40,12 +38,25 @@
     REQUIRE(posix_spawn_file_actions_init(&actions) == 0);
     REQUIRE(posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, out.c_str(), O_WRONLY | O_CREAT, 0600) == 0);
     REQUIRE(posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, err.c_str(), O_WRONLY | O_CREAT, 0600) == 0);
-    pid_t child = 0;
-    REQUIRE(posix_spawn(&child, arguments.front(), &actions, nullptr, arguments.data(), environ) == 0);
+    REQUIRE(posix_spawn(&this->child, arguments.front(), &actions, nullptr, arguments.data(), environ) == 0);
     posix_spawn_file_actions_destroy(&actions);
+}
+
+void RunningProgram::signal(int number)
+{
+    REQUIRE(kill(this->child, number) == 0);
+}
+
+ProgramRun RunningProgram::wait()
+{
     int status = 0;
-    REQUIRE(waitpid(child, &status, 0) == child);
-    return { WIFEXITED(status) ? WEXITSTATUS(status) : -1, readAll(out), readAll(err) };
+    REQUIRE(waitpid(this->child, &status, 0) == this->child);
+    return { WIFEXITED(status) ? WEXITSTATUS(status) : -1, readAll(this->folder.path() / "out"), readAll(this->folder.path() / "err") };
+}
+
+ProgramRun runCtl(const std::vector<std::string>& words)
+{
+    return RunningProgram { words }.wait();
 }
 
 }
