Keep segments consecutive and the identity first when a crash loses names

Ruled out: tolerating gaps on load, which would also accept a segment that is really missing.

Each removal is now synced before the next one, and a start with an identity and no segment syncs the folder before it creates one. The tests inject a crash, a short write, a full disk and a failed sync at every operation of 60 seeded runs, then a second crash while the folder is opened, and compare with the acknowledged states. Switches that make the sync of files or of folders do nothing turn the check red.

--- a/src/adapters/disk/DataFolderInlines.h
+++ b/src/adapters/disk/DataFolderInlines.h
@@ -242,16 +242,19 @@
 template <FileSystem Files>
 Status DataFolder<Files>::removeCovered(LogIndex through)
 {
-    // From the oldest on, and never the last: the remaining segments stay consecutive whenever a crash comes.
-    auto isAnyRemoved = false;
+    // From the oldest on, and never the last. Each removal is synced before the next: a crash may otherwise undo the
+    // removal of an older segment only, and the segments that remain have to be consecutive.
     while (this->segments.size() > 1 && this->segments.begin()->second.highest <= through) {
-        if (auto status = this->files.remove(this->pathOf(segmentName(this->segments.begin()->first))); !status) {
+        auto status = this->files.remove(this->pathOf(segmentName(this->segments.begin()->first)));
+        if (status) {
+            status = this->files.syncFolder(this->folder);
+        }
+        if (!status) {
             return status;
         }
         this->segments.erase(this->segments.begin());
-        isAnyRemoved = true;
     }
-    return isAnyRemoved ? this->files.syncFolder(this->folder) : success();
+    return success();
 }
 
 }
--- a/src/adapters/disk/DataFolderLoadInlines.h
+++ b/src/adapters/disk/DataFolderLoadInlines.h
@@ -119,6 +119,11 @@
         if (this->state.hardState.term != Term {} || this->state.snapshot) {
             return { ResultCode::LogCorrupt, this->folder + ": every log segment is missing" };
         }
+        // The process that created the identity may have ended before it synced the name; a log beside no identity is
+        // refused.
+        if (auto status = this->files.syncFolder(this->folder); !status) {
+            return status;
+        }
         return this->startSegment(1);
     }
     auto file = this->files.openAtEnd(this->pathOf(logs.back()));
