--- a/fuzz/FixedRun.cpp
+++ b/fuzz/FixedRun.cpp
@@ -1,27 +1,79 @@
-#include <cstdint>
+#include "FuzzSeeds.h"
+
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
-#include <vector>
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
+namespace {
+
+using Input = std::vector<std::uint8_t>;
+
+/// Damages a valid input in a few places, so that what is in front of and behind them still decodes.
+void damage(Input& input, std::mt19937_64& random)
+{
+    for (auto count = random() % 4; count > 0 && !input.empty(); --count) {
+        const auto at = random() % input.size();
+        const auto position = input.begin() + static_cast<std::ptrdiff_t>(at);
+        switch (random() % 6) {
+        case 0:
+            input[at] = static_cast<std::uint8_t>(random());
+            break;
+        case 1:
+            input[at] ^= static_cast<std::uint8_t>(1U << random() % 8);
+            break;
+        case 2:
+            // Length fields of four bytes: from zero to far beyond the input.
+            for (auto i = at; i < std::min(at + 4, input.size()); ++i) {
+                input[i] = random() % 2 == 0 ? 0xff : 0;
+            }
+            break;
+        case 3:
+            input.resize(at);
+            break;
+        case 4:
+            input.erase(position, position + static_cast<std::ptrdiff_t>(random() % std::min<std::size_t>(16, input.size() - at)));
+            break;
+        default:
+            input.insert(position, random() % 16, static_cast<std::uint8_t>(random()));
+        }
+    }
+}
+
+void fillAtRandom(Input& input, std::mt19937_64& random)
+{
+    input.resize(random() % 512);
+    // Small values and printable bytes reach deeper into length fields and text parsers than uniform bytes.
+    const auto style = random() % 3;
+    for (auto& byte : input) {
+        byte = static_cast<std::uint8_t>(style == 0 ? random() : style == 1 ? random() % 4
+                                                                            : 32 + random() % 96);
+    }
+}
+
+}
+
 /// Drives a fuzz target without libFuzzer: the same seeded inputs in every run. The first argument is the seed, the
-/// second the number of inputs.
+/// second the number of inputs. Where the target has valid inputs, three of four inputs are damaged copies of them.
 int main(int argc, char** argv)
 {
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20261204ULL;
     const auto runs = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 20'000ULL;
-    std::printf("seed %llu, %llu inputs\n", seed, runs);
+    const auto valid = fuzzSeeds ? fuzzSeeds() : std::vector<Input> {};
+    std::printf("seed %llu, %llu inputs, %zu valid inputs\n", seed, runs, valid.size());
     std::mt19937_64 random { seed };
-    std::vector<std::uint8_t> input;
+    for (const auto& input : valid) {
+        LLVMFuzzerTestOneInput(input.data(), input.size());
+    }
+    Input input;
     for (std::uint64_t run = 0; run < runs; ++run) {
-        input.resize(random() % 512);
-        // Small values and printable bytes reach deeper into length fields and text parsers than uniform bytes.
-        const auto style = random() % 3;
-        for (auto& byte : input) {
-            byte = static_cast<std::uint8_t>(style == 0 ? random() : style == 1 ? random() % 4
-                                                                                : 32 + random() % 96);
+        if (!valid.empty() && run % 4 != 0) {
+            input = valid[random() % valid.size()];
+            damage(input, random);
+        } else {
+            fillAtRandom(input, random);
         }
         LLVMFuzzerTestOneInput(input.data(), input.size());
     }
