Bring the ledger's members to those of the accepted bundle

A member whose disk was lost could join only by hand: nothing proposed ChangeMembers. planMemberChange() compares the configuration with the bundle's members and returns the allowed changes in order of preference; LedgerService proposes the first that the ledger accepts at each tick. The ledger refuses a change while another is pending and a promotion of a learner that lags, so the plan keeps no memory and a new leader goes on from the configuration alone.

New members are added and promoted before others go. A voter with a replaced disk goes first, since that vote is lost already, but only while the remaining voters are a majority of the bundle's members: a bundle with wrong disks would otherwise take every vote. Waiting with a second replaced disk until the first is promoted was ruled out: a new disk that never catches up would then keep the second one's lost vote in the quorum. Members change as soon as the bundle is accepted, before its rollout, because a repair must not wait for a silent region.

NodeSpec gets the disk identity as last field, encoded last.

--- a/include/teaselturn/Bundle.h
+++ b/include/teaselturn/Bundle.h
@@ -40,6 +40,8 @@
     ZoneId zone;
     /// Where the other processes of the system reach it, over UDP and TCP.
     Endpoint peer;
+    /// Identity of a ledger member's data folder. Zero for an entry VM, and where the bundle does not state it.
+    DiskId disk;
 
     friend bool operator==(const NodeSpec&, const NodeSpec&) = default;
 };
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -46,7 +46,7 @@
 template <typename Archive>
 void serialize(Archive& archive, NodeSpec& value)
 {
-    archive(value.id, value.zone, value.peer);
+    archive(value.id, value.zone, value.peer, value.disk);
 }
 
 template <typename Archive>
--- a/src/core/ledger/LedgerService.h
+++ b/src/core/ledger/LedgerService.h
@@ -131,6 +131,7 @@
     void reply(NodeId to, PeerMessage message);
     void followLeadership(Instant now);
     void proposeDecisions(Instant now);
+    void proposeMemberChange(Instant now);
     void dropPending(bool isLeader);
     void remember(const Proposer& proposer, const ProposeReply& answer);
     void install(const LedgerSnapshot& snapshot);
@@ -139,6 +140,7 @@
     FeedReply feedReply(const FeedRequest& request);
     FeedReply feedSnapshotPart(const FeedRequest& request);
 
+    NodeId self;
     Member<Random> member;
     OwnershipState ownership;
     Coordinator<Policy> coordinator;
--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ledger/LedgerService.h"
+#include "core/ownership/MemberPlan.h"
 
 #include <algorithm>
 
@@ -13,7 +14,8 @@
 
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
 LedgerService<Random, Policy, Codec>::LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now)
-    : member(state, timing, std::move(random), now)
+    : self(state.node)
+    , member(state, timing, std::move(random), now)
     , ownership(std::move(check))
     , coordinator(std::move(policy))
     , codec(std::move(codec))
@@ -127,6 +129,7 @@
     if (this->coordinatedTerm == Term {} || !this->member.hasLeaderLease(now)) {
         return;
     }
+    this->proposeMemberChange(now);
     for (auto& command : this->coordinator.decide(now, this->ownership)) {
         const auto index = this->member.propose(now, std::move(command));
         if (!index) {
@@ -137,6 +140,23 @@
     }
 }
 
+template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
+void LedgerService<Random, Policy, Codec>::proposeMemberChange(Instant now)
+{
+    const auto* accepted = this->ownership.acceptedBundle();
+    if (accepted == nullptr) {
+        return;
+    }
+    // The member refuses a change while another is pending, and a promotion of a learner that lags: the next tick tries
+    // again.
+    for (auto& change : planMemberChange(this->member.members(), accepted->bundle.members, this->self)) {
+        if (const auto index = this->member.propose(now, std::move(change))) {
+            this->pending.emplace(*index, PendingProposal { this->member.term(), std::nullopt });
+            return;
+        }
+    }
+}
+
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
 void LedgerService<Random, Policy, Codec>::dropPending(bool isLeader)
 {
