--- a/include/teaselturn/Types.h
+++ b/include/teaselturn/Types.h
@@ -82,7 +82,7 @@
     ServiceId service;
     std::uint32_t index {};
 
-    friend constexpr auto operator<=>(const SlotId&, const SlotId&) noexcept = default;
+    friend constexpr auto operator<=>(const SlotId&, const SlotId&) noexcept = default; // NOLINT(modernize-use-nullptr): as above.
 
     /// @return True where the slot is a single key rather than a hash partition.
     constexpr bool isHotKey() const noexcept { return this->index >= firstHotKeySlot; }
