Look up the owner of each slot once in a placement

The owner's place among the targets is now found once, in a hash map, and kept with the slot; a slot without a move has no target looked up. Calling the policy only where loads changed was ruled out for this change: it would move the band into the coordinator. The decisions are the same.

--- a/src/core/ownership/BoundedLoadPlacement.cpp
+++ b/src/core/ownership/BoundedLoadPlacement.cpp
@@ -1,7 +1,10 @@
 #include "core/ownership/BoundedLoadPlacement.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <optional>
 
 namespace teaselturn {
@@ -15,6 +18,8 @@
     /// A new upstream gets its whole share after this time, and this part of it at first.
     constexpr std::chrono::seconds slowStart { 30 };
     constexpr double coldShare = 0.25;
+    /// Stands for an upstream that gets no slots, or for none.
+    constexpr auto noTarget = std::numeric_limits<std::uint32_t>::max();
 
     double capacityOf(const PlacementUpstream& upstream)
     {
@@ -36,14 +41,15 @@
 
         void assignFree(PlacementDecision& decision)
         {
-            for (const auto i : this->selected([](const PlacementSlot& slot) { return slot.owner == UpstreamId {} && slot.isAssignable && !slot.isMoving; })) {
+            const auto isFree = [this](std::size_t i) { return this->slots[i].owner == UpstreamId {} && this->slots[i].isAssignable && !this->slots[i].isMoving; };
+            for (const auto i : this->selected(isFree)) {
                 decision.assignments.push_back({ this->slots[i].slot, this->take(i), this->slots[i].fence });
             }
         }
 
         void drain(PlacementDecision& decision)
         {
-            const auto isDraining = [this](const PlacementSlot& slot) { return slot.owner != UpstreamId {} && !slot.isMoving && !this->indexes.contains(slot.owner); };
+            const auto isDraining = [this](std::size_t i) { return this->slots[i].owner != UpstreamId {} && !this->slots[i].isMoving && this->owners[i] == noTarget; };
             for (const auto i : this->selected(isDraining)) {
                 decision.moves.push_back({ this->slots[i].slot, this->take(i), this->slots[i].fence });
             }
@@ -95,7 +101,7 @@
             for (const auto& upstream : upstreams) {
                 if (!upstream.isDraining) {
                     ranked.push_back({ { inZone[upstream.zone]++, upstream.zone }, this->targets.size() });
-                    this->indexes[upstream.id] = this->targets.size();
+                    this->indexes[upstream.id] = static_cast<std::uint32_t>(this->targets.size());
                     this->targets.push_back({ upstream.id, capacityOf(upstream) });
                 }
             }
@@ -113,10 +119,13 @@
             }
             // Every slot weighs something, so that idle slots are spread as well.
             const auto floor = std::max(total * 0.1 / static_cast<double>(std::max<std::size_t>(1, this->slots.size())), 0.001);
+            this->weights.reserve(this->slots.size());
+            this->owners.reserve(this->slots.size());
             for (const auto& slot : this->slots) {
                 this->weights.push_back(slot.load + floor);
-                this->owners.push_back(slot.owner);
-                if (const auto found = this->indexes.find(slot.owner); found != this->indexes.end()) {
+                const auto found = this->indexes.find(slot.owner);
+                this->owners.push_back(found == this->indexes.end() ? noTarget : found->second);
+                if (found != this->indexes.end()) {
                     this->targets[found->second].load += this->weights.back();
                 }
             }
@@ -144,7 +153,7 @@
         {
             std::vector<std::size_t> chosen;
             for (std::size_t i = 0; i < this->slots.size(); ++i) {
-                if (matches(this->slots[i])) {
+                if (matches(i)) {
                     chosen.push_back(i);
                 }
             }
@@ -161,7 +170,7 @@
             auto best = from.load / from.capacity - 0.05 * this->mean();
             std::optional<std::size_t> chosen;
             for (std::size_t i = 0; i < this->slots.size(); ++i) {
-                if (this->owners[i] != from.id || this->slots[i].isMoving || this->slots[i].owner != from.id) {
+                if (this->owners[i] != source || this->slots[i].isMoving || this->slots[i].owner != from.id) {
                     continue;
                 }
                 const auto after = std::max((from.load - this->weights[i]) / from.capacity, (to.load + this->weights[i]) / to.capacity);
@@ -177,7 +186,7 @@
         {
             this->add(source, -this->weights[slot]);
             this->add(target, this->weights[slot]);
-            this->owners[slot] = this->targets[target].id;
+            this->owners[slot] = static_cast<std::uint32_t>(target);
             decision.moves.push_back({ this->slots[slot].slot, this->targets[target].id, this->slots[slot].fence });
         }
 
@@ -186,7 +195,7 @@
         {
             const auto index = this->order.begin()->index;
             this->add(index, this->weights[slot]);
-            this->owners[slot] = this->targets[index].id;
+            this->owners[slot] = static_cast<std::uint32_t>(index);
             return this->targets[index].id;
         }
 
@@ -203,9 +212,11 @@
 
         std::span<const PlacementSlot> slots;
         std::vector<double> weights;
-        std::vector<UpstreamId> owners;
+        /// For each slot the index of its owner in `targets`, or noTarget.
+        std::vector<std::uint32_t> owners;
         std::vector<Target> targets;
-        absl::btree_map<UpstreamId, std::size_t> indexes;
+        // Read by key only; its iteration order decides nothing.
+        absl::flat_hash_map<UpstreamId, std::uint32_t> indexes;
         absl::btree_set<Position> order;
     };
 
--- a/src/core/ownership/CoordinatorInlines.h
+++ b/src/core/ownership/CoordinatorInlines.h
@@ -201,10 +201,12 @@
 {
     PlacementSlot view { slot, record.owner, record.fence, this->loads.rate(slot) };
     view.isAssignable = record.lastOwnerChecksGrants || record.freedAt <= this->settled;
-    const auto* target = state.findUpstream(record.moveTarget);
-    if (target != nullptr && !target->isDraining) {
-        view.owner = target->id;
-        view.isMoving = true;
+    if (record.moveTarget != UpstreamId {}) {
+        const auto* target = state.findUpstream(record.moveTarget);
+        if (target != nullptr && !target->isDraining) {
+            view.owner = target->id;
+            view.isMoving = true;
+        }
     }
     if (const auto pending = this->pendingSlots.find(slot); pending != this->pendingSlots.end()) {
         view.owner = pending->second;
