Let balance move slots that are a small part of an upstream's load

Each move had to lower the higher load by a twentieth of the mean. With 200 slots an upstream no single slot can: a joining upstream got nothing, and loads stayed 1.6 times the mean. A move now has to gain a twentieth of the mean or half of the slot's own weight, so that only large slots of little gain stay. Dropping the bound was ruled out: a slot about as large as the difference of two loads would swap them and move back with the next measurement. The bands around the mean keep balance from starting over.

--- a/src/core/ownership/BoundedLoadPlacement.cpp
+++ b/src/core/ownership/BoundedLoadPlacement.cpp
@@ -166,16 +166,21 @@
         {
             const auto& from = this->targets[source];
             const auto& to = this->targets[target];
-            // A smaller gain is within the noise of the measurement, and the slot would move back soon.
-            auto best = from.load / from.capacity - 0.05 * this->mean();
+            const auto before = from.load / from.capacity;
+            const auto noise = 0.05 * this->mean();
+            double most = 0;
             std::optional<std::size_t> chosen;
             for (std::size_t i = 0; i < this->slots.size(); ++i) {
                 if (this->owners[i] != source || this->slots[i].isMoving || this->slots[i].owner != from.id) {
                     continue;
                 }
-                const auto after = std::max((from.load - this->weights[i]) / from.capacity, (to.load + this->weights[i]) / to.capacity);
-                if (after < best) {
-                    best = after;
+                const auto weight = this->weights[i];
+                const auto gain = before - std::max((from.load - weight) / from.capacity, (to.load + weight) / to.capacity);
+                // A large slot with a gain within the noise of the measurement would soon move back. A small one has
+                // little to gain and is worth its move where it does not bring the target near the source's load.
+                const auto least = std::min(noise, 0.5 * weight / from.capacity);
+                if (gain >= least && gain > most) {
+                    most = gain;
                     chosen = i;
                 }
             }
