--- /dev/null
+++ b/tests/core/ownership/DelegationTest.cpp
@@ -0,0 +1,111 @@
+#include "core/ownership/DelegationTable.h"
+#include "core/ownership/SettledIndex.h"
+#include "core/ownership/StewardDelegations.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 1h };
+constexpr auto delegation = timing::withDrift(timing::delegationLength);
+constexpr NodeId entry { 1 };
+
+DelegationRequest request(std::uint64_t sequence, std::uint64_t boot, std::uint64_t applied)
+{
+    return { sequence, BootId { boot }, LogIndex { applied }, BundleVersion { sequence }, true, {}, {} };
+}
+
+DelegationReply reply(std::uint64_t commitIndex, std::chrono::milliseconds length = timing::delegationLength)
+{
+    return { 1, ResultCode::Ok, length, LogIndex { commitIndex }, {} };
+}
+
+}
+
+TEST_CASE("renewals that arrive out of order neither shorten a delegation nor turn back what was reported")
+{
+    // Guards against a delayed datagram: the leader would count an entry VM as ended, or as behind.
+    DelegationTable table;
+    REQUIRE(table.renew(start, entry, request(2, 1, 20)));
+    table.extend(start + 10ms, entry, BootId { 1 });
+    REQUIRE(table.renew(start + 5ms, entry, request(1, 1, 10)));
+    CHECK(table.find(entry)->bundleInForce == BundleVersion { 2 });
+    CHECK(table.hasApplied(entry, LogIndex { 20 }));
+    CHECK_FALSE(table.hasEnded(start + 10ms + delegation - 1ns, entry, BootId { 1 }));
+    CHECK(table.hasEnded(start + 10ms + delegation, entry, BootId { 1 }));
+}
+
+TEST_CASE("delegations are counted for each start of an entry VM, and an older start gets none")
+{
+    DelegationTable table;
+    CHECK(table.hasEnded(start, entry, BootId { 1 }));
+    CHECK_FALSE(table.isInContact(start, entry));
+    table.renew(start, entry, request(5, 1, 20));
+    table.renew(start + 1s, entry, request(1, 2, 3));
+    CHECK_FALSE(table.renew(start + 1s, entry, request(6, 1, 21)));
+    CHECK_FALSE(table.hasEnded(start + delegation - 1ns, entry, BootId { 1 }));
+    CHECK(table.hasEnded(start + delegation, entry, BootId { 1 }));
+    CHECK(table.isInContact(start + delegation, entry));
+    // A new start has applied only what it reports itself.
+    CHECK_FALSE(table.hasApplied(entry, LogIndex { 20 }));
+    CHECK_FALSE(table.isSuperseded(start + 1s + delegation - 1ns, entry, BootId { 1 }));
+    CHECK(table.isSuperseded(start + 1s + delegation, entry, BootId { 1 }));
+    CHECK_FALSE(table.isSuperseded(start + 1h, entry, BootId { 2 }));
+}
+
+TEST_CASE("an index is settled a whole delegation after it was applied, not earlier")
+{
+    // Guards against slots of an owner without checks that are given away while an older table is still in use.
+    SettledIndex settled;
+    settled.reset(start, LogIndex { 5 });
+    CHECK(settled.at(start + delegation - 1ns) == LogIndex {});
+    CHECK(settled.at(start + delegation) == LogIndex { 5 });
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        settled.applied(start + 10s + std::chrono::milliseconds { i }, LogIndex { 6 + i });
+    }
+    // Entries share marks, which may delay them but never lets one settle early.
+    for (std::uint64_t i = 0; i < 150; ++i) {
+        const auto now = start + 10s + std::chrono::milliseconds { i } + delegation;
+        const auto index = settled.at(now - 1ns).value;
+        CHECK(index <= std::max<std::uint64_t>(5, 5 + i));
+        CHECK(index + 11 >= std::min<std::uint64_t>(105, 5 + i));
+    }
+    CHECK(settled.at(start + 1h) == LogIndex { 105 });
+    settled.reset(start + 1h, LogIndex { 105 });
+    CHECK(settled.at(start + 1h) == LogIndex {});
+}
+
+TEST_CASE("a steward keeps the delegation that it can use while a longer one waits for its commit index")
+{
+    // Guards against an entry VM that is slightly behind and loses its leases with every renewal.
+    StewardDelegations delegations;
+    delegations.add(start, reply(10));
+    delegations.add(start + 500ms, reply(20));
+    CHECK(delegations.end() == start + 500ms + timing::delegationLength);
+    CHECK(delegations.endWith(LogIndex { 9 }) == Instant {});
+    CHECK(delegations.endWith(LogIndex { 10 }) == start + timing::delegationLength);
+    CHECK(delegations.endWith(LogIndex { 20 }) == start + 500ms + timing::delegationLength);
+    SECTION("reordered answers end where the first request says")
+    {
+        delegations.add(start - 500ms, reply(30));
+        CHECK(delegations.endWith(LogIndex { 30 }) == start + 500ms + timing::delegationLength);
+    }
+    SECTION("refusals change nothing")
+    {
+        auto refused = reply(5);
+        refused.code = ResultCode::DelegationMissing;
+        delegations.add(start + 1s, refused);
+        delegations.add(start + 1s, reply(5, 0ms));
+        CHECK(delegations.end() == start + 500ms + timing::delegationLength);
+    }
+    SECTION("many that wait do not push out the longest")
+    {
+        for (std::uint64_t i = 0; i < 50; ++i) {
+            delegations.add(start + 600ms + std::chrono::milliseconds { i }, reply(100 + i));
+        }
+        CHECK(delegations.endWith(LogIndex { 149 }) == start + 649ms + timing::delegationLength);
+    }
+}
