--- a/src/core/ownership/CoordinatorInlines.h
+++ b/src/core/ownership/CoordinatorInlines.h
@@ -180,6 +180,10 @@
 void Coordinator<Policy>::decidePlacement(Instant now, const OwnershipState& state, std::vector<Command>& commands)
 {
     const bool isBalanceDue = now >= this->balancedAt + balanceInterval;
+    const PlacedState current { state.appliedIndex(), this->settled };
+    if (!isBalanceDue && commands.empty() && this->placed == current) {
+        return;
+    }
     if (isBalanceDue) {
         this->balancedAt = now;
     }
@@ -202,6 +206,8 @@
             this->place(now, *spec, candidates, state, commands);
         }
     }
+    // Where the bound of commands was reached, some slots are still to be placed.
+    this->placed = commands.size() < maxCommandsPerDecision ? std::optional { current } : std::nullopt;
 }
 
 template <PlacementPolicy Policy>
@@ -215,10 +221,12 @@
 {
     PlacementSlot view { slot, record.owner, record.fence, this->loads.rate(slot) };
     view.isAssignable = record.lastOwnerChecksGrants || record.freedAt <= this->settled || this->haveHoldersApplied(now, record.freedAt);
-    const auto* target = state.findUpstream(record.moveTarget);
-    if (target != nullptr && !target->isDraining) {
-        view.owner = target->id;
-        view.isMoving = true;
+    if (record.moveTarget != UpstreamId {}) {
+        const auto* target = state.findUpstream(record.moveTarget);
+        if (target != nullptr && !target->isDraining) {
+            view.owner = target->id;
+            view.isMoving = true;
+        }
     }
     if (const auto pending = this->pendingSlots.find(slot); pending != this->pendingSlots.end()) {
         view.owner = pending->second;
@@ -288,6 +296,7 @@
     this->pendingCarves.clear();
     this->pendingMerges.clear();
     this->isRolloutPending = false;
+    this->placed.reset();
     // Some of them may have reached the log, so the entry VMs concerned still get no delegation.
     for (auto& [upstream, pending] : this->pendingExpiries) {
         pending.isProposed = false;
