--- /dev/null
+++ b/src/adapters/log/Logger.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "teaselturn/LogEvent.h"
+#include "teaselturn/Result.h"
+#include "teaselturn/Types.h"
+
+#include <concepts>
+#include <initializer_list>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace teaselturn {
+
+/// One key=value field of a log line. The key must outlive the call that logs it.
+struct LogField {
+    std::string_view key;
+    std::string value;
+
+    LogField(std::string_view key, std::string_view value)
+        : key(key)
+        , value(value)
+    {
+    }
+    LogField(std::string_view key, const char* value)
+        : LogField(key, std::string_view { value })
+    {
+    }
+    LogField(std::string_view key, std::integral auto value)
+        : key(key)
+        , value(std::to_string(value))
+    {
+    }
+    template <typename Tag, typename Rep>
+    LogField(std::string_view key, StrongId<Tag, Rep> id)
+        : key(key)
+        , value(std::to_string(id.value))
+    {
+    }
+};
+
+/// Where log lines go and which are written.
+struct LogSettings {
+    LogLevel minimum { LogLevel::Info };
+    /// File to append to. Empty means the standard error stream.
+    std::string file;
+};
+
+/// Writes one line for each event: time (UTC, ISO 8601 with microseconds), level, number, name, key=value fields. A
+/// value with blanks, quotes or control characters is quoted and escaped. Safe to call from several threads: lines go
+/// through a bounded queue to a thread of the logger, so a caller never waits for I/O, even where it holds a lock.
+class Logger {
+public:
+    /// @return A logger, or SettingsInvalidValue where the file cannot be opened.
+    static Result<std::unique_ptr<Logger>> open(const LogSettings& settings);
+
+    /// Writes the queued lines and stops.
+    ~Logger();
+    Logger(const Logger&) = delete;
+    Logger& operator=(const Logger&) = delete;
+
+    /// Logs an event at the level that logEventTable gives it. Lines below the minimum level are dropped.
+    /// @param message What was found; it stands in the line as message="...". Empty messages are left out.
+    void log(LogEvent event, std::string_view message, std::span<const LogField> fields) noexcept;
+    void log(LogEvent event, std::string_view message = {}, std::initializer_list<LogField> fields = {}) noexcept
+    {
+        this->log(event, message, std::span { fields.begin(), fields.size() });
+    }
+
+    /// @return True where lines of this event are written.
+    bool isEnabled(LogEvent event) const noexcept;
+
+    /// Waits until every line logged so far has been written.
+    void flush();
+
+private:
+    struct Sink;
+
+    explicit Logger(LogLevel minimum, std::unique_ptr<Sink> sink);
+
+    const LogLevel minimum;
+    std::unique_ptr<Sink> sink;
+};
+
+/// Formats the part of a line behind the time. It is a function of its arguments only.
+std::string formatLogLine(LogEvent event, std::string_view message, std::span<const LogField> fields);
+
+}
