Add frames, the replay window and the peer transport

Cause: the processes of the system need authenticated messages over UDP and TCP that no sender waits for.

Ruled out: one sequence for both channels. A message on a stream may arrive behind more than 64 later datagrams and would then count as replayed; each channel has sequences of its own, and the channel is part of the authenticated bytes. The frame also names its receiver, so that a recorded frame cannot be played to another process. Keeping a connection for as long as it works was ruled out too: a path that lost its state can swallow bytes, so connections are replaced after 3 s, between two frames, and fail when sent bytes stay unacknowledged for 2 s.

Conclusion: messages up to 1,133 bytes go as one datagram, longer ones over a connection opened on demand; dropped ones are counted by result code and logged at most once a tick for each code.

--- a/src/adapters/log/Logger.cpp
+++ b/src/adapters/log/Logger.cpp
@@ -118,7 +118,7 @@
 
 Logger::~Logger() = default;
 
-Result<std::unique_ptr<Logger>> Logger::open(const LogSettings& settings)
+Result<std::unique_ptr<Logger>> Logger::open(const LoggerOptions& settings)
 {
     boost::shared_ptr<std::ostream> stream;
     if (settings.file.empty()) {
--- a/src/adapters/log/Logger.h
+++ b/src/adapters/log/Logger.h
@@ -40,8 +40,8 @@
     }
 };
 
-/// Where log lines go and which are written.
-struct LogSettings {
+/// Where a logger writes, and which lines.
+struct LoggerOptions {
     LogLevel minimum { LogLevel::Info };
     /// File to append to. Empty means the standard error stream.
     std::string file;
@@ -53,7 +53,7 @@
 class Logger {
 public:
     /// @return A logger, or SettingsInvalidValue where the file cannot be opened.
-    static Result<std::unique_ptr<Logger>> open(const LogSettings& settings);
+    static Result<std::unique_ptr<Logger>> open(const LoggerOptions& settings);
 
     /// Writes the queued lines and stops.
     ~Logger();
--- /dev/null
+++ b/src/adapters/peer/PeerTable.cpp
@@ -0,0 +1,138 @@
+#include "adapters/peer/PeerTable.h"
+
+#include <utility>
+
+namespace teaselturn {
+
+Status PeerTable::replace(std::span<const PeerAddress> addresses)
+{
+    std::vector<std::pair<NodeId, SocketAddress>> parsed;
+    parsed.reserve(addresses.size());
+    for (const auto& peer : addresses) {
+        const auto address = toSocketAddress(peer.endpoint);
+        if (!address) {
+            return address.failure();
+        }
+        parsed.emplace_back(peer.node, *address);
+    }
+    const MutexLock lock { this->mutex };
+    for (auto& [node, peer] : this->peers) {
+        peer.isListed = false;
+    }
+    for (const auto& [node, address] : parsed) {
+        auto& peer = this->peers[node];
+        peer.address = address;
+        peer.isListed = true;
+    }
+    return success();
+}
+
+PeerTable::Peer* PeerTable::listed(NodeId node)
+{
+    const auto found = this->peers.find(node);
+    return found != this->peers.end() && found->second.isListed ? &found->second : nullptr;
+}
+
+bool PeerTable::contains(NodeId node) const
+{
+    const MutexLock lock { this->mutex };
+    const auto found = this->peers.find(node);
+    return found != this->peers.end() && found->second.isListed;
+}
+
+std::optional<SocketAddress> PeerTable::addressOf(NodeId node) const
+{
+    const MutexLock lock { this->mutex };
+    const auto found = this->peers.find(node);
+    if (found == this->peers.end() || !found->second.isListed) {
+        return std::nullopt;
+    }
+    return found->second.address;
+}
+
+std::optional<PeerTable::Target> PeerTable::nextDatagram(NodeId node)
+{
+    const MutexLock lock { this->mutex };
+    auto* peer = this->listed(node);
+    if (peer == nullptr) {
+        return std::nullopt;
+    }
+    return Target { peer->address, ++peer->datagramSequence };
+}
+
+std::optional<std::uint64_t> PeerTable::nextStreamSequence(NodeId node)
+{
+    const MutexLock lock { this->mutex };
+    auto* peer = this->listed(node);
+    if (peer == nullptr) {
+        return std::nullopt;
+    }
+    return ++peer->streamSequence;
+}
+
+bool PeerTable::queueFrame(NodeId node, std::vector<std::uint8_t> frame)
+{
+    const MutexLock lock { this->mutex };
+    auto* peer = this->listed(node);
+    if (peer == nullptr || peer->queuedBytes + frame.size() > maxQueuedBytes) {
+        return false;
+    }
+    peer->queuedBytes += frame.size();
+    peer->queue.push_back(std::move(frame));
+    return true;
+}
+
+std::optional<std::vector<std::uint8_t>> PeerTable::takeFrame(NodeId node)
+{
+    const MutexLock lock { this->mutex };
+    const auto found = this->peers.find(node);
+    if (found == this->peers.end() || found->second.queue.empty()) {
+        return std::nullopt;
+    }
+    auto& peer = found->second;
+    auto frame = std::move(peer.queue.front());
+    peer.queue.pop_front();
+    peer.queuedBytes -= frame.size();
+    return frame;
+}
+
+std::size_t PeerTable::dropFrames(NodeId node)
+{
+    const MutexLock lock { this->mutex };
+    const auto found = this->peers.find(node);
+    if (found == this->peers.end()) {
+        return 0;
+    }
+    found->second.queuedBytes = 0;
+    return std::exchange(found->second.queue, {}).size();
+}
+
+std::vector<NodeId> PeerTable::waiting() const
+{
+    const MutexLock lock { this->mutex };
+    std::vector<NodeId> nodes;
+    for (const auto& [node, peer] : this->peers) {
+        if (!peer.queue.empty()) {
+            nodes.push_back(node);
+        }
+    }
+    return nodes;
+}
+
+bool PeerTable::queueLoopback(PeerMessage message)
+{
+    const MutexLock lock { this->mutex };
+    if (this->loopback.size() >= maxLoopback) {
+        return false;
+    }
+    this->loopback.push_back(std::move(message));
+    return true;
+}
+
+std::deque<PeerMessage> PeerTable::takeLoopback()
+{
+    const MutexLock lock { this->mutex };
+    return std::exchange(this->loopback, {});
+}
+
+}
--- /dev/null
+++ b/src/adapters/peer/PeerTransport.cpp
@@ -0,0 +1,280 @@
+#include "adapters/peer/PeerTransport.h"
+
+#include "adapters/codec/Codec.h"
+
+#include <array>
+#include <cerrno>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Datagrams read before other sockets get their turn.
+    constexpr int maxDatagramsInARow = 64;
+    /// How often a port is asked for that is free for both UDP and TCP.
+    constexpr int maxPortAttempts = 16;
+
+    struct Sockets {
+        FileDescriptor datagrams;
+        FileDescriptor listener;
+    };
+
+    Result<Sockets> openSockets(const Endpoint& endpoint)
+    {
+        for (int attempt = 1;; ++attempt) {
+            auto listener = openBound(endpoint, SOCK_STREAM);
+            if (!listener) {
+                return listener.failure();
+            }
+            auto datagrams = openBound({ endpoint.address, boundEndpoint(*listener).port }, SOCK_DGRAM);
+            if (datagrams) {
+                return Sockets { std::move(*datagrams), std::move(*listener) };
+            }
+            if (endpoint.port != 0 || attempt == maxPortAttempts) {
+                return datagrams.failure();
+            }
+        }
+    }
+
+}
+
+PeerTransport::Builder& PeerTransport::Builder::identity(NodeId self, BootId boot)
+{
+    this->settings.self = self;
+    this->settings.boot = boot;
+    return *this;
+}
+
+PeerTransport::Builder& PeerTransport::Builder::listenOn(Endpoint endpoint)
+{
+    this->settings.listen = std::move(endpoint);
+    return *this;
+}
+
+PeerTransport::Builder& PeerTransport::Builder::clusterKey(std::span<const std::uint8_t> key)
+{
+    this->settings.clusterKey.assign(key.begin(), key.end());
+    return *this;
+}
+
+PeerTransport::Builder& PeerTransport::Builder::handler(Handler handler)
+{
+    this->settings.handler = std::move(handler);
+    return *this;
+}
+
+PeerTransport::Builder& PeerTransport::Builder::logger(Logger& logger)
+{
+    this->settings.logger = &logger;
+    return *this;
+}
+
+Result<std::unique_ptr<PeerTransport>> PeerTransport::Builder::start()
+{
+    auto sockets = openSockets(this->settings.listen);
+    if (!sockets) {
+        return sockets.failure();
+    }
+    return std::unique_ptr<PeerTransport> { new PeerTransport { this->settings, std::move(sockets->datagrams), std::move(sockets->listener) } };
+}
+
+PeerTransport::PeerTransport(Settings settings, FileDescriptor datagrams, FileDescriptor listener)
+    : settings(std::move(settings))
+    , datagrams(std::move(datagrams))
+    , listener(std::move(listener))
+    , wakeUp(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+    , outbound(this->events, this->peers, this->statistics)
+    , inbound(
+          this->events, [this](std::span<const std::uint8_t> frame) { return this->takeFrame(FrameChannel::Stream, frame); },
+          [this](const Failure& failure) { this->drop(failure); })
+{
+    this->datagramsId = this->events.add(this->datagrams, EPOLLIN);
+    this->listenerId = this->events.add(this->listener, EPOLLIN);
+    this->wakeUpId = this->events.add(this->wakeUp, EPOLLIN);
+    this->thread = std::thread { [this] { this->run(); } };
+}
+
+PeerTransport::~PeerTransport()
+{
+    this->isStopping = true;
+    this->wake();
+    this->thread.join();
+}
+
+void PeerTransport::tick()
+{
+    this->isTickDue = true;
+    this->wake();
+}
+
+void PeerTransport::wake()
+{
+    const std::uint64_t one = 1;
+    // It fails only where the counter is full, and the thread is awake then.
+    static_cast<void>(::write(this->wakeUp.number(), &one, sizeof one));
+}
+
+void PeerTransport::send(NodeId to, const PeerMessage& message)
+{
+    if (to == this->settings.self) {
+        if (this->peers.queueLoopback(message)) {
+            this->wake();
+        } else {
+            this->drop({ ResultCode::QueueFull, "too many messages to this process itself" });
+        }
+        return;
+    }
+    const auto payload = encodeMessage(message);
+    const auto type = static_cast<std::uint8_t>(message.index());
+    if (payload.size() > limits::maxMessageBytes) {
+        this->drop({ ResultCode::MessageTooLarge, std::to_string(payload.size()) + " bytes to send" });
+    } else if (payload.size() + frameOverheadBytes <= limits::maxDatagramBytes) {
+        this->sendDatagram(to, type, payload);
+    } else {
+        this->sendStream(to, type, payload);
+    }
+}
+
+void PeerTransport::sendDatagram(NodeId to, std::uint8_t type, std::span<const std::uint8_t> payload)
+{
+    const auto target = this->peers.nextDatagram(to);
+    if (!target) {
+        this->drop({ ResultCode::MessageUnknownPeer, "message to " + std::to_string(to.value) });
+        return;
+    }
+    const FrameHeader header { this->settings.self, to, this->settings.boot, target->sequence, FrameChannel::Datagram, type };
+    const auto frame = encodeFrame(header, payload, this->settings.clusterKey);
+    const auto count = sendto(this->datagrams.number(), frame.data(), frame.size(), MSG_NOSIGNAL, target->address.pointer(), target->address.length);
+    if (count < 0) {
+        this->drop({ ResultCode::PeerUnreachable, "datagram to " + std::to_string(to.value) });
+        return;
+    }
+    this->statistics.sentFrames.fetch_add(1, std::memory_order_relaxed);
+    this->statistics.sentBytes.fetch_add(frame.size(), std::memory_order_relaxed);
+}
+
+void PeerTransport::sendStream(NodeId to, std::uint8_t type, std::span<const std::uint8_t> payload)
+{
+    const auto sequence = this->peers.nextStreamSequence(to);
+    if (!sequence) {
+        this->drop({ ResultCode::MessageUnknownPeer, "message to " + std::to_string(to.value) });
+        return;
+    }
+    const FrameHeader header { this->settings.self, to, this->settings.boot, *sequence, FrameChannel::Stream, type };
+    auto frame = encodeFrame(header, payload, this->settings.clusterKey);
+    const auto size = frame.size();
+    if (!this->peers.queueFrame(to, std::move(frame))) {
+        this->drop({ ResultCode::QueueFull, "stream to " + std::to_string(to.value) });
+        return;
+    }
+    this->statistics.sentFrames.fetch_add(1, std::memory_order_relaxed);
+    this->statistics.sentBytes.fetch_add(size, std::memory_order_relaxed);
+    this->wake();
+}
+
+void PeerTransport::run()
+{
+    std::array<epoll_event, 64> occurred {};
+    while (!this->isStopping) {
+        const auto count = epoll_wait(this->events.number(), occurred.data(), occurred.size(), -1);
+        for (int i = 0; i < count; ++i) {
+            this->dispatch(occurred[static_cast<std::size_t>(i)].data.u64, occurred[static_cast<std::size_t>(i)].events);
+        }
+    }
+}
+
+void PeerTransport::dispatch(std::uint64_t id, std::uint32_t occurred)
+{
+    if (id == this->datagramsId) {
+        this->readDatagrams();
+    } else if (id == this->wakeUpId) {
+        this->takeWakeUp();
+    } else if (id == this->listenerId) {
+        this->inbound.accept(this->clock.now(), this->listener);
+    } else if (!this->inbound.handle(this->clock.now(), id)) {
+        this->outbound.handle(this->clock.now(), id, occurred);
+    }
+}
+
+void PeerTransport::readDatagrams()
+{
+    // One byte more than the limit shows a datagram that is too long.
+    std::array<std::uint8_t, limits::maxDatagramBytes + 1> buffer;
+    for (int i = 0; i < maxDatagramsInARow; ++i) {
+        const auto count = recv(this->datagrams.number(), buffer.data(), buffer.size(), 0);
+        if (count < 0) {
+            return;
+        }
+        if (static_cast<std::size_t>(count) > limits::maxDatagramBytes) {
+            this->drop({ ResultCode::MessageTooLarge, "datagram" });
+        } else {
+            this->takeFrame(FrameChannel::Datagram, std::span { buffer }.first(static_cast<std::size_t>(count)));
+        }
+    }
+}
+
+void PeerTransport::takeWakeUp()
+{
+    std::uint64_t count = 0;
+    static_cast<void>(::read(this->wakeUp.number(), &count, sizeof count));
+    if (this->isTickDue.exchange(false)) {
+        this->statistics.allowLines();
+        this->outbound.expire(this->clock.now());
+        this->inbound.expire(this->clock.now());
+    }
+    this->outbound.serveWaiting(this->clock.now());
+    for (const auto& message : this->peers.takeLoopback()) {
+        this->settings.handler(this->settings.self, message);
+    }
+}
+
+bool PeerTransport::takeFrame(FrameChannel channel, std::span<const std::uint8_t> bytes)
+{
+    this->statistics.receivedFrames.fetch_add(1, std::memory_order_relaxed);
+    this->statistics.receivedBytes.fetch_add(bytes.size(), std::memory_order_relaxed);
+    const auto delivered = this->deliver(channel, bytes);
+    if (!delivered) {
+        this->drop(delivered.failure());
+    }
+    return delivered.hasValue();
+}
+
+Status PeerTransport::deliver(FrameChannel channel, std::span<const std::uint8_t> bytes)
+{
+    const auto frame = decodeFrame(bytes, this->settings.clusterKey);
+    if (!frame) {
+        return frame.failure();
+    }
+    const auto& header = frame->header;
+    if (header.receiver != this->settings.self || !this->peers.contains(header.sender)) {
+        return { ResultCode::MessageUnknownPeer, std::to_string(header.sender.value) + " to " + std::to_string(header.receiver.value) };
+    }
+    if (header.channel != channel || !this->windows[{ header.sender, channel }].accept(header.boot, header.sequence)) {
+        return { ResultCode::MessageReplayed, "from " + std::to_string(header.sender.value) };
+    }
+    const auto message = decodeMessage(frame->payload);
+    if (!message) {
+        return message.failure();
+    }
+    if (message->index() != header.type) {
+        return { ResultCode::MessageMalformed, "the type does not match" };
+    }
+    this->settings.handler(header.sender, *message);
+    return success();
+}
+
+void PeerTransport::drop(const Failure& failure)
+{
+    const auto isFirst = this->statistics.drop(static_cast<ResultCode>(failure.code.value()));
+    if (isFirst && this->settings.logger != nullptr) {
+        const auto event = failure.code == ResultCode::PeerUnreachable ? LogEvent::PeerUnreachable
+            : failure.code == ResultCode::QueueFull                    ? LogEvent::QueueOverflow
+                                                                       : LogEvent::MessageDropped;
+        this->settings.logger->log(event, failure.describe(), { { "code", failure.code.value() } });
+    }
+}
+
+}
--- /dev/null
+++ b/src/adapters/peer/Socket.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "teaselturn/Result.h"
+#include "teaselturn/Types.h"
+
+#include <cstdint>
+#include <sys/socket.h>
+#include <utility>
+
+namespace teaselturn {
+
+/// Owns a file descriptor.
+class FileDescriptor {
+public:
+    FileDescriptor() = default;
+    explicit FileDescriptor(int fd) noexcept
+        : fd(fd)
+    {
+    }
+    ~FileDescriptor();
+    FileDescriptor(FileDescriptor&& other) noexcept
+        : fd(std::exchange(other.fd, -1))
+    {
+    }
+    FileDescriptor& operator=(FileDescriptor&& other) noexcept
+    {
+        std::swap(this->fd, other.fd);
+        return *this;
+    }
+
+    int number() const noexcept { return this->fd; }
+    explicit operator bool() const noexcept { return this->fd >= 0; }
+
+private:
+    int fd { -1 };
+};
+
+/// An Endpoint in the form that system calls take.
+struct SocketAddress {
+    sockaddr_storage storage {};
+    socklen_t length {};
+
+    const sockaddr* pointer() const noexcept { return reinterpret_cast<const sockaddr*>(&this->storage); }
+};
+
+/// @return The address, or SettingsInvalidValue where the endpoint's address is not an IP number.
+Result<SocketAddress> toSocketAddress(const Endpoint& endpoint);
+
+/// @return The endpoint that a socket is bound to.
+Endpoint boundEndpoint(const FileDescriptor& socket);
+
+/// Opens a non-blocking socket and binds it.
+/// @param type SOCK_DGRAM or SOCK_STREAM; a stream socket also listens.
+/// @return The socket, or ListenFailed with the address and the reason.
+Result<FileDescriptor> openBound(const Endpoint& endpoint, int type);
+
+/// Starts a non-blocking TCP connection that fails when sent bytes stay unacknowledged for userTimeout.
+/// @return The socket, or PeerUnreachable.
+Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout);
+
+}
