Add the node: ledger and entry drivers, daemon, administration API, demo

Ruled out: deciding anything about replication, feeds, delegations or resends in src/node. LedgerNode and EntryNode only lock, feed LedgerService or EntryService, take the effects, unlock and do the I/O. Taking effects on the thread that feeds an input was ruled out too: a member's persisted() covers every effect taken so far, so only the writer thread takes them.

Settings name zones and regions while the core numbers them: EntryService::locate() takes the numbers of the accepted bundle; before it, names are numbered by appearance.

--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -184,7 +184,7 @@
     const auto applied = this->ownership.appliedIndex();
     if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + limits::snapshotInterval) {
         this->isSnapshotPending = true;
-        const auto members = this->ownership.members();
+        const auto members = this->member.membersAt(applied);
         effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->ownership.snapshot()) };
     }
     return effects;
--- a/src/core/ownership/EntryService.h
+++ b/src/core/ownership/EntryService.h
@@ -95,6 +95,13 @@
     /// @return The sequence by which EntryEffects::finished names it.
     std::uint64_t propose(Instant now, Command command);
 
+    /// Tells the numbers that the accepted bundle gives this VM's zone and region, which settings name.
+    void locate(ZoneId zone, RegionId region)
+    {
+        this->identity.zone = zone;
+        this->identity.region = region;
+    }
+
     /// Gives the load to be reported with the next renewal.
     void reportLoad(LoadSummary summary) { this->load = std::move(summary); }
 
@@ -105,7 +112,11 @@
     bool isTableFresh(Instant now) const noexcept { return this->steward.isTableFresh(now, this->ownership.appliedIndex()); }
     /// @return True until a valid delegation and the commit index that came with it have been reached.
     bool isBehind(Instant now) const noexcept { return !this->isTableFresh(now); }
+    /// @return Until when isTableFresh() holds unless the state changes.
+    Instant tableFreshUntil() const noexcept { return this->steward.tableFreshUntil(this->ownership.appliedIndex()); }
     Instant delegationEnd() const noexcept { return this->steward.delegationEnd(); }
+    /// @return The leader as last heard, or zero.
+    NodeId knownLeader() const noexcept { return this->leader; }
 
 private:
     struct SentDelegationRequest {
--- a/src/core/ownership/Steward.h
+++ b/src/core/ownership/Steward.h
@@ -90,6 +90,9 @@
     /// table has reached the commit index that the leader named.
     bool isTableFresh(Instant now, LogIndex appliedIndex) const noexcept;
 
+    /// @return Until when isTableFresh() holds for this index, unless another delegation comes.
+    Instant tableFreshUntil(LogIndex appliedIndex) const noexcept { return this->delegations.endWith(appliedIndex); }
+
     /// @return Number of upstreams whose current session this steward holds.
     std::size_t upstreamCount() const noexcept;
 
--- /dev/null
+++ b/src/node/Daemon.cpp
@@ -0,0 +1,201 @@
+#include "node/Daemon.h"
+
+#include "adapters/settings/BundleCheck.h"
+
+#include <variant>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Bundle submissions wait for the ledger on these workers, so there are more than submissions at a time.
+    constexpr std::size_t adminWorkerCount = 8;
+    constexpr std::size_t adminQueueLimit = 256;
+    /// A whole bundle fits, and a heartbeat that releases thousands of slots.
+    constexpr std::size_t maxAdminBodyBytes = 1024 * 1024;
+    constexpr std::chrono::milliseconds transportTick { 500 };
+    constexpr std::chrono::seconds cleanUpInterval { 1 };
+
+}
+
+Result<std::unique_ptr<Daemon>> Daemon::start(Settings settings, Logger& logger)
+{
+    std::unique_ptr<Daemon> daemon { new Daemon { std::move(settings), logger } };
+    if (const auto opened = daemon->open(); !opened) {
+        return opened.failure();
+    }
+    return daemon;
+}
+
+Daemon::Daemon(Settings settings, Logger& logger)
+    : settings(std::move(settings))
+    , logger(logger)
+    , boot(makeBootId())
+    , check(makeBundleCheck(this->settings.bootstrap.operators, this->settings.bootstrap.threshold))
+{
+}
+
+Daemon::~Daemon()
+{
+    // Callers of each part end before it: HTTP, then timers, then the ledger's writer, then the transport's thread.
+    this->adminServer.reset();
+    this->adminWorkers.reset();
+    this->timers.reset();
+    this->isOpen = false;
+    if (this->ledger) {
+        this->ledger->stop();
+    }
+    this->transport.reset();
+}
+
+Status Daemon::open()
+{
+    auto started = PeerTransport::Builder {}
+                       .identity(this->settings.node, this->boot)
+                       .listenOn(this->settings.peer)
+                       .clusterKey(this->settings.clusterKey)
+                       .handler([this](NodeId from, const PeerMessage& message) { this->dispatch(from, message); })
+                       .logger(this->logger)
+                       .start();
+    if (!started) {
+        return started.failure();
+    }
+    this->transport = std::move(*started);
+    this->peers.emplace(this->settings.bootstrap, [this](std::span<const PeerAddress> list) { return this->transport->setPeers(list); });
+    if (auto listed = this->peers->begin(); !listed) {
+        return listed;
+    }
+    if (this->settings.entry) {
+        this->makeEntry(this->check);
+    }
+    if (this->settings.ledger) {
+        if (auto made = this->makeLedger(this->check); !made) {
+            return made;
+        }
+    }
+    this->isOpen = true;
+    this->startTimers();
+    if (auto admin = this->startAdmin(); !admin) {
+        return admin;
+    }
+    return this->entry ? this->entry->listen(this->settings.entry->http) : success();
+}
+
+void Daemon::makeEntry(const BundleCheck& bundleCheck)
+{
+    this->entry = std::make_unique<EntryRole>(this->settings, this->boot, *this->transport, bundleCheck, this->clock, this->logger,
+        [this](const OwnershipState& state) { this->peers->follow(state); });
+}
+
+Status Daemon::makeLedger(const BundleCheck& bundleCheck)
+{
+    this->proposals = std::make_unique<DaemonProposals>(*this->transport, this->clock, this->boot);
+    LedgerCallbacks callbacks { [this](const OwnershipState& state) { this->peers->follow(state); },
+        [this](const Failure& failure) { this->ledgerFailed(failure); } };
+    auto opened = openLedger(this->settings, *this->transport, bundleCheck, this->clock, this->logger, std::move(callbacks));
+    if (!opened) {
+        return opened.failure();
+    }
+    this->ledger = std::move(*opened);
+    return success();
+}
+
+void Daemon::startTimers()
+{
+    this->timers = std::make_unique<ThreadTimerService>();
+    this->timers->every(transportTick, [this](Instant) { this->transport->tick(); });
+    if (this->entry) {
+        this->timers->every(EntryRole::Node::tickInterval, [this](Instant) { this->entry->entryNode().tick(); });
+        this->timers->every(cleanUpInterval, [this](Instant now) { this->entry->cleanUp(now); });
+    }
+    if (this->ledger) {
+        this->timers->every(DaemonLedger::tickInterval, [this](Instant) { this->ledger->tick(); });
+    }
+}
+
+Status Daemon::startAdmin()
+{
+    this->router.add("GET", "/status", [this](const HttpRequest&) { return this->answerStatus(); });
+    this->router.add("GET", "/owners", [this](const HttpRequest& request) { return this->answerOwners(request); });
+    this->router.add("GET", "/health", [](const HttpRequest&) { return jsonAnswer(200, R"({"ok":true})"); });
+    this->router.add("GET", "/ready", [this](const HttpRequest&) { return this->answerReady(); });
+    this->router.add("POST", "/v1/bundles", [this](const HttpRequest& request) {
+        const BundleDesk desk { [this] { return this->acceptedBundle(); }, [this] { return this->isBehind(); }, this->check,
+            [this](AcceptBundle command) { return this->propose(std::move(command)); } };
+        return submitBundle(desk, request.body);
+    });
+    if (this->entry) {
+        this->router.add("POST", "/v1/upstreams/heartbeat", [this](const HttpRequest& request) { return this->answerHeartbeat(request); });
+    }
+    HttpServerSettings serverSettings;
+    serverSettings.listen = this->settings.admin;
+    serverSettings.limits.maxBodyBytes = maxAdminBodyBytes;
+    this->adminWorkers = std::make_unique<WorkerPool>(adminWorkerCount, adminQueueLimit);
+    auto started = HttpServer::start(serverSettings, *this->adminWorkers, [this](const HttpRequest& request) { return this->router.handle(request); });
+    if (!started) {
+        return started.failure();
+    }
+    this->adminServer = std::move(*started);
+    return success();
+}
+
+void Daemon::dispatch(NodeId from, const PeerMessage& message)
+{
+    if (!this->isOpen) {
+        return;
+    }
+    const auto isAnswer = std::holds_alternative<DelegationReply>(message) || std::holds_alternative<FeedReply>(message) || std::holds_alternative<ProposeReply>(message);
+    if (isAnswer) {
+        if (this->entry) {
+            this->entry->entryNode().receive(from, message);
+        } else if (const auto* reply = std::get_if<ProposeReply>(&message); reply != nullptr && this->proposals) {
+            this->proposals->receive(*reply);
+        }
+    } else if (this->ledger) {
+        this->ledger->receive(from, message);
+    } else if (this->entry && std::holds_alternative<FeedRequest>(message)) {
+        this->entry->entryNode().receive(from, message);
+    }
+}
+
+void Daemon::ledgerFailed(const Failure& /*failure*/)
+{
+    const MutexLock lock { this->mutex };
+    this->hasFailed = true;
+    this->changed.notifyAll();
+}
+
+void Daemon::requestStop()
+{
+    const MutexLock lock { this->mutex };
+    this->isStopRequested = true;
+    this->changed.notifyAll();
+}
+
+int Daemon::run()
+{
+    {
+        const MutexLock lock { this->mutex };
+        while (!this->isStopRequested && !this->hasFailed) {
+            this->changed.wait(this->mutex);
+        }
+        if (this->hasFailed) {
+            return exitCode::ledgerFailed;
+        }
+    }
+    this->logger.log(LogEvent::ProcessStopping);
+    return this->drain() ? exitCode::success : exitCode::failure;
+}
+
+/// Upstreams keep their leases from this VM until the last caller is served.
+bool Daemon::drain()
+{
+    this->isDraining = true;
+    if (this->entry && !this->entry->drain(this->settings.drain)) {
+        this->logger.log(LogEvent::DrainDeadlineReached);
+        return false;
+    }
+    return true;
+}
+
+}
--- /dev/null
+++ b/src/node/EntryRole.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "adapters/clock/SteadyClock.h"
+#include "adapters/http/HttpServer.h"
+#include "adapters/http/UpstreamConnectionPool.h"
+#include "adapters/peer/PeerTransport.h"
+#include "adapters/settings/Settings.h"
+#include "adapters/threads/WorkerPool.h"
+#include "node/EntryNode.h"
+#include "node/RequestHandler.h"
+#include "node/RequestRecorder.h"
+#include "node/RouteDirectory.h"
+
+#include <memory>
+
+namespace teaselturn {
+
+/// The entry part of a process: front end for callers, replica, steward.
+class EntryRole {
+public:
+    using Node = EntryNode<PeerTransport, SteadyClock>;
+
+    /// The references outlive the role.
+    EntryRole(const Settings& settings, BootId boot, PeerTransport& transport, BundleCheck check, const SteadyClock& clock, Logger& logger, Node::BundlesChanged bundlesChanged);
+
+    /// Starts to accept callers.
+    /// @return ListenFailed or TlsInvalid.
+    Status listen(const HttpSettings& http);
+
+    /// Accepts no more callers and waits for requests in flight.
+    /// @return False where some were left when the time was up.
+    bool drain(Duration longest);
+
+    /// Closes and forgets what has not been used for a while. A timer calls it every second.
+    void cleanUp(Instant now);
+
+    Node& entryNode() noexcept { return this->node; }
+    /// @return The port that callers connect to. Requires listen().
+    std::uint16_t callerPort() const { return this->server->port(); }
+
+private:
+    using Handler = RequestHandler<RouteDirectory, UpstreamConnectionPool, SteadyClock, RequestRecorder>;
+
+    RouteDirectory routes;
+    Node node;
+    UpstreamConnectionPool connections;
+    LimiterTable<SteadyClock> limiters;
+    OutcomeRegistry outcomes;
+    RequestRecorder recorder;
+    Handler handler;
+    std::unique_ptr<WorkerPool> workers;
+    std::unique_ptr<HttpServer> server;
+};
+
+}
--- /dev/null
+++ b/src/node/LedgerNode.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "adapters/codec/OwnershipCodec.h"
+#include "adapters/log/Logger.h"
+#include "adapters/random/SystemRandom.h"
+#include "core/Mutex.h"
+#include "core/ledger/LedgerService.h"
+#include "core/ownership/BoundedLoadPlacement.h"
+#include "teaselturn/Message.h"
+#include "teaselturn/Ports.h"
+
+#include <concepts>
+#include <functional>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace teaselturn {
+
+/// Makes a member's writes durable. Every call returns after the sync. Used by one thread.
+template <typename T>
+concept LogStore = requires(T& store, const MemberEffects& effects, const LedgerSnapshot& snapshot)
+{
+    {
+        store.write(effects)
+        } -> std::same_as<Status>;
+    {
+        store.saveSnapshot(snapshot)
+        } -> std::same_as<Status>;
+};
+
+/// What a ledger process tells about itself.
+struct LedgerView {
+    Term term;
+    NodeId leader;
+    MemberRole role {};
+    LogIndex commitIndex;
+    bool hasLeaderLease {};
+};
+
+/// What a LedgerNode tells its owner, on its writer thread.
+struct LedgerCallbacks {
+    /// A bundle was accepted or the state was replaced by a snapshot. Called with LedgerNode::mutex held.
+    std::function<void(const OwnershipState& state)> bundlesChanged;
+    /// The member cannot go on: its disk failed or its state cannot be read. It does nothing any more.
+    std::function<void(const Failure& failure)> failed;
+};
+
+/// Drives the ledger part of a process. Any thread may hand in messages and ticks; one writer thread takes the effects,
+/// syncs, sends and reports back, so that no lock is held during I/O and nothing that depends on a write is sent before
+/// it. Its mutex is the first in the lock order.
+/// @tparam Sender Sends messages to other processes.
+/// @tparam Store Holds the log.
+/// @tparam ClockType Read once for each input, under the lock, so that a delay before it cannot make a lease look valid.
+template <PeerSender Sender, LogStore Store, Clock ClockType>
+class LedgerNode {
+public:
+    using Service = LedgerService<SystemRandom, BoundedLoadPlacement, OwnershipCodec>;
+
+    /// The references outlive the node. The thread starts with start().
+    /// @param logger May be null.
+    LedgerNode(Sender& sender, Store store, MemberState state, BundleCheck check, const ClockType& clock, Logger* logger, LedgerCallbacks callbacks)
+        : sender(sender)
+        , store(std::move(store))
+        , clock(clock)
+        , logger(logger)
+        , callbacks(std::move(callbacks))
+        , service(std::move(state), MemberTiming {}, SystemRandom {}, BoundedLoadPlacement {}, std::move(check), OwnershipCodec {}, clock.now())
+    {
+    }
+    ~LedgerNode() { this->stop(); }
+    LedgerNode(const LedgerNode&) = delete;
+    LedgerNode& operator=(const LedgerNode&) = delete;
+
+    /// Starts the writer thread.
+    /// @return SnapshotCorrupt where the state that the node was made of cannot be read.
+    Status start();
+
+    /// Ends the writer thread. Effects not yet carried out are dropped, as a crash would.
+    void stop();
+
+    void receive(NodeId from, const PeerMessage& message);
+
+    /// Lets timeouts act. A timer calls it every tickInterval.
+    void tick();
+
+    static constexpr std::chrono::milliseconds tickInterval { 25 };
+
+    LedgerView view();
+
+    /// Calls read with the applied state, under the lock. It must not block.
+    template <typename Read>
+    auto withState(Read&& read)
+    {
+        const MutexLock lock { this->mutex };
+        return std::forward<Read>(read)(this->service.state());
+    }
+
+private:
+    void run();
+    /// @return False where the disk failed.
+    bool carryOut(LedgerEffects& effects);
+    bool save(const LedgerSnapshot& snapshot);
+    void fail(const Failure& failure);
+    void noteBundles(const LedgerEffects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void logRole(const LedgerView& before, const LedgerView& after);
+    LedgerView viewLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    Sender& sender;
+    /// Used by the writer thread only.
+    Store store;
+    const ClockType& clock;
+    Logger* logger;
+    const LedgerCallbacks callbacks;
+
+    Mutex mutex;
+    ConditionVariable changed;
+    Service service ABSL_GUARDED_BY(mutex);
+    bool isDirty ABSL_GUARDED_BY(mutex) { true };
+    bool isStopping ABSL_GUARDED_BY(mutex) {};
+    std::thread writer;
+};
+
+}
+
+#include "node/LedgerNodeInlines.h"
--- /dev/null
+++ b/src/node/PeerDirectory.cpp
@@ -0,0 +1,48 @@
+#include "node/PeerDirectory.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+Status PeerDirectory::begin()
+{
+    return this->setPeers(this->list(nullptr));
+}
+
+void PeerDirectory::follow(const OwnershipState& state)
+{
+    const auto* accepted = state.acceptedBundle();
+    if (accepted == nullptr) {
+        return;
+    }
+    const auto& bundle = accepted->bundle;
+    const MutexLock lock { this->mutex };
+    // The addresses of an accepted bundle are IP numbers, so the list is taken.
+    if (this->latest <= bundle.version && this->setPeers(this->list(&bundle))) {
+        this->latest = bundle.version;
+    }
+}
+
+std::vector<PeerAddress> PeerDirectory::list(const Bundle* bundle) const
+{
+    std::vector<PeerAddress> peers;
+    const auto add = [&peers](NodeId node, const Endpoint& endpoint) {
+        if (std::ranges::find(peers, node, &PeerAddress::node) == peers.end()) {
+            peers.push_back({ node, endpoint });
+        }
+    };
+    if (bundle != nullptr) {
+        peers.reserve(bundle->entries.size() + bundle->members.size());
+        for (const auto* nodes : { &bundle->members, &bundle->entries }) {
+            for (const auto& node : *nodes) {
+                add(node.id, node.peer);
+            }
+        }
+    }
+    for (const auto& member : this->bootstrap.members) {
+        add(member.node, member.peer);
+    }
+    return peers;
+}
+
+}
--- /dev/null
+++ b/src/node/RouteDirectory.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/Mutex.h"
+#include "core/ledger/LedgerService.h"
+#include "core/ownership/OwnershipState.h"
+#include "core/routing/RouteTable.h"
+#include "node/RouteSource.h"
+#include "teaselturn/Types.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace teaselturn {
+
+/// What the workers of an entry VM look up: services, routes, owners, freshness. Lookups take shared locks and allocate
+/// nothing but the copy of an endpoint. It is changed by the thread that applies entries, with ReplicaTable::mutex held.
+/// Models RouteSource.
+class RouteDirectory {
+public:
+    std::optional<ServiceInfo> findService(std::string_view name);
+    std::optional<Route> find(ServiceId service, std::string_view key) const noexcept { return this->routes.find(service, key); }
+    std::optional<OwnerInfo> findOwner(UpstreamId owner);
+    bool isTableFresh(Instant now) const noexcept { return now.time_since_epoch() < this->freshUntil.load(std::memory_order_acquire); }
+    std::uint64_t version() { return this->signal.version(); }
+    void waitForChange(std::uint64_t seen, Duration longest) { this->signal.waitForChange(seen, longest); }
+
+    /// Follows an applied entry.
+    /// @param region This VM's region, as the accepted bundle numbers it.
+    void apply(const OwnershipState& state, const AppliedEntry& applied, RegionId region);
+    /// Follows a state that was replaced as a whole.
+    void rebuild(const OwnershipState& state, RegionId region);
+    /// @param until No request goes to an upstream that does not check grants at or after this instant.
+    void setFreshUntil(Instant until) noexcept { this->freshUntil.store(until.time_since_epoch(), std::memory_order_release); }
+    /// Wakes requests that wait for an owner. Called without ReplicaTable::mutex.
+    void notifyChanged() { this->signal.notifyChanged(); }
+
+private:
+    void setOwner(const OwnershipState& state, UpstreamId upstream);
+    void rebuildOwners(const OwnershipState& state, RegionId region);
+    OwnerInfo describe(const UpstreamRecord& record) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    RouteTable routes;
+    std::atomic<Duration> freshUntil { Duration::min() };
+    RouteSignal signal;
+    Mutex mutex;
+    std::uint32_t entryCount ABSL_GUARDED_BY(mutex) { 1 };
+    absl::flat_hash_map<UpstreamId, OwnerInfo> owners ABSL_GUARDED_BY(mutex);
+    absl::flat_hash_map<ServiceId, ServiceInfo> services ABSL_GUARDED_BY(mutex);
+};
+
+static_assert(RouteSource<RouteDirectory>);
+
+}
--- /dev/null
+++ b/src/node/StatusJson.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/ownership/OwnershipState.h"
+#include "node/EntryNode.h"
+#include "node/LedgerNode.h"
+#include "teaselturn/Types.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// JSON of the administration API about the state of a VM. docs/admin-api.md describes the members.
+namespace teaselturn {
+
+/// What `GET /status` says besides the replicated state.
+struct NodeFacts {
+    NodeId node;
+    BootId boot;
+    std::string zone;
+    std::string region;
+    /// Absent without the role.
+    std::optional<EntryView> entry;
+    std::optional<LedgerView> ledger;
+};
+
+/// @param region Number of the VM's region.
+std::string writeStatus(const NodeFacts& facts, const OwnershipState& state, RegionId region);
+
+/// @return The owner of a key, or RequestServiceUnknown.
+Result<std::string> writeOwner(const OwnershipState& state, RegionId region, std::string_view service, std::string_view key);
+
+/// @return The region's number in the accepted bundle, or zero.
+RegionId findRegion(const OwnershipState& state, std::string_view name);
+
+}
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -1,7 +1,85 @@
+#include "adapters/settings/SettingsLoader.h"
+#include "node/CommandLine.h"
+#include "node/Daemon.h"
+#include "node/SignalWait.h"
+
 #include <cstdio>
+#include <cstdlib>
+#include <thread>
+
+using namespace teaselturn;
+
+namespace {
+
+int reportFailure(const Failure& failure)
+{
+    std::fprintf(stderr, "teaselturnd: %s\n", failure.describe().c_str());
+    return exitCode::failure;
+}
+
+int runDaemon(Settings settings, const SignalWait& signals)
+{
+    auto logger = Logger::open({ settings.log.level, settings.log.file ? settings.log.file->string() : std::string {} });
+    if (!logger) {
+        return reportFailure(logger.failure());
+    }
+    auto daemon = Daemon::start(std::move(settings), **logger);
+    if (!daemon) {
+        (*logger)->log(LogEvent::ListenFailed, daemon.failure().describe());
+        (*logger)->flush();
+        return reportFailure(daemon.failure());
+    }
+    (*logger)->log(LogEvent::ProcessStarted, TEASELTURN_VERSION, { { "admin", (*daemon)->adminPort() } });
+    std::thread { [&daemon = **daemon, &signals] {
+        signals.next();
+        daemon.requestStop();
+        signals.next();
+        // The second signal does not wait for requests in flight.
+        std::_Exit(exitCode::failure);
+    } }.detach();
+    const auto code = (*daemon)->run();
+    (*logger)->log(LogEvent::ProcessStopped, "", { { "exit", code } });
+    (*logger)->flush();
+    if (code != exitCode::success) {
+        // Requests in flight would hold up an orderly end.
+        std::_Exit(code);
+    }
+    daemon->reset();
+    return code;
+}
+
+}
 
-int main()
+int main(int count, char** arguments)
 {
-    std::puts("teaselturnd " TEASELTURN_VERSION);
-    return 0;
+    const auto line = parseCommandLine(count, arguments);
+    if (!line) {
+        std::fprintf(stderr, "teaselturnd: %s\n%s", line.failure().describe().c_str(), daemonUsage);
+        return exitCode::usage;
+    }
+    if (line->action == CommandLine::Action::Help) {
+        std::fputs(daemonUsage, stdout);
+        return exitCode::success;
+    }
+    if (line->action == CommandLine::Action::Version) {
+        std::puts("teaselturnd " TEASELTURN_VERSION);
+        return exitCode::success;
+    }
+    auto settings = loadSettings(line->settingsFile);
+    if (!settings.value) {
+        for (const auto& problem : settings.problems) {
+            std::fprintf(stderr, "teaselturnd: %s\n", problem.describe(line->settingsFile).c_str());
+        }
+        return exitCode::failure;
+    }
+    if (line->action == CommandLine::Action::Check) {
+        std::puts("settings are valid");
+        return exitCode::success;
+    }
+    if (line->action == CommandLine::Action::CreateLedger) {
+        const auto created = createLedger(*settings.value);
+        return created ? exitCode::success : reportFailure(created.failure());
+    }
+    const SignalWait signals;
+    return runDaemon(std::move(*settings.value), signals);
 }
