--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -55,7 +55,7 @@
         return;
     }
     auto answer = this->coordinator.delegate(now, from, request, this->ownership);
-    answer.commitIndex = this->member.commitIndex();
+    answer.commitIndex = std::max(answer.commitIndex, this->member.commitIndex());
     answer.leader = this->member.leader();
     if (answer.length > std::chrono::milliseconds::zero()) {
         this->queuedDelegations.push_back({ from, request.boot });
