Wire metrics, load reports and hot keys into the entry VM; let a leaving upstream end

Cause: a leaving upstream whose slots had been handed over between two heartbeats was answered with session 0, which the upstream contract tells it to ignore, so it never learned that it holds nothing. The steward now answers a leaving upstream that the state does not know with its own session and an empty list of grants.

The demo also counted 172 of 900 requests of one driver as unknown: two drivers had started within the same microsecond and used the same request ids, which the entry VMs refuse. The ids now name the driver's process too.

Ruled out: giving a load summary at a fixed interval, which loses the counts of every summary that the next one replaces before a renewal; EntryService::wantsLoad() tells when the former one has been reported.

Conclusion: RequestObserver::finished also gets the upstream's status, since 5xx counts as bad in the burn rate.

--- a/src/core/ownership/Steward.cpp
+++ b/src/core/ownership/Steward.cpp
@@ -85,7 +85,11 @@
     }
     const auto* record = state.findUpstream(heartbeat.name, heartbeat.incarnation);
     if (record == nullptr && heartbeat.isLeaving) {
-        return { ResultCode::UpstreamUnknown };
+        HeartbeatDecision decision { ResultCode::UpstreamUnknown };
+        // Its slots may have been handed over since its last heartbeat: the empty list tells it that it may end.
+        decision.reply.session = heartbeat.session;
+        decision.reply.grantsIncluded = true;
+        return decision;
     }
     if (record == nullptr || !this->isMine(*record) || heartbeat.session > record->session) {
         return this->attach(now, heartbeat, state);
--- a/src/node/Daemon.cpp
+++ b/src/node/Daemon.cpp
@@ -1,7 +1,9 @@
 #include "node/Daemon.h"
 
 #include "adapters/settings/BundleCheck.h"
+#include "node/StatusJson.h"
 
+#include <algorithm>
 #include <variant>
 
 namespace teaselturn {
@@ -15,6 +17,7 @@
     constexpr std::size_t maxAdminBodyBytes = 1024 * 1024;
     constexpr std::chrono::milliseconds transportTick { 500 };
     constexpr std::chrono::seconds cleanUpInterval { 1 };
+    constexpr std::chrono::milliseconds loadReportInterval { 100 };
 
 }
 
@@ -32,6 +35,7 @@
     , logger(logger)
     , boot(makeBootId())
     , check(makeBundleCheck(this->settings.bootstrap.operators, this->settings.bootstrap.threshold))
+    , metrics(this->settings.node)
 {
 }
 
@@ -83,8 +87,8 @@
 
 void Daemon::makeEntry(const BundleCheck& bundleCheck)
 {
-    this->entry = std::make_unique<EntryRole>(this->settings, this->boot, *this->transport, bundleCheck, this->clock, this->logger,
-        [this](const OwnershipState& state) { this->peers->follow(state); });
+    this->entry = std::make_unique<EntryRole>(this->settings, this->boot, *this->transport, bundleCheck, this->clock, this->logger, this->metrics,
+        [this](const OwnershipState& state) { this->followBundles(state); });
 }
 
 Status Daemon::makeLedger(const BundleCheck& bundleCheck)
@@ -100,11 +104,26 @@
     return success();
 }
 
+/// Called with ReplicaTable::mutex held; every lock taken here comes later in the order.
+void Daemon::followBundles(const OwnershipState& state)
+{
+    this->peers->follow(state);
+    if (const auto* inForce = state.bundleInForce(findRegion(state, this->settings.region))) {
+        this->metrics.setBundle(inForce->bundle);
+        const auto& zones = inForce->bundle.zones;
+        if (const auto own = std::ranges::find(zones, this->settings.zone, &ZoneSpec::name); own != zones.end() && this->entry) {
+            this->entry->requestRecorder().setZone(own->id);
+        }
+    }
+}
+
 void Daemon::startTimers()
 {
     this->timers = std::make_unique<ThreadTimerService>();
     this->timers->every(transportTick, [this](Instant) { this->transport->tick(); });
+    this->timers->every(cleanUpInterval, [this](Instant) { this->exportCounters(); });
     if (this->entry) {
+        this->timers->every(loadReportInterval, [this](Instant) { this->entry->reportLoad(); });
         this->timers->every(EntryRole::Node::tickInterval, [this](Instant) { this->entry->entryNode().tick(); });
         this->timers->every(cleanUpInterval, [this](Instant now) { this->entry->cleanUp(now); });
     }
@@ -117,6 +136,8 @@
 {
     this->router.add("GET", "/status", [this](const HttpRequest&) { return this->answerStatus(); });
     this->router.add("GET", "/owners", [this](const HttpRequest& request) { return this->answerOwners(request); });
+    this->router.add("GET", "/metrics", [this](const HttpRequest&) { return this->answerMetrics(); });
+    this->router.add("GET", "/report", [this](const HttpRequest&) { return jsonAnswer(200, this->metrics.renderReport(this->clock.now())); });
     this->router.add("GET", "/health", [](const HttpRequest&) { return jsonAnswer(200, R"({"ok":true})"); });
     this->router.add("GET", "/ready", [this](const HttpRequest&) { return this->answerReady(); });
     this->router.add("POST", "/v1/bundles", [this](const HttpRequest& request) {
--- a/src/node/Daemon.h
+++ b/src/node/Daemon.h
@@ -11,8 +11,10 @@
 #include "node/BundleEndpoint.h"
 #include "node/EntryRole.h"
 #include "node/LedgerRole.h"
+#include "node/MetricsRegistry.h"
 #include "node/PeerDirectory.h"
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <optional>
@@ -66,7 +68,11 @@
     void ledgerFailed(const Failure& failure);
     bool drain();
 
+    void followBundles(const OwnershipState& state);
+    void exportCounters();
+
     HttpAnswer answerStatus();
+    HttpAnswer answerMetrics();
     HttpAnswer answerOwners(const HttpRequest& request);
     HttpAnswer answerReady();
     HttpAnswer answerHeartbeat(const HttpRequest& request);
@@ -81,6 +87,9 @@
     const BootId boot;
     SteadyClock clock;
     BundleCheck check;
+    MetricsRegistry metrics;
+    /// Drops of the transport that the metrics have counted. Used by the timer thread only.
+    std::array<std::uint64_t, PeerStatistics::dropCodes.size()> exportedDrops {};
     /// Messages and timers do nothing before every part exists.
     std::atomic<bool> isOpen { false };
     std::atomic<bool> isDraining { false };
--- a/src/node/DaemonAdmin.cpp
+++ b/src/node/DaemonAdmin.cpp
@@ -26,6 +26,29 @@
     return jsonAnswer(200, this->withState([&](const OwnershipState& state, RegionId region) { return writeStatus(facts, state, region); }));
 }
 
+void Daemon::exportCounters()
+{
+    const auto& counters = this->transport->counters();
+    const auto set = [this](std::string_view name, std::string_view help, std::uint64_t value) {
+        this->metrics.gauge(name, help).set(static_cast<std::int64_t>(value));
+    };
+    set("peer_sent_frames", "Frames sent to other processes of the system since the start.", counters.sentFrames.load());
+    set("peer_sent_bytes", "Bytes of these frames.", counters.sentBytes.load());
+    set("peer_received_frames", "Frames received from other processes of the system since the start.", counters.receivedFrames.load());
+    set("peer_received_bytes", "Bytes of these frames.", counters.receivedBytes.load());
+    for (std::size_t i = 0; i < PeerStatistics::dropCodes.size(); ++i) {
+        const auto code = PeerStatistics::dropCodes[i];
+        for (const auto total = counters.dropped(code); this->exportedDrops[i] < total; ++this->exportedDrops[i]) {
+            this->metrics.recordDroppedMessage(code);
+        }
+    }
+}
+
+HttpAnswer Daemon::answerMetrics()
+{
+    return { 200, { { "Content-Type", "text/plain; version=0.0.4" } }, this->metrics.renderMetrics() };
+}
+
 HttpAnswer Daemon::answerOwners(const HttpRequest& request)
 {
     const auto service = queryParameter(request.target, "service");
--- a/src/node/EntryNode.h
+++ b/src/node/EntryNode.h
@@ -77,8 +77,10 @@
     /// @return What it did, NoQuorum, or QueueFull where too many wait already.
     Result<ApplyOutcome> propose(Command command);
 
-    /// Gives the load to be reported with the next renewal.
-    void reportLoad(LoadSummary summary);
+    /// Gives the load to be reported with the next renewal, where the former one has been reported.
+    /// @param drain Returns the summary; called without the lock. Call from one thread at a time.
+    template <typename Drain>
+    void reportLoad(Drain&& drain);
 
     EntryView view();
 
--- a/src/node/EntryNodeInlines.h
+++ b/src/node/EntryNodeInlines.h
@@ -60,8 +60,16 @@
 }
 
 template <PeerSender Sender, Clock ClockType>
-void EntryNode<Sender, ClockType>::reportLoad(LoadSummary summary)
+template <typename Drain>
+void EntryNode<Sender, ClockType>::reportLoad(Drain&& drain)
 {
+    {
+        const MutexLock lock { this->mutex };
+        if (!this->service.wantsLoad()) {
+            return;
+        }
+    }
+    LoadSummary summary = drain();
     const MutexLock lock { this->mutex };
     this->service.reportLoad(std::move(summary));
 }
--- a/src/node/EntryRole.cpp
+++ b/src/node/EntryRole.cpp
@@ -39,10 +39,10 @@
 
 }
 
-EntryRole::EntryRole(const Settings& settings, BootId boot, PeerTransport& transport, BundleCheck check, const SteadyClock& clock, Logger& logger, Node::BundlesChanged bundlesChanged)
+EntryRole::EntryRole(const Settings& settings, BootId boot, PeerTransport& transport, BundleCheck check, const SteadyClock& clock, Logger& logger, MetricsRegistry& metrics, Node::BundlesChanged bundlesChanged)
     : node(transport, identify(settings, boot), { settings.zone, settings.region }, std::move(check), clock, routes, &logger, std::move(bundlesChanged))
     , limiters(clock)
-    , recorder(logger)
+    , recorder(routes, metrics, logger)
     , handler(routes, connections, clock, limiters, outcomes, recorder)
 {
 }
@@ -70,6 +70,11 @@
     return !this->server || this->server->drain(longest);
 }
 
+void EntryRole::reportLoad()
+{
+    this->node.reportLoad([this] { return this->recorder.drainLoad(); });
+}
+
 void EntryRole::cleanUp(Instant now)
 {
     this->connections.closeUnused(now);
--- a/src/node/EntryRole.h
+++ b/src/node/EntryRole.h
@@ -21,7 +21,7 @@
     using Node = EntryNode<PeerTransport, SteadyClock>;
 
     /// The references outlive the role.
-    EntryRole(const Settings& settings, BootId boot, PeerTransport& transport, BundleCheck check, const SteadyClock& clock, Logger& logger, Node::BundlesChanged bundlesChanged);
+    EntryRole(const Settings& settings, BootId boot, PeerTransport& transport, BundleCheck check, const SteadyClock& clock, Logger& logger, MetricsRegistry& metrics, Node::BundlesChanged bundlesChanged);
 
     /// Starts to accept callers.
     /// @return ListenFailed or TlsInvalid.
@@ -31,9 +31,13 @@
     /// @return False where some were left when the time was up.
     bool drain(Duration longest);
 
+    /// Hands the load since the last report to the entry node. A timer calls it every 100 ms.
+    void reportLoad();
+
     /// Closes and forgets what has not been used for a while. A timer calls it every second.
     void cleanUp(Instant now);
 
+    RequestRecorder& requestRecorder() noexcept { return this->recorder; }
     Node& entryNode() noexcept { return this->node; }
     /// @return The port that callers connect to. Requires listen().
     std::uint16_t callerPort() const { return this->server->port(); }
--- a/src/node/LedgerRole.cpp
+++ b/src/node/LedgerRole.cpp
@@ -7,11 +7,16 @@
 
 namespace {
 
+    DiskId firstDiskOf(const BootstrapMember& member)
+    {
+        return member.disk == DiskId {} ? firstDiskId(member.node) : member.disk;
+    }
+
     std::vector<MemberSpec> firstMembers(const BootstrapSettings& bootstrap)
     {
         std::vector<MemberSpec> members;
         members.reserve(bootstrap.members.size());
-        std::ranges::transform(bootstrap.members, std::back_inserter(members), [](const BootstrapMember& member) { return MemberSpec { member.node, firstDiskId(member.node), true }; });
+        std::ranges::transform(bootstrap.members, std::back_inserter(members), [](const BootstrapMember& member) { return MemberSpec { member.node, firstDiskOf(member), true }; });
         return members;
     }
 
@@ -27,7 +32,12 @@
     if (std::filesystem::exists(path, error)) {
         return { ResultCode::DataFolderInvalid, path.string() + " exists" };
     }
-    const auto folder = DataFolder<>::open(PosixFiles {}, path.string(), firstDiskId(settings.node));
+    const auto& members = settings.bootstrap.members;
+    const auto self = std::ranges::find(members, settings.node, &BootstrapMember::node);
+    if (self == members.end()) {
+        return { ResultCode::SettingsInvalidValue, "bootstrap.members does not list this VM" };
+    }
+    const auto folder = DataFolder<>::open(PosixFiles {}, path.string(), firstDiskOf(*self));
     return folder ? success() : Status { folder.failure() };
 }
 
--- a/src/node/RequestHandler.h
+++ b/src/node/RequestHandler.h
@@ -15,16 +15,16 @@
 /// Hears how each request and attempt ended, for counters and logs.
 template <typename T>
 concept RequestObserver = requires(T& observer, const RequestSpec& request, Outcome outcome, ResultCode code,
-    Duration latency, UpstreamId upstream, AttemptResult result)
+    Duration latency, UpstreamId upstream, AttemptResult result, int upstreamStatus)
 {
-    { observer.finished(request, outcome, code, latency) };
+    { observer.finished(request, outcome, code, latency, upstreamStatus) };
     { observer.attempted(request, upstream, result, latency) };
     { observer.circuitOpened(upstream) };
 };
 
 /// Observes nothing.
 struct NoRequestObserver {
-    void finished(const RequestSpec&, Outcome, ResultCode, Duration) { }
+    void finished(const RequestSpec&, Outcome, ResultCode, Duration, int) { }
     void attempted(const RequestSpec&, UpstreamId, AttemptResult, Duration) { }
     void circuitOpened(UpstreamId) { }
 };
--- a/src/node/RequestHandlerInlines.h
+++ b/src/node/RequestHandlerInlines.h
@@ -30,7 +30,8 @@
     }
     this->limiters.countRequest(service->id, service->retryBudgetPercent);
     auto outcome = this->run(http, spec, *service);
-    this->observer.finished(spec, outcome.outcome, outcome.code, this->clock.now() - spec.arrivedAt);
+    const auto upstreamStatus = outcome.outcome == Outcome::Answered ? outcome.answer.status : 0;
+    this->observer.finished(spec, outcome.outcome, outcome.code, this->clock.now() - spec.arrivedAt, upstreamStatus);
     if (!spec.isRepeatable) {
         this->record(spec, outcome);
     }
--- a/src/node/RequestRecorder.cpp
+++ b/src/node/RequestRecorder.cpp
@@ -2,8 +2,10 @@
 
 namespace teaselturn {
 
-void RequestRecorder::finished(const RequestSpec& request, Outcome outcome, ResultCode code, Duration latency)
+void RequestRecorder::finished(const RequestSpec& request, Outcome outcome, ResultCode code, Duration latency, int upstreamStatus)
 {
+    const ZoneId ownZone { this->zone.load(std::memory_order_relaxed) };
+    this->metrics.recordRequest(request.service, ownZone, outcome, code, latency, request.arrivedAt + latency, upstreamStatus);
     if (outcome == Outcome::Answered) {
         return;
     }
@@ -16,6 +18,13 @@
 
 void RequestRecorder::attempted(const RequestSpec& request, UpstreamId upstream, AttemptResult result, Duration /*latency*/)
 {
+    if (const auto route = this->routes.find(request.service, request.key)) {
+        this->slots.add(route->slot);
+    }
+    {
+        const MutexLock lock { this->mutex };
+        this->keys.add(request.service, request.key);
+    }
     if (result == AttemptResult::Incomplete || result == AttemptResult::Mismatched) {
         this->logger.log(LogEvent::AnswerDropped, "", { { "request", request.requestId }, { "upstream", upstream } });
     } else if (result == AttemptResult::TimedOut || result == AttemptResult::Broken) {
@@ -23,6 +32,15 @@
     }
 }
 
+LoadSummary RequestRecorder::drainLoad()
+{
+    LoadSummary summary;
+    summary.loads = this->slots.drain();
+    const MutexLock lock { this->mutex };
+    summary.hotKeys = this->keys.drain();
+    return summary;
+}
+
 void RequestRecorder::circuitOpened(UpstreamId upstream)
 {
     this->logger.log(LogEvent::CircuitOpened, "", { { "upstream", upstream } });
--- a/src/node/RequestRecorder.h
+++ b/src/node/RequestRecorder.h
@@ -1,25 +1,50 @@
 #pragma once
 
 #include "adapters/log/Logger.h"
+#include "core/Mutex.h"
+#include "core/ownership/EntryService.h"
+#include "core/ownership/HotKeySketch.h"
+#include "core/ownership/SlotLoadCounter.h"
 #include "core/request/RequestMachine.h"
+#include "node/MetricsRegistry.h"
+#include "node/RouteDirectory.h"
 #include "teaselturn/Types.h"
 
+#include <atomic>
+
 namespace teaselturn {
 
-/// Hears how callers' requests and their attempts ended. Models RequestObserver.
+/// Hears how callers' requests and their attempts ended: it counts them for the metrics and for the load that the ledger
+/// leader is told. Models RequestObserver.
 class RequestRecorder {
 public:
-    explicit RequestRecorder(Logger& logger)
-        : logger(logger)
+    /// The references outlive the recorder.
+    RequestRecorder(const RouteDirectory& routes, MetricsRegistry& metrics, Logger& logger)
+        : routes(routes)
+        , metrics(metrics)
+        , logger(logger)
     {
     }
 
-    void finished(const RequestSpec& request, Outcome outcome, ResultCode code, Duration latency);
+    void finished(const RequestSpec& request, Outcome outcome, ResultCode code, Duration latency, int upstreamStatus);
     void attempted(const RequestSpec& request, UpstreamId upstream, AttemptResult result, Duration latency);
     void circuitOpened(UpstreamId upstream);
 
+    /// @param zone This VM's zone, under which requests are counted.
+    void setZone(ZoneId zone) noexcept { this->zone.store(zone.value, std::memory_order_relaxed); }
+
+    /// Takes the load since the last call. Call from one thread at a time.
+    LoadSummary drainLoad();
+
 private:
+    const RouteDirectory& routes;
+    MetricsRegistry& metrics;
     Logger& logger;
+    std::atomic<std::uint16_t> zone { 0 };
+    SlotLoadCounter slots;
+    /// A leaf of the lock order.
+    Mutex mutex;
+    HotKeySketch keys ABSL_GUARDED_BY(mutex);
 };
 
 }
--- a/tools/load-driver/Load.cpp
+++ b/tools/load-driver/Load.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <memory>
 #include <thread>
+#include <unistd.h>
 
 using namespace teaselturn;
 
@@ -93,7 +94,8 @@
 
 Load::Load(const Options& options)
     : options(options)
-    , runName(std::to_string(makeBootId().value))
+    // Drivers that start together can read the same microsecond, and entry VMs refuse an id they have seen.
+    , runName(std::to_string(makeBootId().value) + "-" + std::to_string(getpid()))
     , total(static_cast<std::uint64_t>(options.rate) * static_cast<std::uint64_t>(options.duration.count()) / 1'000)
     , file(options.recordFile.empty() ? nullptr : std::fopen(options.recordFile.c_str(), "a"))
 {
