Let an answer to a heartbeat name the heartbeat over HTTP too

Cause: the fault matrix found that an answer delivered to another upstream was taken. Ruled out: relying on the connection, since answers can arrive crossed. After: incarnation and sequence are in the JSON of both directions; the stand-in takes only the answer to its latest heartbeat.

--- a/src/adapters/http/HeartbeatJson.cpp
+++ b/src/adapters/http/HeartbeatJson.cpp
@@ -146,6 +146,7 @@
         HeartbeatMessage message;
         message.name = reader.text("name");
         message.incarnation = reader.number<std::uint64_t>("incarnation");
+        message.sequence = reader.number<std::uint64_t>("sequence");
         message.session = reader.number<std::uint64_t>("session");
         message.service = reader.text("service");
         message.zone = reader.text("zone");
@@ -166,6 +167,8 @@
     {
         HeartbeatReplyMessage message;
         message.code = reader.number<std::uint32_t>("code");
+        message.incarnation = reader.number<std::uint64_t>("incarnation");
+        message.sequence = reader.number<std::uint64_t>("sequence");
         message.upstream = reader.number<std::uint64_t>("upstream");
         message.session = reader.number<std::uint64_t>("session");
         message.leaseMilliseconds = reader.number<std::uint32_t>("leaseMs");
@@ -182,7 +185,7 @@
 
 std::string encodeHeartbeat(const HeartbeatMessage& heartbeat)
 {
-    return Json { { "name", heartbeat.name }, { "incarnation", heartbeat.incarnation },
+    return Json { { "name", heartbeat.name }, { "incarnation", heartbeat.incarnation }, { "sequence", heartbeat.sequence },
         { "session", heartbeat.session }, { "service", heartbeat.service }, { "zone", heartbeat.zone },
         { "address", heartbeat.endpoint.address }, { "port", heartbeat.endpoint.port },
         { "requestSlots", heartbeat.requestSlots }, { "connectionLimit", heartbeat.connectionLimit },
@@ -198,7 +201,8 @@
 
 std::string encodeHeartbeatReply(const HeartbeatReplyMessage& reply)
 {
-    Json json { { "code", reply.code }, { "upstream", reply.upstream }, { "session", reply.session },
+    Json json { { "code", reply.code }, { "incarnation", reply.incarnation }, { "sequence", reply.sequence },
+        { "upstream", reply.upstream }, { "session", reply.session },
         { "leaseMs", reply.leaseMilliseconds }, { "grantsVersion", reply.grantsVersion },
         { "releaseWanted", slotsToJson(reply.releaseWanted) } };
     if (reply.grantsIncluded) {
--- a/src/adapters/http/HeartbeatJson.h
+++ b/src/adapters/http/HeartbeatJson.h
@@ -24,6 +24,8 @@
 struct HeartbeatMessage {
     std::string name;
     std::uint64_t incarnation {};
+    /// Grows with each heartbeat of the incarnation.
+    std::uint64_t sequence {};
     std::uint64_t session {};
     std::string service;
     std::string zone;
@@ -42,6 +44,9 @@
 struct HeartbeatReplyMessage {
     /// Number of a ResultCode; zero for success.
     std::uint32_t code {};
+    /// Incarnation and sequence of the heartbeat that this answers.
+    std::uint64_t incarnation {};
+    std::uint64_t sequence {};
     std::uint64_t upstream {};
     std::uint64_t session {};
     std::uint32_t leaseMilliseconds {};
--- a/src/node/EntryNodeInlines.h
+++ b/src/node/EntryNodeInlines.h
@@ -147,7 +147,7 @@
     if (service == bundle.services.end() || zone == bundle.zones.end()) {
         return std::nullopt;
     }
-    Heartbeat heartbeat { message.name, message.incarnation, SessionId { message.session }, service->id, zone->id, message.endpoint,
+    Heartbeat heartbeat { message.name, message.incarnation, message.sequence, SessionId { message.session }, service->id, zone->id, message.endpoint,
         message.requestSlots, message.connectionLimit, message.checksGrants, message.isLeaving, message.grantsVersion, {} };
     for (const auto& slot : message.released) {
         heartbeat.released.push_back({ SlotId { service->id, slot.slot }, Fence { slot.fence } });
@@ -161,6 +161,8 @@
     return this->drive([&](Instant now) {
         this->mutex.assertHeld();
         HeartbeatReplyMessage answer;
+        answer.incarnation = message.incarnation;
+        answer.sequence = message.sequence;
         const auto heartbeat = this->translate(message);
         if (!heartbeat) {
             answer.code = static_cast<std::uint32_t>(ResultCode::HeartbeatInvalid);
@@ -177,7 +179,7 @@
             std::ranges::transform(slots, std::back_inserter(list), [](const SlotRelease& slot) { return SlotMessage { slot.slot.index, slot.fence.value }; });
             return list;
         };
-        answer = { static_cast<std::uint32_t>(code), reply.upstream.value, reply.session.value, static_cast<std::uint32_t>(reply.lease.count()),
+        answer = { static_cast<std::uint32_t>(code), reply.incarnation, reply.sequence, reply.upstream.value, reply.session.value, static_cast<std::uint32_t>(reply.lease.count()),
             reply.grantsVersion, reply.grantsIncluded, listed(reply.grants), listed(reply.releaseWanted) };
         return answer;
     });
--- a/tests/adapters/http/HeartbeatJsonTest.cpp
+++ b/tests/adapters/http/HeartbeatJsonTest.cpp
@@ -6,10 +6,10 @@
 
 TEST_CASE("heartbeat messages survive encoding", "[http]")
 {
-    const HeartbeatMessage heartbeat { "up-1", 0xffff'ffff'ffff'ffffU, 7, "tills", "wc-paarl", { "127.0.0.1", 8080 }, 3,
+    const HeartbeatMessage heartbeat { "up-1", 0xffff'ffff'ffff'ffffU, 12, 7, "tills", "wc-paarl", { "127.0.0.1", 8080 }, 3,
         110, true, true, 9, { { 1, 2 }, { firstHotKeySlot, 4 } } };
     CHECK(decodeHeartbeat(encodeHeartbeat(heartbeat)).value() == heartbeat);
-    HeartbeatReplyMessage reply { 0, 5, 7, 1'000, 9, true, { { 1, 2 } }, { { 3, 4 } } };
+    HeartbeatReplyMessage reply { 0, 21, 22, 5, 7, 1'000, 9, true, { { 1, 2 } }, { { 3, 4 } } };
     CHECK(decodeHeartbeatReply(encodeHeartbeatReply(reply)).value() == reply);
     reply.grantsIncluded = false;
     reply.grants.clear();
@@ -19,7 +19,7 @@
 TEST_CASE("heartbeats with unknown, duplicate, missing or wrong members are refused", "[http]")
 {
     // Guards against an instruction that two readers understand differently.
-    const HeartbeatMessage heartbeat { "up-1", 1, 7, "tills", "wc-paarl", { "127.0.0.1", 80 }, 3, 110, true, false, 9 };
+    const HeartbeatMessage heartbeat { "up-1", 1, 12, 7, "tills", "wc-paarl", { "127.0.0.1", 80 }, 3, 110, true, false, 9 };
     const auto good = encodeHeartbeat(heartbeat);
     REQUIRE(decodeHeartbeat(good));
     const auto changed = [&](const std::string& from, const std::string& to) {
--- a/tests/node/SmallEntry.h
+++ b/tests/node/SmallEntry.h
@@ -81,7 +81,7 @@
                 slot = { this->target(released.slot), ++this->logIndex };
             }
         }
-        teaselturn::HeartbeatReplyMessage reply { 0, id, id,
+        teaselturn::HeartbeatReplyMessage reply { 0, message->incarnation, message->sequence, id, id,
             static_cast<std::uint32_t>(leaseLength.count()), this->logIndex, true, {}, {} };
         for (std::uint32_t index = 0; index < this->slots.size(); ++index) {
             if (this->slots[index].owner == id) {
@@ -188,7 +188,7 @@
 
 private:
     struct CountingObserver : teaselturn::NoRequestObserver {
-        void finished(const teaselturn::RequestSpec&, teaselturn::Outcome, teaselturn::ResultCode, teaselturn::Duration)
+        void finished(const teaselturn::RequestSpec&, teaselturn::Outcome, teaselturn::ResultCode, teaselturn::Duration, int)
         {
             ++this->requests;
         }
--- a/tools/stand-in-upstream/Grants.cpp
+++ b/tools/stand-in-upstream/Grants.cpp
@@ -21,7 +21,9 @@
     const MutexLock lock { this->mutex };
     HeartbeatMessage message;
     message.name = this->options.name;
+    this->incarnation = incarnation;
     message.incarnation = incarnation;
+    message.sequence = ++this->sequence;
     message.session = this->session;
     message.service = this->options.service;
     message.zone = this->options.zone;
@@ -107,7 +109,8 @@
 {
     const MutexLock lock { this->mutex };
     const auto now = SteadyClock {}.now();
-    if (reply.session < this->session) {
+    const auto isAwaited = reply.incarnation == this->incarnation && reply.sequence == this->sequence;
+    if (!isAwaited || reply.session < this->session) {
         return;
     }
     this->session = reply.session;
