Test TLS files, and fuzz bundles and settings from valid documents

Cause: no test held a certificate against its key, and random bytes hardly got past the JSON syntax in the fuzz targets.

Ruled out: certificates as files in the tree, which expire; the test makes its own. Replacing random inputs by damaged documents was ruled out too: as many random inputs as before run, and as many damaged ones on top.

--- a/fuzz/BundleFuzz.cpp
+++ b/fuzz/BundleFuzz.cpp
@@ -1,9 +1,30 @@
+#include "Seeds.h"
 #include "adapters/settings/BundleJson.h"
 
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
 
+std::vector<std::string> teaselturn::fuzz::seeds()
+{
+    Bundle bundle;
+    bundle.version = { 7 };
+    bundle.regions = { { { 1 }, "wcape" }, { { 2 }, "ecape" } };
+    bundle.zones = { { { 1 }, "wc-paarl", { 1 } }, { { 2 }, "ec-makhanda", { 2 } } };
+    bundle.entries = { { { 1 }, { 1 }, { "127.0.0.1", 9001 }, {} } };
+    bundle.members = { { { 1 }, { 1 }, { "127.0.0.1", 9001 }, { 0xabcdef } }, { { 2 }, { 2 }, { "::1", 9002 }, {} } };
+    bundle.services = { { .id = { 1 }, .name = "tills", .partitions = 64, .zoneRule = ZoneRule::Keep, .objectivePerMillion = 999'500 } };
+    bundle.operators = { { "thandi", { 1 } }, { "lerato", { 2 } } };
+    bundle.rollout = { { 2 }, { 1 } };
+    bundle.retiredZones = { { 2 } };
+    auto sealed = sealBundle(bundle);
+    sealed.signatures = { { "thandi", { 3 } } };
+    if (!parseCanonicalBundle(sealed.canonicalBytes) || !parseSignedBundle(writeSignedBundle(sealed))) {
+        std::abort();
+    }
+    return { sealed.canonicalBytes, writeSignedBundle(sealed) };
+}
+
 /// A bundle that is accepted must be accepted again in the form in which it is written.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
--- a/fuzz/SettingsFuzz.cpp
+++ b/fuzz/SettingsFuzz.cpp
@@ -1,9 +1,20 @@
+#include "Seeds.h"
+#include "adapters/settings/FileText.h"
 #include "adapters/settings/SettingsLoader.h"
 
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
 
+std::vector<std::string> teaselturn::fuzz::seeds()
+{
+    const auto example = readFileText(TEASELTURN_SOURCE_DIR "/docs/settings-example.json", ResultCode::SettingsUnreadable);
+    if (!example || !parseSettings(*example, "/").value) {
+        std::abort();
+    }
+    return { *example };
+}
+
 /// Settings text of any content must give settings or problems, never both or neither.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
--- a/tests/adapters/settings/SettingsLoaderTest.cpp
+++ b/tests/adapters/settings/SettingsLoaderTest.cpp
@@ -2,6 +2,7 @@
 #include "adapters/settings/FileText.h"
 #include "adapters/settings/SettingsBuilder.h"
 #include "adapters/settings/TemporaryFolder.h"
+#include "adapters/settings/TlsMaterial.h"
 
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
@@ -182,6 +183,38 @@
     CHECK(loadSettings(folder.path() / "absent.json").problems.at(0).kind == ProblemKind::Unreadable);
 }
 
+// Guards against a daemon that starts with a key of another certificate, such as after half a renewal, and then refuses
+// every caller.
+TEST_CASE("a TLS certificate and key must be readable and belong together")
+{
+    const TemporaryFolder folder;
+    const auto file = folder.path() / "node.json";
+    REQUIRE(writeFileText(folder.path() / "cluster.key", std::string(64, 'a') + "\n", 0600, Existing::Replaced));
+    writeTlsMaterial(folder.path() / "a.crt", folder.path() / "a.pem");
+    writeTlsMaterial(folder.path() / "b.crt", folder.path() / "b.pem");
+    const auto load = [&](const char* certificate, const char* key) {
+        auto document = exampleDocument();
+        document["entry"]["http"]["tls"] = { { "certificate", certificate }, { "key", key } };
+        REQUIRE(writeFileText(file, document.dump(), 0644, Existing::Replaced));
+        return loadSettings(file);
+    };
+    const auto valid = load("a.crt", "a.pem");
+    INFO(describeProblems(valid.problems, {}));
+    REQUIRE(valid.value);
+    CHECK(valid.value->entry->http.tls == TlsSettings { folder.path() / "a.crt", folder.path() / "a.pem" });
+
+    for (const auto& [certificate, key, path] : { std::tuple { "a.crt", "b.pem", "entry.http.tls.key" }, { "a.crt", "a.crt", "entry.http.tls.key" },
+             { "a.crt", "none.pem", "entry.http.tls.key" }, { "a.pem", "a.pem", "entry.http.tls.certificate" }, { "cluster.key", "a.pem", "entry.http.tls.certificate" } }) {
+        INFO(certificate << " with " << key);
+        const auto checked = load(certificate, key);
+        CHECK_FALSE(checked.value);
+        REQUIRE(checked.problems.size() == 1);
+        CHECK(checked.problems.front().path == path);
+    }
+    // A fault leaves nothing behind that spoils a later check.
+    CHECK(load("b.crt", "b.pem").value);
+}
+
 TEST_CASE("the builder checks what is put into it")
 {
     CHECK_FALSE(SettingsBuilder {}.build().value);
--- /dev/null
+++ b/tests/adapters/settings/TlsMaterial.cpp
@@ -0,0 +1,40 @@
+#include "adapters/settings/TlsMaterial.h"
+
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <memory>
+#include <openssl/ec.h>
+#include <openssl/pem.h>
+#include <openssl/x509.h>
+
+namespace teaselturn {
+
+namespace {
+
+    using File = std::unique_ptr<std::FILE, int (*)(std::FILE*)>;
+
+    File openFile(const std::filesystem::path& path)
+    {
+        File file { std::fopen(path.c_str(), "w"), std::fclose };
+        REQUIRE(file);
+        return file;
+    }
+
+}
+
+void writeTlsMaterial(const std::filesystem::path& certificate, const std::filesystem::path& key)
+{
+    constexpr long validSeconds = 3'600;
+    const std::unique_ptr<EVP_PKEY, void (*)(EVP_PKEY*)> pair { EVP_EC_gen("P-256"), EVP_PKEY_free };
+    const std::unique_ptr<X509, void (*)(X509*)> document { X509_new(), X509_free };
+    REQUIRE(pair);
+    REQUIRE(document);
+    X509_gmtime_adj(X509_getm_notBefore(document.get()), 0);
+    X509_gmtime_adj(X509_getm_notAfter(document.get()), validSeconds);
+    REQUIRE(X509_set_pubkey(document.get(), pair.get()) == 1);
+    REQUIRE(X509_sign(document.get(), pair.get(), EVP_sha256()) > 0);
+    REQUIRE(PEM_write_X509(openFile(certificate).get(), document.get()) == 1);
+    REQUIRE(PEM_write_PrivateKey(openFile(key).get(), pair.get(), nullptr, nullptr, 0, nullptr, nullptr) == 1);
+}
+
+}
