--- a/src/ctl/StatusCommands.cpp
+++ b/src/ctl/StatusCommands.cpp
@@ -1,6 +1,6 @@
 #include "ctl/AdminClient.h"
+#include "ctl/HeldSignals.h"
 #include "ctl/Program.h"
-#include "ctl/SignalWait.h"
 #include "ctl/StatusView.h"
 
 #include <nlohmann/json.hpp>
@@ -92,7 +92,7 @@
             return reportFailure(*failure, ExitCode::Usage, console);
         }
     }
-    const SignalWait signals;
+    const HeldSignals signals;
     auto code = ExitCode::Success;
     for (std::uint64_t round = 1;; ++round) {
         if (!arguments.has("json")) {
