--- a/fuzz/BundleFuzz.cpp
+++ b/fuzz/BundleFuzz.cpp
@@ -1,12 +1,13 @@
-#include "Seeds.h"
+#include "FuzzSeeds.h"
 #include "adapters/settings/BundleJson.h"
 
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
 
-std::vector<std::string> teaselturn::fuzz::seeds()
+std::vector<std::vector<std::uint8_t>> fuzzSeeds()
 {
+    using namespace teaselturn;
     Bundle bundle;
     bundle.version = { 7 };
     bundle.regions = { { { 1 }, "wcape" }, { { 2 }, "ecape" } };
@@ -22,7 +23,8 @@
     if (!parseCanonicalBundle(sealed.canonicalBytes) || !parseSignedBundle(writeSignedBundle(sealed))) {
         std::abort();
     }
-    return { sealed.canonicalBytes, writeSignedBundle(sealed) };
+    const auto signedText = writeSignedBundle(sealed);
+    return { { sealed.canonicalBytes.begin(), sealed.canonicalBytes.end() }, { signedText.begin(), signedText.end() } };
 }
 
 /// A bundle that is accepted must be accepted again in the form in which it is written.
--- a/fuzz/FixedRun.cpp
+++ b/fuzz/FixedRun.cpp
@@ -1,102 +1,81 @@
-#include "Seeds.h"
+#include "FuzzSeeds.h"
 
 #include <algorithm>
-#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <random>
-#include <string>
-#include <string_view>
-#include <vector>
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
-namespace teaselturn::fuzz {
-
-/// Replaced by the definition of a target that has seeds.
-__attribute__((weak)) std::vector<std::string> seeds()
-{
-    return {};
-}
-
-}
-
 namespace {
 
-using Random = std::mt19937_64;
-
-std::string randomBytes(Random& random)
-{
-    // Small values and printable bytes reach deeper into length fields and text parsers than uniform bytes.
-    const auto style = random() % 3;
-    std::string input(random() % 512, '\0');
-    std::ranges::generate(input, [&] {
-        return static_cast<char>(style == 0 ? random() : style == 1 ? random() % 4
-                                                                    : 32 + random() % 96);
-    });
-    return input;
-}
+using Input = std::vector<std::uint8_t>;
 
-/// Changes one place of an input.
-void damage(Random& random, std::string& input)
+/// Damages a valid input in a few places, so that what is in front of and behind them still decodes.
+void damage(Input& input, std::mt19937_64& random)
 {
-    static constexpr std::string_view alphabet = "{}[]\",:0179-.eE/*\\ \n\x80\xff";
-    const auto at = random() % (input.size() + 1);
-    const auto length = random() % 24;
-    switch (random() % 6) {
-    case 0:
-        input.erase(at, length);
-        break;
-    case 1:
-        input.insert(at, input.substr(random() % (input.size() + 1), length));
-        break;
-    case 2:
-        input.insert(at, 1, alphabet[random() % alphabet.size()]);
-        break;
-    case 3:
-        input.resize(at);
-        break;
-    case 4:
-        if (at < input.size()) {
-            input[at] = alphabet[random() % alphabet.size()];
-        }
-        break;
-    default:
-        if (at < input.size()) {
-            input[at] = static_cast<char>(input[at] ^ (1U << random() % 8));
+    for (auto count = random() % 4; count > 0 && !input.empty(); --count) {
+        const auto at = random() % input.size();
+        const auto position = input.begin() + static_cast<std::ptrdiff_t>(at);
+        switch (random() % 6) {
+        case 0:
+            input[at] = static_cast<std::uint8_t>(random());
+            break;
+        case 1:
+            input[at] ^= static_cast<std::uint8_t>(1U << random() % 8);
+            break;
+        case 2:
+            // Length fields of four bytes: from zero to far beyond the input.
+            for (auto i = at; i < std::min(at + 4, input.size()); ++i) {
+                input[i] = random() % 2 == 0 ? 0xff : 0;
+            }
+            break;
+        case 3:
+            input.resize(at);
+            break;
+        case 4:
+            input.erase(position, position + static_cast<std::ptrdiff_t>(random() % std::min<std::size_t>(16, input.size() - at)));
+            break;
+        default:
+            input.insert(position, random() % 16, static_cast<std::uint8_t>(random()));
         }
     }
 }
 
-void run(std::string_view input)
+void fillAtRandom(Input& input, std::mt19937_64& random)
 {
-    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(input.data()), input.size());
+    input.resize(random() % 512);
+    // Small values and printable bytes reach deeper into length fields and text parsers than uniform bytes.
+    const auto style = random() % 3;
+    for (auto& byte : input) {
+        byte = static_cast<std::uint8_t>(style == 0 ? random() : style == 1 ? random() % 4
+                                                                            : 32 + random() % 96);
+    }
 }
 
 }
 
 /// Drives a fuzz target without libFuzzer: the same seeded inputs in every run. The first argument is the seed, the
-/// second the number of random inputs. Where the target has valid documents, as many damaged copies of them follow.
+/// second the number of inputs. Where the target has valid inputs, three of four inputs are damaged copies of them.
 int main(int argc, char** argv)
 {
     const auto seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 20261204ULL;
     const auto runs = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 20'000ULL;
-    const auto documents = teaselturn::fuzz::seeds();
-    std::printf("seed %llu, %llu inputs, %zu valid documents\n", seed, runs, documents.size());
-    Random random { seed };
-    for (const auto& document : documents) {
-        run(document);
+    const auto valid = fuzzSeeds ? fuzzSeeds() : std::vector<Input> {};
+    std::printf("seed %llu, %llu inputs, %zu valid inputs\n", seed, runs, valid.size());
+    std::mt19937_64 random { seed };
+    for (const auto& input : valid) {
+        LLVMFuzzerTestOneInput(input.data(), input.size());
     }
-    for (std::uint64_t i = 0; i < runs; ++i) {
-        run(randomBytes(random));
-        if (documents.empty()) {
-            continue;
-        }
-        auto input = documents[random() % documents.size()];
-        for (auto changes = 1 + random() % 4; changes > 0; --changes) {
-            damage(random, input);
+    Input input;
+    for (std::uint64_t run = 0; run < runs; ++run) {
+        if (!valid.empty() && run % 4 != 0) {
+            input = valid[random() % valid.size()];
+            damage(input, random);
+        } else {
+            fillAtRandom(input, random);
         }
-        run(input);
+        LLVMFuzzerTestOneInput(input.data(), input.size());
     }
     return 0;
 }
--- a/fuzz/SettingsFuzz.cpp
+++ b/fuzz/SettingsFuzz.cpp
@@ -1,4 +1,4 @@
-#include "Seeds.h"
+#include "FuzzSeeds.h"
 #include "adapters/settings/FileText.h"
 #include "adapters/settings/SettingsLoader.h"
 
@@ -6,13 +6,14 @@
 #include <cstdlib>
 #include <string_view>
 
-std::vector<std::string> teaselturn::fuzz::seeds()
+std::vector<std::vector<std::uint8_t>> fuzzSeeds()
 {
+    using namespace teaselturn;
     const auto example = readFileText(TEASELTURN_SOURCE_DIR "/docs/settings-example.json", ResultCode::SettingsUnreadable);
     if (!example || !parseSettings(*example, "/").value) {
         std::abort();
     }
-    return { *example };
+    return { { example->begin(), example->end() } };
 }
 
 /// Settings text of any content must give settings or problems, never both or neither.
