--- a/src/ctl/SignalWait.h
+++ b/src/ctl/HeldSignals.h
@@ -7,12 +7,12 @@
 
 /// Holds back SIGINT and SIGTERM in this thread for its lifetime, so that a command can end between two steps. The
 /// process has one thread.
-class SignalWait {
+class HeldSignals {
 public:
-    SignalWait() noexcept;
-    ~SignalWait();
-    SignalWait(const SignalWait&) = delete;
-    SignalWait& operator=(const SignalWait&) = delete;
+    HeldSignals() noexcept;
+    ~HeldSignals();
+    HeldSignals(const HeldSignals&) = delete;
+    HeldSignals& operator=(const HeldSignals&) = delete;
 
     /// @return True where one of the signals has arrived and not been taken by waitFor().
     bool isPending() const noexcept;
