Tell an invalid membership change from one that is only too early

A ChangeMembers that is not a single valid change was refused as MembershipChangePending, which asks the caller to try again and never succeeds. It is now MembershipChangeInvalid (5011). A change while another is not committed, or a learner that has not caught up, stays MembershipChangePending.

--- a/include/teaselturn/ResultCode.h
+++ b/include/teaselturn/ResultCode.h
@@ -75,6 +75,7 @@
     SnapshotCorrupt = 5008,
     MembershipChangePending = 5009,
     LogCompacted = 5010,
+    MembershipChangeInvalid = 5011,
 
     // 6xxx: ownership, sessions, leases.
     UpstreamUnknown = 6001,
@@ -106,7 +107,7 @@
 };
 
 /// Every result code with its name and message, in order of number.
-extern const std::array<ResultCodeRow, 73> resultCodeTable;
+extern const std::array<ResultCodeRow, 74> resultCodeTable;
 
 /// @return The category of teaselturn's error codes.
 const std::error_category& resultCategory() noexcept;
--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -5,7 +5,7 @@
 
 namespace teaselturn {
 
-const std::array<ResultCodeRow, 73> resultCodeTable { {
+const std::array<ResultCodeRow, 74> resultCodeTable { {
     { ResultCode::Ok, "Ok", "success" },
     { ResultCode::Internal, "Internal", "internal error" },
     { ResultCode::UsageError, "UsageError", "the command line is not valid" },
@@ -62,6 +62,7 @@
     { ResultCode::SnapshotCorrupt, "SnapshotCorrupt", "the snapshot is corrupt" },
     { ResultCode::MembershipChangePending, "MembershipChangePending", "a membership change is already pending" },
     { ResultCode::LogCompacted, "LogCompacted", "the requested log entries have been compacted" },
+    { ResultCode::MembershipChangeInvalid, "MembershipChangeInvalid", "the membership change is not a valid single change" },
     { ResultCode::UpstreamUnknown, "UpstreamUnknown", "the upstream is not known" },
     { ResultCode::SessionOutdated, "SessionOutdated", "the session has been replaced by a later one" },
     { ResultCode::FenceOutdated, "FenceOutdated", "the slot has been assigned under a later fence" },
--- a/src/core/ledger/Configuration.cpp
+++ b/src/core/ledger/Configuration.cpp
@@ -17,7 +17,7 @@
 
     Status refuse(std::string detail)
     {
-        return { ResultCode::MembershipChangePending, std::move(detail) };
+        return { ResultCode::MembershipChangeInvalid, std::move(detail) };
     }
 
     Status checkShape(std::span<const MemberSpec> members)
--- a/src/core/ledger/Configuration.h
+++ b/src/core/ledger/Configuration.h
@@ -10,7 +10,7 @@
 
 /// Checks that a configuration may follow another: one member added, removed, promoted or given a new disk, so that
 /// any quorum of the one and any quorum of the other share a member.
-/// @return Success, or MembershipChangePending with what is wrong.
+/// @return Success, or MembershipChangeInvalid with what is wrong.
 Status checkMemberChange(std::span<const MemberSpec> from, std::span<const MemberSpec> to);
 
 /// Configurations of the ledger by the log index from which each counts. The newest one in the log counts, committed or
--- a/src/core/ledger/Member.h
+++ b/src/core/ledger/Member.h
@@ -99,7 +99,8 @@
     void receive(Instant now, NodeId from, const PeerMessage& message);
 
     /// Appends a command on the leader.
-    /// @return The index at which it commits if it commits, NotLeader, ProposalQueueFull or MembershipChangePending.
+    /// @return The index at which it commits if it commits, NotLeader, ProposalQueueFull, MembershipChangePending where
+    /// the same change may be proposed again later, or MembershipChangeInvalid where it may not.
     Result<LogIndex> propose(Instant now, Command command);
 
     /// @return The work that has gathered since the last call.
