--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ledger/LedgerService.h"
+#include "core/ownership/MemberPlan.h"
 
 #include <algorithm>
 
@@ -12,11 +13,13 @@
 inline constexpr std::size_t feedSnapshotPartBytes = 48 * 1024;
 
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
-LedgerService<Random, Policy, Codec>::LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now)
-    : member(state, timing, std::move(random), now)
+LedgerService<Random, Policy, Codec>::LedgerService(MemberState state, MemberTiming timing, Random random, Policy policy, BundleCheck check, Codec codec, Instant now, LedgerOptions options)
+    : self(state.node)
+    , member(state, timing, std::move(random), now)
     , ownership(std::move(check))
     , coordinator(std::move(policy))
     , codec(std::move(codec))
+    , options(options)
 {
     if (state.snapshot) {
         this->install(*state.snapshot);
@@ -127,6 +130,7 @@
     if (this->coordinatedTerm == Term {} || !this->member.hasLeaderLease(now)) {
         return;
     }
+    this->proposeMemberChange(now);
     for (auto& command : this->coordinator.decide(now, this->ownership)) {
         const auto index = this->member.propose(now, std::move(command));
         if (!index) {
@@ -137,6 +141,23 @@
     }
 }
 
+template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
+void LedgerService<Random, Policy, Codec>::proposeMemberChange(Instant now)
+{
+    const auto* accepted = this->ownership.acceptedBundle();
+    if (accepted == nullptr) {
+        return;
+    }
+    // The member refuses a change while another is pending, and a promotion of a learner that lags: the next tick tries
+    // again.
+    for (auto& change : planMemberChange(this->member.members(), accepted->bundle.members, this->self)) {
+        if (const auto index = this->member.propose(now, std::move(change))) {
+            this->pending.emplace(*index, PendingProposal { this->member.term(), std::nullopt });
+            return;
+        }
+    }
+}
+
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
 void LedgerService<Random, Policy, Codec>::dropPending(bool isLeader)
 {
@@ -182,7 +203,7 @@
     std::ranges::move(std::exchange(this->replies, {}), std::back_inserter(effects.immediate));
     std::ranges::move(std::exchange(this->queuedDelegations, {}), std::back_inserter(this->takenDelegations));
     const auto applied = this->ownership.appliedIndex();
-    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + limits::snapshotInterval) {
+    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + this->options.snapshotInterval) {
         this->isSnapshotPending = true;
         const auto members = this->member.membersAt(applied);
         effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->ownership.snapshot()) };
@@ -213,6 +234,8 @@
         this->appliedTerm = entry.term;
         if (this->coordinatedTerm != Term {}) {
             this->coordinator.applied(now, entry, outcome, this->ownership);
+        } else {
+            this->coordinator.appliedAsFollower(now, entry.index);
         }
         if (const auto found = this->pending.find(entry.index); found != this->pending.end()) {
             if (const auto proposer = found->second.proposer) {
--- a/src/core/ownership/Coordinator.h
+++ b/src/core/ownership/Coordinator.h
@@ -13,6 +13,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <deque>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -51,6 +52,13 @@
     /// Tells that a proposal of decide() was dropped, so that it may be decided again.
     void proposalsDropped();
 
+    /// Takes note of an applied entry that this member applied while it did not lead.
+    void appliedAsFollower(Instant now, LogIndex index)
+    {
+        this->settledIndex.applied(now, index);
+        static_cast<void>(this->settledIndex.at(now));
+    }
+
     /// Takes note of an applied entry.
     void applied(Instant now, const LogEntry& entry, const ApplyOutcome& outcome, const OwnershipState& state);
 
@@ -63,6 +71,14 @@
         bool isProposed {};
     };
 
+    /// What decides whether a slot can be placed, besides loads and pending proposals.
+    struct PlacedState {
+        LogIndex applied;
+        LogIndex settled;
+
+        friend bool operator==(const PlacedState&, const PlacedState&) = default;
+    };
+
     bool mayTakeOver(Instant now, const UpstreamRecord& upstream, const OwnershipState& state) const;
     void decideExpiries(Instant now, const OwnershipState& state, std::vector<Command>& commands);
     void decideRollout(Instant now, const OwnershipState& state, std::vector<Command>& commands);
@@ -70,7 +86,9 @@
     void decideMerge(SlotId slot, const OwnershipState& state, std::vector<Command>& commands);
     void decidePlacement(Instant now, const OwnershipState& state, std::vector<Command>& commands);
     void place(Instant now, const ServiceSpec& service, std::span<const PlacementUpstream> upstreams, const OwnershipState& state, std::vector<Command>& commands);
-    PlacementSlot viewSlot(SlotId slot, const SlotRecord& record, const OwnershipState& state) const;
+    /// @return True where no entry VM can still forward by a table from before an index.
+    bool haveHoldersApplied(Instant now, LogIndex index) const;
+    PlacementSlot viewSlot(Instant now, SlotId slot, const SlotRecord& record, const OwnershipState& state) const;
     std::size_t allowedMoves(Instant now, const ServiceSpec& service);
     Duration ageOf(Instant now, UpstreamId upstream) const;
     template <typename Batch>
@@ -101,6 +119,8 @@
     /// Carved keys that go back to their partition.
     absl::btree_set<SlotId> merging;
     bool isRolloutPending {};
+    /// State in which every slot that could be placed was placed. Until it changes, only balance is left to decide.
+    std::optional<PlacedState> placed;
 };
 
 }
--- a/src/core/ownership/Steward.cpp
+++ b/src/core/ownership/Steward.cpp
@@ -85,7 +85,11 @@
     }
     const auto* record = state.findUpstream(heartbeat.name, heartbeat.incarnation);
     if (record == nullptr && heartbeat.isLeaving) {
-        return { ResultCode::UpstreamUnknown };
+        HeartbeatDecision decision { ResultCode::UpstreamUnknown };
+        // Its slots may have been handed over since its last heartbeat: the empty list tells it that it may end.
+        decision.reply.session = heartbeat.session;
+        decision.reply.grantsIncluded = true;
+        return decision;
     }
     if (record == nullptr || !this->isMine(*record) || heartbeat.session > record->session) {
         return this->attach(now, heartbeat, state);
@@ -121,9 +125,14 @@
         return { ResultCode::TooManyUpstreams };
     }
     HeartbeatDecision decision { ResultCode::SessionOutdated };
+    if (const auto* record = state.findUpstream(heartbeat.name, heartbeat.incarnation)) {
+        // The upstream must have heard of its session before it may begin too many others.
+        decision.reply.upstream = record->id;
+        decision.reply.session = record->session;
+    }
     if (this->attaching[key].isDue(now)) {
         decision.proposal = AttachUpstream { heartbeat.name, heartbeat.incarnation, heartbeat.service, heartbeat.zone,
-            heartbeat.endpoint, heartbeat.requestSlots, heartbeat.connectionLimit, heartbeat.checksGrants, this->node, this->boot };
+            heartbeat.endpoint, heartbeat.requestSlots, heartbeat.connectionLimit, heartbeat.checksGrants, this->node, this->boot, heartbeat.session };
     }
     return decision;
 }
--- a/tools/stand-in-upstream/Grants.h
+++ b/tools/stand-in-upstream/Grants.h
@@ -32,13 +32,13 @@
     /// @return False where the request must be refused after all.
     bool takeEffect(std::uint32_t slot, std::uint64_t fence, std::string_view requestId, bool isRepeatable,
         std::string_view key);
-    void finish(std::uint32_t slot);
+    void finish(std::uint32_t slot, std::uint64_t fence);
 
     /// Ends the ownership intervals of a lease that has passed.
     void closeIntervals(teaselturn::Instant now);
 
-    /// @return True where the upstream holds no slot.
-    bool isEmpty();
+    /// @return True where the upstream holds no slot: none is granted, or the lease has ended and nothing runs.
+    bool isEmpty(teaselturn::Instant now);
 
 private:
     struct Grant {
@@ -64,6 +64,9 @@
     teaselturn::Mutex mutex;
     teaselturn::ConditionVariable changed;
     std::map<std::uint32_t, Grant> grants ABSL_GUARDED_BY(mutex);
+    /// Of the latest heartbeat. Only its own answer is taken.
+    std::uint64_t incarnation ABSL_GUARDED_BY(mutex) {};
+    std::uint64_t sequence ABSL_GUARDED_BY(mutex) {};
     std::uint64_t session ABSL_GUARDED_BY(mutex) {};
     std::uint64_t grantsVersion ABSL_GUARDED_BY(mutex) {};
     teaselturn::Instant leaseEnd ABSL_GUARDED_BY(mutex);
