--- a/tests/core/ledger/ScheduleTest.cpp
+++ b/tests/core/ledger/ScheduleTest.cpp
@@ -177,8 +177,8 @@
     }
     // Guards against schedules in which nothing happens.
     CAPTURE(budget.count());
-    CHECK(totals.committed > 800 * budget.count());
-    CHECK(totals.elections > 3 * budget.count());
+    CHECK(totals.committed > 830 * budget.count());
+    CHECK(totals.elections > 4 * budget.count());
     CHECK(totals.lostDisks > budget.count());
     CHECK(totals.largeInstalls > budget.count() / 10);
 }
