Search only an overloaded upstream's own slots for a move

Each overloaded upstream searched every slot of the service. The movable slots are now listed by owner when the first move is sought; a decision that needs no move does not pay for the list. Slots that moved within the decision stay in their list and are passed over, so that a move needs no removal.

Measured (--benchmark_filter=stuck, 1,000 upstreams, shared machine): 244 ms before, 41 ms after at 1,000,000 partitions; 20 ms before, 3.9 ms after at 100,000.

core-tests: 77 test cases pass.

--- a/src/core/ownership/BoundedLoadPlacement.cpp
+++ b/src/core/ownership/BoundedLoadPlacement.cpp
@@ -68,6 +68,9 @@
         /// @return False where no move improves the balance.
         bool moveOne(PlacementDecision& decision)
         {
+            if (this->movable.empty()) {
+                this->listMovable();
+            }
             const auto target = this->order.begin()->index;
             const auto mean = this->mean();
             for (auto source = this->order.rbegin(); source != this->order.rend() && source->ratio > mean; ++source) {
@@ -137,6 +140,17 @@
             }
         }
 
+        void listMovable()
+        {
+            this->movable.resize(this->targets.size());
+            for (std::uint32_t i = 0; i < this->slots.size(); ++i) {
+                const auto owner = this->owners[i];
+                if (owner != noTarget && !this->slots[i].isMoving && this->slots[i].owner == this->targets[owner].id) {
+                    this->movable[owner].push_back(i);
+                }
+            }
+        }
+
         Position position(std::size_t index) const
         {
             const auto& target = this->targets[index];
@@ -174,8 +188,8 @@
             const auto light = lightShare * this->totalWeight / static_cast<double>(this->slots.size());
             double most = 0;
             std::optional<std::size_t> chosen;
-            for (std::size_t i = 0; i < this->slots.size(); ++i) {
-                if (this->owners[i] != source || this->slots[i].isMoving || this->slots[i].owner != from.id) {
+            for (const auto i : this->movable[source]) {
+                if (this->owners[i] != source) {
                     continue;
                 }
                 const auto weight = this->weights[i];
@@ -228,6 +242,8 @@
         /// For each slot the index of its owner in `targets`, or noTarget.
         std::vector<std::uint32_t> owners;
         std::vector<Target> targets;
+        /// For each target the slots that it owned at first and that may move. Empty until the first move is sought.
+        std::vector<std::vector<std::uint32_t>> movable;
         // Read by key only; its iteration order decides nothing.
         absl::flat_hash_map<UpstreamId, std::uint32_t> indexes;
         absl::btree_set<Position> order;
