Test takeovers with a frozen steward, a leader change in a move, and reordered answers

Also tests of the bounds of the replicated state. The scenarios run the coordinator, the steward and a model of the upstream on one log.

--- a/tests/core/ownership/OwnershipStateTest.cpp
+++ b/tests/core/ownership/OwnershipStateTest.cpp
@@ -194,3 +194,43 @@
     CHECK(copy.freeSlots() == fixture.state.freeSlots());
     CHECK(copy.apply(next, command).code == ResultCode::Internal);
 }
+
+TEST_CASE("the state refuses what exceeds its bounds, and goes on with the rest")
+{
+    // Guards against a flood of upstreams, hot keys or partitions that takes the memory of every replica.
+    OwnershipFixture fixture;
+    fixture.apply(AcceptBundle { fixture.bundle(1) });
+    SECTION("upstreams, of one steward and altogether")
+    {
+        std::uint32_t steward = 1;
+        for (std::size_t i = 0; i < limits::maxUpstreams; ++i) {
+            steward = static_cast<std::uint32_t>(1 + i / limits::maxUpstreamsPerSteward);
+            REQUIRE(fixture.attach("upstream-" + std::to_string(i), tills, NodeId { steward }).code == ResultCode::Ok);
+            if ((i + 1) % limits::maxUpstreamsPerSteward == 0) {
+                REQUIRE(fixture.attach("another", tills, NodeId { steward }).code == ResultCode::TooManyUpstreams);
+            }
+        }
+        CHECK(fixture.attach("another", tills, NodeId { 999 }).code == ResultCode::TooManyUpstreams);
+        // One that is known may still change its steward.
+        CHECK(fixture.attach("upstream-0", tills, NodeId { 999 }).code == ResultCode::Ok);
+        CHECK(fixture.attach("upstream-1", tills, NodeId { steward }).code == ResultCode::TooManyUpstreams);
+    }
+    SECTION("hot keys")
+    {
+        for (std::size_t i = 0; i < limits::maxHotKeys; ++i) {
+            REQUIRE(fixture.apply(CarveHotKey { tills, "key-" + std::to_string(i) }).code == ResultCode::Ok);
+        }
+        CHECK(fixture.apply(CarveHotKey { tills, "another" }).code == ResultCode::TooManyHotKeys);
+        CHECK(fixture.apply(CarveHotKey { tills, std::string(limits::maxKeyBytes + 1, 'k') }).code == ResultCode::RequestKeyInvalid);
+        CHECK(fixture.state.hotKeyCount() == limits::maxHotKeys);
+    }
+    SECTION("partitions over all services")
+    {
+        auto next = fixture.bundle(2);
+        next.bundle.services.push_back({ ServiceId { 3 }, "dispatch", limits::maxPartitions - 2 * fixturePartitions + 1 });
+        CHECK(fixture.apply(AcceptBundle { next }).code == ResultCode::BundleInvalid);
+        --next.bundle.services.back().partitions;
+        CHECK(fixture.apply(AcceptBundle { next }).code == ResultCode::Ok);
+        CHECK(fixture.state.partitions({ 3 }).size() == limits::maxPartitions - 2 * fixturePartitions);
+    }
+}
--- /dev/null
+++ b/tests/core/ownership/TakeoverScenarioTest.cpp
@@ -0,0 +1,226 @@
+#include "core/ownership/BoundedLoadPlacement.h"
+#include "core/ownership/Coordinator.h"
+#include "core/ownership/Steward.h"
+
+#include "core/support/OwnershipFixture.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Instant start { 1h };
+constexpr auto delegation = timing::withDrift(timing::delegationLength);
+constexpr NodeId firstEntry { 1 };
+constexpr NodeId secondEntry { 2 };
+
+/// An upstream as the platform specifies it: it counts its lease from before it asked, takes only the answer to its
+/// latest heartbeat, and forgets sessions that are older than the one it knows.
+struct ModelUpstream {
+    std::string name;
+    SessionId session;
+    std::uint64_t version {};
+    std::vector<SlotRelease> grants;
+    Instant leaseEnd;
+    std::uint64_t sent {};
+    Instant sentAt;
+
+    Heartbeat beat(Instant now)
+    {
+        ++this->sent;
+        this->sentAt = now;
+        return { this->name, 7, this->session, tills, paarl, { "127.0.0.1", 8080 }, 3, 110, true, false, this->version };
+    }
+
+    void take(std::uint64_t answered, const HeartbeatReply& reply)
+    {
+        if (answered != this->sent || reply.session < this->session) {
+            return;
+        }
+        this->session = reply.session;
+        if (reply.grantsIncluded) {
+            this->grants = reply.grants;
+            this->version = reply.grantsVersion;
+        }
+        this->leaseEnd = reply.lease > 0ms ? this->sentAt + reply.lease : this->leaseEnd;
+    }
+
+    bool serves(Instant now, SlotId slot) const
+    {
+        return now < this->leaseEnd && std::ranges::count(this->grants, slot, &SlotRelease::slot) > 0;
+    }
+};
+
+/// Two entry VMs, of which the first may fall behind, and a leader.
+struct ScenarioFixture : OwnershipFixture {
+    Coordinator<BoundedLoadPlacement> coordinator { BoundedLoadPlacement {} };
+    Steward first { firstEntry, BootId { 1 } };
+    Steward second { secondEntry, BootId { 1 } };
+    Instant now { start };
+    std::uint64_t sequence {};
+
+    ScenarioFixture()
+    {
+        this->onApplied = [this](const LogEntry& entry) { this->coordinator.applied(this->now, entry, this->outcomeOf(entry), this->state); };
+        this->apply(AcceptBundle { this->bundle(1) });
+        this->coordinator.becameLeader(this->now, this->state);
+    }
+
+    /// The outcome that the coordinator is told; it reads only those of attachments and expiries.
+    ApplyOutcome outcomeOf(const LogEntry& entry) const
+    {
+        ApplyOutcome outcome;
+        if (const auto* attached = std::get_if<AttachUpstream>(&entry.command)) {
+            const auto* record = this->state.findUpstream(attached->name, attached->incarnation);
+            outcome = { ResultCode::Ok, record->id, record->session };
+        }
+        return outcome;
+    }
+
+    DelegationReply renew(NodeId entry)
+    {
+        const DelegationRequest request { ++this->sequence, BootId { 1 }, this->state.appliedIndex(), { 1 }, true, {}, {} };
+        auto reply = this->coordinator.delegate(this->now, entry, request, this->state);
+        this->coordinator.delegationSent(this->now, entry, BootId { 1 });
+        return reply;
+    }
+
+    /// Decides and applies until nothing more is decided, which must happen soon.
+    void lead()
+    {
+        for (int round = 0; round < 10; ++round) {
+            const auto commands = this->coordinator.decide(this->now, this->state);
+            if (commands.empty()) {
+                return;
+            }
+            for (const auto& command : commands) {
+                this->apply(command);
+            }
+        }
+        FAIL("the coordinator goes on deciding");
+    }
+};
+
+}
+
+TEST_CASE("a steward that was frozen grants nothing from its queue of heartbeats once its sessions may be taken over")
+{
+    // Guards against two owners: the frozen VM resumes with an old state and answers what piled up meanwhile.
+    ScenarioFixture fixture;
+    const auto attached = fixture.attach("a", tills, firstEntry);
+    fixture.lead();
+    const auto sentAt = fixture.now;
+    const auto delegated = fixture.renew(firstEntry);
+    fixture.first.delegated(sentAt, delegated);
+    ModelUpstream a { "a", attached.session };
+    const auto served = fixture.first.heartbeat(fixture.now, a.beat(fixture.now), fixture.state);
+    a.take(a.sent, served.reply);
+    REQUIRE(a.serves(fixture.now, { tills, 0 }));
+    const OwnershipState frozenState = fixture.state;
+    std::vector<Heartbeat> queue;
+    for (int i = 0; i < 8; ++i) {
+        fixture.now += 250ms;
+        queue.push_back(a.beat(fixture.now));
+    }
+    fixture.now = sentAt + delegation;
+    fixture.attach("b", tills, secondEntry);
+    fixture.renew(secondEntry);
+    CHECK_FALSE(a.serves(fixture.now, { tills, 0 }));
+    fixture.lead();
+    CHECK(fixture.state.findSlot({ tills, 0 })->owner != attached.upstream);
+    // An answer to a renewal that was sent before the freeze arrives now as well.
+    fixture.first.delegated(sentAt - 1s, delegated);
+    for (const auto& beat : queue) {
+        const auto answer = fixture.first.heartbeat(fixture.now, beat, frozenState);
+        CHECK(answer.reply.lease == 0ms);
+        a.take(a.sent, answer.reply);
+        CHECK_FALSE(a.serves(fixture.now, { tills, 0 }));
+    }
+    // With the state of today it knows that the upstream has to attach anew, even under a new delegation.
+    fixture.first.delegated(fixture.now, fixture.renew(firstEntry));
+    const auto again = fixture.first.heartbeat(fixture.now, queue.back(), fixture.state);
+    CHECK(again.reply.lease == 0ms);
+    REQUIRE(again.proposal);
+    CHECK(std::holds_alternative<AttachUpstream>(*again.proposal));
+}
+
+TEST_CASE("a leader change in the middle of a move neither starts it again nor gives the slot to a third upstream")
+{
+    // Guards against a new leader that knows nothing of what the former one has begun.
+    ScenarioFixture fixture;
+    const auto a = fixture.attach("a", tills);
+    fixture.lead();
+    const auto b = fixture.attach("b", tills);
+    fixture.attach("c", tills);
+    fixture.apply(DrainUpstream { a.upstream, a.session });
+    fixture.lead();
+    const SlotId slot { tills, 0 };
+    const auto target = fixture.state.findSlot(slot)->moveTarget;
+    REQUIRE(target != UpstreamId {});
+    const auto fence = fixture.fenceOf(slot);
+    fixture.coordinator.becameLeader(fixture.now, fixture.state);
+    const auto check = [&] {
+        fixture.now += 1s;
+        fixture.renew(firstEntry);
+        return fixture.coordinator.decide(fixture.now, fixture.state);
+    };
+    for (int i = 0; i < 20; ++i) {
+        CHECK(check().empty());
+    }
+    const bool targetDies = GENERATE(false, true);
+    if (targetDies) {
+        const auto* record = fixture.state.findUpstream(target);
+        fixture.apply(ExpireUpstream { target, record->session, ExpiryReason::LeaseEnded });
+    }
+    fixture.apply(ReleaseSlots { a.upstream, a.session, { { slot, fence } } });
+    fixture.lead();
+    const auto* record = fixture.state.findSlot(slot);
+    CHECK(record->fence > fence);
+    CHECK(record->owner != UpstreamId {});
+    CHECK(record->owner != a.upstream);
+    CHECK((record->owner == target) == !targetDies);
+    // The former leader's own proposal, committed late, has no effect.
+    CHECK(fixture.apply(BeginMove { { { slot, b.upstream, fence } } }).code == ResultCode::FenceOutdated);
+}
+
+TEST_CASE("heartbeat answers in any order never let an upstream serve longer than its steward counts")
+{
+    // Guards against an old answer with a long lease, or with a slot that was given up, that arrives last.
+    ScenarioFixture fixture;
+    const auto attached = fixture.attach("a", tills, firstEntry);
+    const auto b = fixture.attach("b", tills, firstEntry);
+    const SlotId slot { tills, 0 };
+    fixture.assign(slot, attached.upstream);
+    fixture.first.delegated(fixture.now, fixture.renew(firstEntry));
+    ModelUpstream a { "a", attached.session };
+    struct Answer {
+        std::uint64_t to {};
+        HeartbeatReply reply;
+    };
+    std::vector<Answer> answers;
+    for (int i = 0; i < 4; ++i) {
+        fixture.now += 400ms;
+        const auto beat = a.beat(fixture.now);
+        if (i == 2) {
+            fixture.move(slot, b.upstream);
+        }
+        answers.push_back({ a.sent, fixture.first.heartbeat(fixture.now, beat, fixture.state).reply });
+    }
+    // The delegation ends 2 s after the start, so that the last lease is the shortest.
+    REQUIRE(answers[3].reply.lease == 400ms);
+    std::vector<std::size_t> order { 0, 1, 2, 3 };
+    do {
+        auto upstream = a;
+        for (const auto i : order) {
+            upstream.take(answers[i].to, answers[i].reply);
+            CHECK(upstream.leaseEnd <= start + timing::delegationLength);
+        }
+        CHECK_FALSE(upstream.serves(fixture.now, slot));
+    } while (std::ranges::next_permutation(order).found);
+    // No expiry before every one of these leases has ended.
+    fixture.now = start + timing::delegationLength - 1ns;
+    CHECK(fixture.first.tick(fixture.now, fixture.state).empty());
+}
