Compare placement decisions with modulo, rendezvous hashing and no moves

A deterministic program plays seeded workloads with the sizes of both deployments against the product's placement and three others, and prints imbalance, churn and unavailable time as a table or CSV.

--- /dev/null
+++ b/benchmark/placement/main.cpp
@@ -0,0 +1,39 @@
+// Plays seeded workloads against placement strategies and prints their decisions' imbalance, churn and unavailable time.
+
+#include "Strategies.h"
+#include "Workload.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+namespace teaselturn::placement {
+
+namespace {
+
+    void printRow(const char* format, const Workload& workload, const char* strategy, const Figures& figures)
+    {
+        std::printf(format, workload.name.c_str(), strategy, figures.meanImbalance, figures.worstImbalance, figures.slotsMoved, figures.leastSlots,
+            figures.keysMoved, figures.unavailableKeySeconds);
+    }
+
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    using namespace teaselturn::placement;
+    const bool isCsv = argc > 1 && std::strcmp(argv[1], "--csv") == 0;
+    const std::uint64_t seed = argc > 1 + isCsv ? std::strtoull(argv[1 + isCsv], nullptr, 10) : 20261204;
+    const char* format = isCsv ? "%s,%s,%.3f,%.3f,%zu,%zu,%.0f,%.0f\n" : "%-22s %-22s %9.2f %9.2f %8zu %8zu %10.0f %12.0f\n";
+    std::printf(isCsv ? "# seed %llu\n" : "seed %llu\n", static_cast<unsigned long long>(seed));
+    std::printf(isCsv ? "workload,strategy,imbalance,worst,slotsMoved,leastSlots,keysMoved,unavailableKeySeconds\n"
+                      : "workload               strategy               imbalance     worst    moved    least keys moved  key-seconds\n");
+    for (const auto& workload : workloads(seed)) {
+        printRow(format, workload, "bounded load", play(workload, BoundedLoad { true }));
+        printRow(format, workload, "without moves", play(workload, BoundedLoad { false }));
+        printRow(format, workload, "modulo", play(workload, Modulo {}));
+        printRow(format, workload, "rendezvous", play(workload, Rendezvous {}));
+    }
+}
