Let a leaving upstream release its slots where nobody takes them; name heartbeats over HTTP

Cause: when all upstreams of a service left at once, the last ones waited without end for somebody to take their slots over. A leaving upstream also kept getting new work for as long, against the bound of 2 s. The steward now asks it for all its slots 1 s after it said that it leaves.

An entry VM that has no delegation, or does not know service or zone, answers 503, so that the upstream tries the next one.

Ruled out: releasing at once, which leaves the slots without owner for the time of a move even where there is a target.

--- a/src/adapters/http/HeartbeatJson.cpp
+++ b/src/adapters/http/HeartbeatJson.cpp
@@ -156,6 +156,7 @@
         message.isLeaving = reader.boolean("leaving");
         message.grantsVersion = reader.number<std::uint64_t>("grantsVersion");
         message.released = reader.slots("released");
+        message.sequence = reader.number<std::uint64_t>("sequence");
         if (message.endpoint.port == 0 || message.requestSlots == 0 || message.connectionLimit == 0) {
             throw Invalid { "port, requestSlots and connectionLimit must not be 0" };
         }
@@ -175,6 +176,8 @@
             message.grants = reader.slots("grants");
         }
         message.releaseWanted = reader.slots("releaseWanted");
+        message.incarnation = reader.number<std::uint64_t>("incarnation");
+        message.sequence = reader.number<std::uint64_t>("sequence");
         return message;
     }
 
@@ -187,7 +190,8 @@
         { "address", heartbeat.endpoint.address }, { "port", heartbeat.endpoint.port },
         { "requestSlots", heartbeat.requestSlots }, { "connectionLimit", heartbeat.connectionLimit },
         { "checksGrants", heartbeat.checksGrants }, { "leaving", heartbeat.isLeaving },
-        { "grantsVersion", heartbeat.grantsVersion }, { "released", slotsToJson(heartbeat.released) } }
+        { "grantsVersion", heartbeat.grantsVersion }, { "released", slotsToJson(heartbeat.released) },
+        { "sequence", heartbeat.sequence } }
         .dump();
 }
 
@@ -200,7 +204,8 @@
 {
     Json json { { "code", reply.code }, { "upstream", reply.upstream }, { "session", reply.session },
         { "leaseMs", reply.leaseMilliseconds }, { "grantsVersion", reply.grantsVersion },
-        { "releaseWanted", slotsToJson(reply.releaseWanted) } };
+        { "releaseWanted", slotsToJson(reply.releaseWanted) }, { "incarnation", reply.incarnation },
+        { "sequence", reply.sequence } };
     if (reply.grantsIncluded) {
         json["grants"] = slotsToJson(reply.grants);
     }
--- a/src/adapters/http/HeartbeatJson.h
+++ b/src/adapters/http/HeartbeatJson.h
@@ -34,6 +34,8 @@
     bool isLeaving {};
     std::uint64_t grantsVersion {};
     std::vector<SlotMessage> released;
+    /// Grows with each heartbeat of the incarnation.
+    std::uint64_t sequence {};
 
     friend bool operator==(const HeartbeatMessage&, const HeartbeatMessage&) = default;
 };
@@ -50,6 +52,10 @@
     bool grantsIncluded {};
     std::vector<SlotMessage> grants;
     std::vector<SlotMessage> releaseWanted;
+    /// Incarnation and sequence of the heartbeat that is answered. An upstream takes no answer to another heartbeat than
+    /// its latest one.
+    std::uint64_t incarnation {};
+    std::uint64_t sequence {};
 
     friend bool operator==(const HeartbeatReplyMessage&, const HeartbeatReplyMessage&) = default;
 };
--- a/src/core/ownership/EntryService.h
+++ b/src/core/ownership/EntryService.h
@@ -109,7 +109,7 @@
     bool wantsLoad() const noexcept { return this->load.loads.empty() && this->load.hotKeys.empty(); }
 
     /// Gives the load to be reported with the next renewal.
-    void reportLoad(LoadSummary summary) { this->load = std::move(summary); }
+    void reportLoad(LoadSummary&& summary) { this->load = std::move(summary); }
 
     EntryEffects takeEffects();
 
--- a/src/core/ownership/Steward.cpp
+++ b/src/core/ownership/Steward.cpp
@@ -155,12 +155,15 @@
         held.isConfirmed = true;
         held.leaseEnd = now + firstLease;
     }
-    held.wantsDrain = held.wantsDrain || heartbeat.isLeaving;
+    if (heartbeat.isLeaving && !held.wantsDrain) {
+        held.wantsDrain = true;
+        held.drainingSince = now;
+    }
     if (takeReleases(held, heartbeat, record.id, state)) {
         held.releaseProposal = {};
     }
     forgetApplied(held, record.id, state);
-    listGrants(held, record.id, state);
+    listGrants(now, held, record, state);
     reply.lease = this->leaseFor(now, record, state);
     if (reply.lease == std::chrono::milliseconds::zero()) {
         decision.code = ResultCode::DelegationMissing;
@@ -208,22 +211,24 @@
     });
 }
 
-void Steward::listGrants(Held& held, UpstreamId upstream, const OwnershipState& state)
+void Steward::listGrants(Instant now, Held& held, const UpstreamRecord& record, const OwnershipState& state)
 {
-    const auto changedAt = state.slotsChangedAt(upstream);
-    if (held.listedAt == changedAt && held.listedAt != LogIndex {}) {
+    const auto changedAt = state.slotsChangedAt(record.id);
+    const bool isForLeaving = held.wantsDrain && record.isDraining && now >= held.drainingSince + leavingPatience;
+    if (held.listedAt == changedAt && held.listedAt != LogIndex {} && held.isListedForLeaving == isForLeaving) {
         return;
     }
     held.grants.clear();
     held.wanted.clear();
-    for (const auto& owned : state.slotsOf(upstream)) {
+    for (const auto& owned : state.slotsOf(record.id)) {
         const bool isMoving = state.findSlot(owned.slot)->moveTarget != UpstreamId {};
-        if (isMoving || contains(held.given, owned)) {
+        if (isForLeaving || isMoving || contains(held.given, owned)) {
             held.wanted.push_back(owned);
         } else {
             held.grants.push_back(owned);
         }
     }
+    held.isListedForLeaving = isForLeaving;
     held.version = versionOf(held.grants);
     held.listedAt = changedAt;
 }
--- a/src/core/ownership/Steward.h
+++ b/src/core/ownership/Steward.h
@@ -68,6 +68,10 @@
 /// Time after which a proposal that was not applied is sent again.
 inline constexpr std::chrono::milliseconds proposalResend { 500 };
 
+/// Time that a leaving upstream waits for upstreams to take its slots over. After it, it releases them all, so that it
+/// gets no new work within 2 s even where nobody can take them.
+inline constexpr std::chrono::milliseconds leavingPatience { 1'000 };
+
 /// Lease decisions of one entry VM for the upstreams attached to it. Not thread-safe.
 class Steward {
 public:
@@ -123,11 +127,13 @@
         Pending drainProposal;
         Pending releaseProposal;
         bool wantsDrain {};
+        Instant drainingSince;
         /// Slots that the upstream gave up, until that is applied. They are never granted again under their fence.
         std::vector<SlotRelease> given;
 
         // Grants as of an index of the state, so that a heartbeat without changes does not list the slots again.
         LogIndex listedAt;
+        bool isListedForLeaving {};
         std::vector<SlotRelease> grants;
         std::vector<SlotRelease> wanted;
         std::uint64_t version {};
@@ -141,7 +147,7 @@
     HeartbeatDecision attach(Instant now, const Heartbeat& heartbeat, const OwnershipState& state);
     void answer(Instant now, const Heartbeat& heartbeat, const OwnershipState& state, Held& held, HeartbeatDecision& decision);
     std::chrono::milliseconds leaseFor(Instant now, const UpstreamRecord& record, const OwnershipState& state) const;
-    static void listGrants(Held& held, UpstreamId upstream, const OwnershipState& state);
+    static void listGrants(Instant now, Held& held, const UpstreamRecord& record, const OwnershipState& state);
     static bool takeReleases(Held& held, const Heartbeat& heartbeat, UpstreamId upstream, const OwnershipState& state);
     static void forgetApplied(Held& held, UpstreamId upstream, const OwnershipState& state);
     std::optional<Command> nextProposal(Instant now, const UpstreamRecord& record, Held& held, const OwnershipState& state);
--- a/src/node/Daemon.cpp
+++ b/src/node/Daemon.cpp
@@ -201,11 +201,11 @@
             this->changed.wait(this->mutex);
         }
         if (this->hasFailed) {
-            return exitCode::ledgerFailed;
+            return exits::ledgerFailed;
         }
     }
     this->logger.log(LogEvent::ProcessStopping);
-    return this->drain() ? exitCode::success : exitCode::failure;
+    return this->drain() ? exits::success : exits::failure;
 }
 
 /// Upstreams keep their leases from this VM until the last caller is served.
--- a/src/node/Daemon.h
+++ b/src/node/Daemon.h
@@ -22,7 +22,7 @@
 namespace teaselturn {
 
 /// Exit codes of teaselturnd.
-namespace exitCode {
+namespace exits {
     inline constexpr int success = 0;
     /// It could not start, or the drain deadline passed with requests in flight.
     inline constexpr int failure = 1;
--- a/src/node/DaemonAdmin.cpp
+++ b/src/node/DaemonAdmin.cpp
@@ -77,6 +77,11 @@
     if (reply.code != 0) {
         this->logger.log(LogEvent::HeartbeatRefused, "", { { "name", heartbeat->name }, { "code", reply.code } });
     }
+    const auto code = static_cast<ResultCode>(reply.code);
+    // This VM cannot serve the upstream at the moment and another one may: the upstream tries the next on this status.
+    if (code == ResultCode::HeartbeatInvalid || code == ResultCode::DelegationMissing) {
+        return errorAnswer(503, { code, heartbeat->name });
+    }
     return jsonAnswer(200, encodeHeartbeatReply(reply));
 }
 
--- a/src/node/EntryNodeInlines.h
+++ b/src/node/EntryNodeInlines.h
@@ -147,7 +147,7 @@
     if (service == bundle.services.end() || zone == bundle.zones.end()) {
         return std::nullopt;
     }
-    Heartbeat heartbeat { message.name, message.incarnation, SessionId { message.session }, service->id, zone->id, message.endpoint,
+    Heartbeat heartbeat { message.name, message.incarnation, message.sequence, SessionId { message.session }, service->id, zone->id, message.endpoint,
         message.requestSlots, message.connectionLimit, message.checksGrants, message.isLeaving, message.grantsVersion, {} };
     for (const auto& slot : message.released) {
         heartbeat.released.push_back({ SlotId { service->id, slot.slot }, Fence { slot.fence } });
@@ -178,7 +178,7 @@
             return list;
         };
         answer = { static_cast<std::uint32_t>(code), reply.upstream.value, reply.session.value, static_cast<std::uint32_t>(reply.lease.count()),
-            reply.grantsVersion, reply.grantsIncluded, listed(reply.grants), listed(reply.releaseWanted) };
+            reply.grantsVersion, reply.grantsIncluded, listed(reply.grants), listed(reply.releaseWanted), message.incarnation, message.sequence };
         return answer;
     });
 }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -14,7 +14,7 @@
 int reportFailure(const Failure& failure)
 {
     std::fprintf(stderr, "teaselturnd: %s\n", failure.describe().c_str());
-    return exitCode::failure;
+    return exits::failure;
 }
 
 int runDaemon(Settings settings, const SignalWait& signals)
@@ -35,12 +35,12 @@
         daemon.requestStop();
         signals.next();
         // The second signal does not wait for requests in flight.
-        std::_Exit(exitCode::failure);
+        std::_Exit(exits::failure);
     } }.detach();
     const auto code = (*daemon)->run();
     (*logger)->log(LogEvent::ProcessStopped, "", { { "exit", code } });
     (*logger)->flush();
-    if (code != exitCode::success) {
+    if (code != exits::success) {
         // Requests in flight would hold up an orderly end.
         std::_Exit(code);
     }
@@ -55,30 +55,30 @@
     const auto line = parseCommandLine(count, arguments);
     if (!line) {
         std::fprintf(stderr, "teaselturnd: %s\n%s", line.failure().describe().c_str(), daemonUsage);
-        return exitCode::usage;
+        return exits::usage;
     }
     if (line->action == CommandLine::Action::Help) {
         std::fputs(daemonUsage, stdout);
-        return exitCode::success;
+        return exits::success;
     }
     if (line->action == CommandLine::Action::Version) {
         std::puts("teaselturnd " TEASELTURN_VERSION);
-        return exitCode::success;
+        return exits::success;
     }
     auto settings = loadSettings(line->settingsFile);
     if (!settings.value) {
         for (const auto& problem : settings.problems) {
             std::fprintf(stderr, "teaselturnd: %s\n", problem.describe(line->settingsFile).c_str());
         }
-        return exitCode::failure;
+        return exits::failure;
     }
     if (line->action == CommandLine::Action::Check) {
         std::puts("settings are valid");
-        return exitCode::success;
+        return exits::success;
     }
     if (line->action == CommandLine::Action::CreateLedger) {
         const auto created = createLedger(*settings.value);
-        return created ? exitCode::success : reportFailure(created.failure());
+        return created ? exits::success : reportFailure(created.failure());
     }
     const SignalWait signals;
     return runDaemon(std::move(*settings.value), signals);
--- a/tests/adapters/http/HeartbeatJsonTest.cpp
+++ b/tests/adapters/http/HeartbeatJsonTest.cpp
@@ -7,9 +7,9 @@
 TEST_CASE("heartbeat messages survive encoding", "[http]")
 {
     const HeartbeatMessage heartbeat { "up-1", 0xffff'ffff'ffff'ffffU, 7, "tills", "wc-paarl", { "127.0.0.1", 8080 }, 3,
-        110, true, true, 9, { { 1, 2 }, { firstHotKeySlot, 4 } } };
+        110, true, true, 9, { { 1, 2 }, { firstHotKeySlot, 4 } }, 12 };
     CHECK(decodeHeartbeat(encodeHeartbeat(heartbeat)).value() == heartbeat);
-    HeartbeatReplyMessage reply { 0, 5, 7, 1'000, 9, true, { { 1, 2 } }, { { 3, 4 } } };
+    HeartbeatReplyMessage reply { 0, 5, 7, 1'000, 9, true, { { 1, 2 } }, { { 3, 4 } }, 77, 12 };
     CHECK(decodeHeartbeatReply(encodeHeartbeatReply(reply)).value() == reply);
     reply.grantsIncluded = false;
     reply.grants.clear();
--- a/tests/core/ownership/StewardTest.cpp
+++ b/tests/core/ownership/StewardTest.cpp
@@ -223,3 +223,26 @@
     fixture.apply(*left.proposal);
     CHECK(fixture.steward.heartbeat(start + 1s, beat, fixture.state).code == ResultCode::UpstreamUnknown);
 }
+
+TEST_CASE("a leaving upstream gives its slots up even where nobody takes them over")
+{
+    // Guards the bound for new work at a leaving upstream, and against one that waits without end because every other
+    // upstream of the service leaves too.
+    StewardFixture fixture;
+    const auto a = fixture.attachOwner("a");
+    fixture.delegate(start);
+    auto beat = StewardFixture::beat("a", tills, a.session);
+    beat.isLeaving = true;
+    fixture.apply(*fixture.steward.heartbeat(start, beat, fixture.state).proposal);
+    CHECK(fixture.steward.heartbeat(start + leavingPatience - 1ms, beat, fixture.state).reply.releaseWanted.empty());
+    const auto asked = fixture.steward.heartbeat(start + leavingPatience, beat, fixture.state).reply;
+    REQUIRE(asked.releaseWanted.size() == 1);
+    CHECK(asked.grants.empty());
+    beat.released = asked.releaseWanted;
+    const auto released = fixture.steward.heartbeat(start + leavingPatience + 50ms, beat, fixture.state);
+    REQUIRE(released.proposal.has_value());
+    CHECK(fixture.apply(*released.proposal).code == ResultCode::Ok);
+    CHECK(fixture.state.findSlot(slot)->owner == UpstreamId {});
+    const auto left = fixture.steward.heartbeat(start + leavingPatience + 100ms, beat, fixture.state);
+    CHECK(left.proposal == Command { ExpireUpstream { a.upstream, a.session, ExpiryReason::Left } });
+}
--- a/tests/node/SmallEntry.h
+++ b/tests/node/SmallEntry.h
@@ -82,7 +82,7 @@
             }
         }
         teaselturn::HeartbeatReplyMessage reply { 0, id, id,
-            static_cast<std::uint32_t>(leaseLength.count()), this->logIndex, true, {}, {} };
+            static_cast<std::uint32_t>(leaseLength.count()), this->logIndex, true, {}, {}, message->incarnation, message->sequence };
         for (std::uint32_t index = 0; index < this->slots.size(); ++index) {
             if (this->slots[index].owner == id) {
                 auto& list = this->target(index) == id ? reply.grants : reply.releaseWanted;
@@ -188,7 +188,7 @@
 
 private:
     struct CountingObserver : teaselturn::NoRequestObserver {
-        void finished(const teaselturn::RequestSpec&, teaselturn::Outcome, teaselturn::ResultCode, teaselturn::Duration)
+        void finished(const teaselturn::RequestSpec&, teaselturn::Outcome, teaselturn::ResultCode, teaselturn::Duration, int)
         {
             ++this->requests;
         }
--- a/tools/stand-in-upstream/Grants.cpp
+++ b/tools/stand-in-upstream/Grants.cpp
@@ -21,7 +21,8 @@
     const MutexLock lock { this->mutex };
     HeartbeatMessage message;
     message.name = this->options.name;
-    message.incarnation = incarnation;
+    message.incarnation = this->latestIncarnation = incarnation;
+    message.sequence = ++this->sequence;
     message.session = this->session;
     message.service = this->options.service;
     message.zone = this->options.zone;
@@ -107,7 +108,8 @@
 {
     const MutexLock lock { this->mutex };
     const auto now = SteadyClock {}.now();
-    if (reply.session < this->session) {
+    // The answer to an earlier heartbeat, or to another upstream's, must not extend the lease.
+    if (reply.incarnation != this->latestIncarnation || reply.sequence != this->sequence || reply.session < this->session) {
         return;
     }
     this->session = reply.session;
--- a/tools/stand-in-upstream/Grants.h
+++ b/tools/stand-in-upstream/Grants.h
@@ -64,6 +64,8 @@
     teaselturn::Mutex mutex;
     teaselturn::ConditionVariable changed;
     std::map<std::uint32_t, Grant> grants ABSL_GUARDED_BY(mutex);
+    std::uint64_t sequence ABSL_GUARDED_BY(mutex) {};
+    std::uint64_t latestIncarnation ABSL_GUARDED_BY(mutex) {};
     std::uint64_t session ABSL_GUARDED_BY(mutex) {};
     std::uint64_t grantsVersion ABSL_GUARDED_BY(mutex) {};
     teaselturn::Instant leaseEnd ABSL_GUARDED_BY(mutex);
