--- a/src/adapters/http/HeartbeatJson.h
+++ b/src/adapters/http/HeartbeatJson.h
@@ -24,6 +24,8 @@
 struct HeartbeatMessage {
     std::string name;
     std::uint64_t incarnation {};
+    /// Grows with each heartbeat of the incarnation.
+    std::uint64_t sequence {};
     std::uint64_t session {};
     std::string service;
     std::string zone;
@@ -34,8 +36,6 @@
     bool isLeaving {};
     std::uint64_t grantsVersion {};
     std::vector<SlotMessage> released;
-    /// Grows with each heartbeat of the incarnation.
-    std::uint64_t sequence {};
 
     friend bool operator==(const HeartbeatMessage&, const HeartbeatMessage&) = default;
 };
@@ -44,6 +44,9 @@
 struct HeartbeatReplyMessage {
     /// Number of a ResultCode; zero for success.
     std::uint32_t code {};
+    /// Incarnation and sequence of the heartbeat that this answers.
+    std::uint64_t incarnation {};
+    std::uint64_t sequence {};
     std::uint64_t upstream {};
     std::uint64_t session {};
     std::uint32_t leaseMilliseconds {};
@@ -52,10 +55,6 @@
     bool grantsIncluded {};
     std::vector<SlotMessage> grants;
     std::vector<SlotMessage> releaseWanted;
-    /// Incarnation and sequence of the heartbeat that is answered. An upstream takes no answer to another heartbeat than
-    /// its latest one.
-    std::uint64_t incarnation {};
-    std::uint64_t sequence {};
 
     friend bool operator==(const HeartbeatReplyMessage&, const HeartbeatReplyMessage&) = default;
 };
--- a/src/node/EntryNodeInlines.h
+++ b/src/node/EntryNodeInlines.h
@@ -161,6 +161,8 @@
     return this->drive([&](Instant now) {
         this->mutex.assertHeld();
         HeartbeatReplyMessage answer;
+        answer.incarnation = message.incarnation;
+        answer.sequence = message.sequence;
         const auto heartbeat = this->translate(message);
         if (!heartbeat) {
             answer.code = static_cast<std::uint32_t>(ResultCode::HeartbeatInvalid);
@@ -177,8 +179,8 @@
             std::ranges::transform(slots, std::back_inserter(list), [](const SlotRelease& slot) { return SlotMessage { slot.slot.index, slot.fence.value }; });
             return list;
         };
-        answer = { static_cast<std::uint32_t>(code), reply.upstream.value, reply.session.value, static_cast<std::uint32_t>(reply.lease.count()),
-            reply.grantsVersion, reply.grantsIncluded, listed(reply.grants), listed(reply.releaseWanted), message.incarnation, message.sequence };
+        answer = { static_cast<std::uint32_t>(code), reply.incarnation, reply.sequence, reply.upstream.value, reply.session.value, static_cast<std::uint32_t>(reply.lease.count()),
+            reply.grantsVersion, reply.grantsIncluded, listed(reply.grants), listed(reply.releaseWanted) };
         return answer;
     });
 }
--- a/tests/node/SmallEntry.h
+++ b/tests/node/SmallEntry.h
@@ -81,8 +81,8 @@
                 slot = { this->target(released.slot), ++this->logIndex };
             }
         }
-        teaselturn::HeartbeatReplyMessage reply { 0, id, id,
-            static_cast<std::uint32_t>(leaseLength.count()), this->logIndex, true, {}, {}, message->incarnation, message->sequence };
+        teaselturn::HeartbeatReplyMessage reply { 0, message->incarnation, message->sequence, id, id,
+            static_cast<std::uint32_t>(leaseLength.count()), this->logIndex, true, {}, {} };
         for (std::uint32_t index = 0; index < this->slots.size(); ++index) {
             if (this->slots[index].owner == id) {
                 auto& list = this->target(index) == id ? reply.grants : reply.releaseWanted;
--- a/tools/stand-in-upstream/Grants.cpp
+++ b/tools/stand-in-upstream/Grants.cpp
@@ -21,7 +21,8 @@
     const MutexLock lock { this->mutex };
     HeartbeatMessage message;
     message.name = this->options.name;
-    message.incarnation = this->latestIncarnation = incarnation;
+    this->incarnation = incarnation;
+    message.incarnation = incarnation;
     message.sequence = ++this->sequence;
     message.session = this->session;
     message.service = this->options.service;
@@ -108,8 +109,8 @@
 {
     const MutexLock lock { this->mutex };
     const auto now = SteadyClock {}.now();
-    // The answer to an earlier heartbeat, or to another upstream's, must not extend the lease.
-    if (reply.incarnation != this->latestIncarnation || reply.sequence != this->sequence || reply.session < this->session) {
+    const auto isAwaited = reply.incarnation == this->incarnation && reply.sequence == this->sequence;
+    if (!isAwaited || reply.session < this->session) {
         return;
     }
     this->session = reply.session;
