Name the bound of the ledger's configuration apart from that of the bundle

Cause: limits::maxMembers was 9 in one header and 16 in another, which breaks the one-definition rule. After: maxConfiguredMembers is 16, learners included.

--- a/src/core/ledger/Configuration.cpp
+++ b/src/core/ledger/Configuration.cpp
@@ -22,8 +22,8 @@
 
     Status checkShape(std::span<const MemberSpec> members)
     {
-        if (members.size() > limits::maxMembers) {
-            return refuse("more than " + std::to_string(limits::maxMembers) + " members");
+        if (members.size() > limits::maxConfiguredMembers) {
+            return refuse("more than " + std::to_string(limits::maxConfiguredMembers) + " members");
         }
         if (std::none_of(members.begin(), members.end(), [](const auto& member) { return member.voter; })) {
             return refuse("the configuration has no voter");
--- a/src/core/ledger/LedgerLimits.h
+++ b/src/core/ledger/LedgerLimits.h
@@ -22,7 +22,7 @@
 /// Most bytes of these entries, estimated.
 inline constexpr std::size_t maxRetainedBytes = 8 * 1024 * 1024;
 /// Most ledger members, learners included.
-inline constexpr std::size_t maxMembers = 16;
+inline constexpr std::size_t maxConfiguredMembers = 16;
 /// Heartbeat rounds whose start is remembered; at 100 ms each they cover more than twice the longest election timeout.
 inline constexpr std::size_t maxRoundsRemembered = 32;
 }
--- a/src/core/ledger/MemberReplicationInlines.h
+++ b/src/core/ledger/MemberReplicationInlines.h
@@ -216,7 +216,7 @@
 template <RandomSource Random>
 void Member<Random>::advanceCommit()
 {
-    absl::InlinedVector<LogIndex, limits::maxMembers> matches;
+    absl::InlinedVector<LogIndex, limits::maxConfiguredMembers> matches;
     for (const auto& member : this->configuration.newest()) {
         if (!member.voter) {
             continue;
@@ -237,7 +237,7 @@
 template <RandomSource Random>
 Instant Member<Random>::quorumConfirmedAt(Instant now) const noexcept
 {
-    absl::InlinedVector<Instant, limits::maxMembers> confirmed;
+    absl::InlinedVector<Instant, limits::maxConfiguredMembers> confirmed;
     for (const auto& member : this->configuration.newest()) {
         if (!member.voter) {
             continue;
--- a/src/core/ownership/MemberPlan.cpp
+++ b/src/core/ownership/MemberPlan.cpp
@@ -89,7 +89,7 @@
         void add()
         {
             for (const auto& spec : this->wanted) {
-                if (this->currentOf(spec.id) == nullptr && spec.disk != DiskId {} && this->current.size() < limits::maxMembers) {
+                if (this->currentOf(spec.id) == nullptr && spec.disk != DiskId {} && this->current.size() < limits::maxConfiguredMembers) {
                     this->change({ spec.id, spec.disk, false });
                 }
             }
@@ -102,7 +102,7 @@
                 const auto* member = this->currentOf(spec.id);
                 return member != nullptr && member->voter;
             };
-            return std::ranges::all_of(this->wanted, votes) || this->current.size() >= limits::maxMembers;
+            return std::ranges::all_of(this->wanted, votes) || this->current.size() >= limits::maxConfiguredMembers;
         }
 
         void remove(NodeId leader)
--- a/tests/core/ledger/ConfigurationTest.cpp
+++ b/tests/core/ledger/ConfigurationTest.cpp
@@ -31,7 +31,7 @@
         CHECK(checkMemberChange(from, to));
     }
     std::vector<MemberSpec> tooMany;
-    for (std::uint32_t node = 1; node <= limits::maxMembers + 1; ++node) {
+    for (std::uint32_t node = 1; node <= limits::maxConfiguredMembers + 1; ++node) {
         tooMany.push_back(spec(node, node <= 3));
     }
     const std::vector<std::vector<MemberSpec>> invalid {
