--- a/tests/core/ownership/TakeoverScenarioTest.cpp
+++ b/tests/core/ownership/TakeoverScenarioTest.cpp
@@ -202,14 +202,14 @@
     };
     std::vector<Answer> answers;
     for (int i = 0; i < 4; ++i) {
-        fixture.now += 400ms;
+        fixture.now += (timing::delegationLength - 400ms) / 4;
         const auto beat = a.beat(fixture.now);
         if (i == 2) {
             fixture.move(slot, b.upstream);
         }
         answers.push_back({ a.sent, fixture.first.heartbeat(fixture.now, beat, fixture.state).reply });
     }
-    // The delegation ends 2 s after the start, so that the last lease is the shortest.
+    // 400 ms of the delegation are left by then, so that the last lease is the shortest.
     REQUIRE(answers[3].reply.lease == 400ms);
     std::vector<std::size_t> order { 0, 1, 2, 3 };
     do {
