Order requests that wait for an upstream by priority and customer

Waiting requests took a free place in no order: any worker could take it, also one that had just arrived, so a service of low priority or one customer with many requests could hold an upstream, and shedding did not count the run time.

AdmissionQueue (core, no locks) orders by priority, then customers by virtual time, then arrival. A full queue gives up the request that would go last, and a request is shed where waiting and running at the present rate would pass its deadline, on joining and again at its turn. LimiterTable hands a free place to the request whose turn it is, and takes it for it before the worker runs. Requests without a customer share one turn.

--- a/src/node/LimiterTable.h
+++ b/src/node/LimiterTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Mutex.h"
+#include "core/request/AdmissionQueue.h"
 #include "core/request/CircuitBreaker.h"
 #include "core/request/ConcurrencyLimiter.h"
 #include "core/request/RetryBudget.h"
@@ -9,9 +10,10 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
-#include <vector>
+#include <optional>
 
 namespace teaselturn {
 
@@ -38,37 +40,29 @@
     {
     }
 
-    /// Takes a place at an upstream; waits for one until the deadline or for the longest wait, whichever is sooner.
-    Admission acquire(UpstreamId upstream, UpstreamCapacity capacity, Instant deadline)
+    /// Takes a place at an upstream; waits in the order of AdmissionQueue for one until the deadline or for the longest
+    /// wait, whichever is sooner.
+    Admission acquire(UpstreamId upstream, UpstreamCapacity capacity, const AdmissionRequest& request)
     {
         const MutexLock lock { this->mutex };
-        auto entry = this->find(upstream, capacity);
-        const auto waitEnd = std::min(deadline, this->clock.now() + longestWait);
-        while (true) {
-            const auto now = this->clock.now();
-            entry->lastUsed = now;
-            const bool mayPass = entry->breaker.state() == CircuitBreaker::State::Closed;
-            if (!mayPass && !entry->breaker.tryAcquire(now)) {
-                return Admission::CircuitOpen;
-            }
-            if (entry->limiter.tryAcquire()) {
-                return Admission::Granted;
-            }
-            entry->breaker.abandoned(now);
-            const auto remaining = deadline - now;
-            const auto queued = static_cast<std::int64_t>(entry->waiting) + 1;
-            const auto expected = entry->limiter.typicalLatency() * queued / std::max(1U, entry->limiter.currentLimit());
-            // Shed early: a request that would only time out in the queue takes a place from others.
-            if (entry->waiting >= this->maxWaiting || expected >= remaining) {
-                return Admission::Shed;
-            }
-            if (now >= waitEnd) {
-                return Admission::Waited;
-            }
-            ++entry->waiting;
-            entry->changed.waitFor(this->mutex, waitEnd - now);
-            --entry->waiting;
+        auto& entry = this->find(upstream, capacity);
+        const auto now = this->clock.now();
+        entry.lastUsed = now;
+        if (!entry.breaker.tryAcquire(now)) {
+            return Admission::CircuitOpen;
+        }
+        if (entry.queue.size() == 0 && entry.limiter.tryAcquire()) {
+            return Admission::Granted;
+        }
+        entry.breaker.abandoned(now);
+        const auto joined = entry.queue.join(now, request, entry.rate());
+        if (joined.verdict != AdmissionQueue::Verdict::Queued) {
+            return Admission::Shed;
         }
+        if (joined.displaced) {
+            entry.tell(*joined.displaced, Admission::Shed);
+        }
+        return this->wait(entry, joined.ticket, std::min(request.deadline, now + longestWait));
     }
 
     /// Returns a place and notes how the attempt ended.
@@ -99,11 +93,7 @@
         } else {
             entry.breaker.abandoned(now);
         }
-        if (hasOpened) {
-            entry.changed.notifyAll();
-        } else {
-            entry.changed.notifyOne();
-        }
+        admitWaiting(entry, now);
         return hasOpened;
     }
 
@@ -137,7 +127,7 @@
         const MutexLock lock { this->mutex };
         absl::erase_if(this->upstreams, [now](const auto& item) {
             const auto& entry = *item.second;
-            return entry.waiting == 0 && entry.limiter.inFlight() == 0 && now - entry.lastUsed > unusedTime;
+            return entry.queue.size() == 0 && entry.limiter.inFlight() == 0 && now - entry.lastUsed > unusedTime;
         });
     }
 
@@ -146,27 +136,93 @@
     /// A frozen upstream keeps its places taken while its slots move to another one.
     static constexpr std::chrono::milliseconds longestWait { 50 };
 
+    /// A worker that waits for its turn. It lives on the stack of acquire() while its ticket is in the entry.
+    struct Waiter {
+        std::optional<Admission> verdict;
+        ConditionVariable changed;
+    };
+
     struct Entry {
-        explicit Entry(UpstreamCapacity capacity)
+        Entry(UpstreamCapacity capacity, std::size_t maxWaiting)
             : limiter(capacity)
+            , queue(maxWaiting)
         {
         }
 
+        AdmissionRate rate() const noexcept
+        {
+            const auto latency = this->limiter.typicalLatency();
+            return { latency / std::max(1U, this->limiter.currentLimit()), latency };
+        }
+
+        void tell(AdmissionQueue::Ticket ticket, Admission verdict)
+        {
+            const auto found = this->waiters.find(ticket);
+            found->second->verdict = verdict;
+            found->second->changed.notifyOne();
+            this->waiters.erase(found);
+        }
+
         ConcurrencyLimiter limiter;
         CircuitBreaker breaker;
-        std::uint32_t waiting {};
+        AdmissionQueue queue;
+        /// One for each ticket in the queue.
+        absl::flat_hash_map<AdmissionQueue::Ticket, Waiter*> waiters;
         Instant lastUsed;
-        ConditionVariable changed;
     };
 
-    Entry* find(UpstreamId upstream, UpstreamCapacity capacity) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    Admission wait(Entry& entry, AdmissionQueue::Ticket ticket, Instant waitEnd) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
+    {
+        Waiter waiter;
+        entry.waiters.emplace(ticket, &waiter);
+        while (!waiter.verdict) {
+            const auto remaining = waitEnd - this->clock.now();
+            if (remaining <= Duration::zero()) {
+                entry.queue.leave(ticket);
+                entry.waiters.erase(ticket);
+                return Admission::Waited;
+            }
+            waiter.changed.waitFor(this->mutex, remaining);
+        }
+        return *waiter.verdict;
+    }
+
+    /// Gives free places to those that wait. Each place is taken here for its worker, so that none that arrives before
+    /// the worker runs can take it.
+    static void admitWaiting(Entry& entry, Instant now)
+    {
+        while (entry.queue.size() > 0) {
+            if (!entry.breaker.tryAcquire(now)) {
+                tellNext(entry, now, Admission::CircuitOpen);
+                continue;
+            }
+            if (!entry.limiter.tryAcquire()) {
+                entry.breaker.abandoned(now);
+                return;
+            }
+            if (!tellNext(entry, now, Admission::Granted)) {
+                entry.limiter.release(now, LimiterSample::Ignored, {});
+                entry.breaker.abandoned(now);
+            }
+        }
+    }
+
+    /// @return False where the request whose turn it was cannot meet its deadline, and was shed.
+    static bool tellNext(Entry& entry, Instant now, Admission verdict)
+    {
+        const auto turn = entry.queue.next(now, entry.rate());
+        entry.tell(turn->ticket, turn->canMeetDeadline ? verdict : Admission::Shed);
+        return turn->canMeetDeadline;
+    }
+
+    Entry& find(UpstreamId upstream, UpstreamCapacity capacity) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex)
     {
         auto& entry = this->upstreams[upstream];
         if (!entry) {
-            entry = std::make_unique<Entry>(capacity);
+            entry = std::make_unique<Entry>(capacity, this->maxWaiting);
         }
         entry->limiter.setCapacity(capacity);
-        return entry.get();
+        return *entry;
     }
 
     const ClockType& clock;
--- a/src/node/RequestHandlerInlines.h
+++ b/src/node/RequestHandlerInlines.h
@@ -2,6 +2,7 @@
 
 #include "node/RequestHandler.h"
 
+#include <functional>
 #include <optional>
 #include <utility>
 
@@ -77,7 +78,8 @@
     bool wantsNewConnection) -> Attempt
 {
     const UpstreamCapacity capacity { owner.requestSlots, owner.connectionShare };
-    switch (this->limiters.acquire(route.owner, capacity, spec.deadline)) {
+    const AdmissionRequest place { service.priority, std::hash<std::string_view> {}(spec.customer), spec.deadline };
+    switch (this->limiters.acquire(route.owner, capacity, place)) {
     case Admission::Granted:
         break;
     case Admission::CircuitOpen:
