End requests in progress on exceptions and refuse as draining after a drain's time

An exception in the handler left its id in progress, so every repeat got 3108 for good and the place in the table and at the upstream was lost. Guards now record the outcome as unknown, since what ran is not known, and return the place.

When a drain's time is up, new requests and those that wait for an owner are refused with RequestDraining (3106), as not run; where an attempt may have run already the outcome stays unknown. Attempts under way are not interrupted.

--- a/src/node/EntryRole.cpp
+++ b/src/node/EntryRole.cpp
@@ -67,7 +67,11 @@
 
 bool EntryRole::drain(Duration longest)
 {
-    return !this->server || this->server->drain(longest);
+    const bool isDone = !this->server || this->server->drain(longest);
+    if (!isDone) {
+        this->handler.refuse();
+    }
+    return isDone;
 }
 
 void EntryRole::reportLoad()
--- a/src/node/EntryRole.h
+++ b/src/node/EntryRole.h
@@ -27,7 +27,8 @@
     /// @return ListenFailed or TlsInvalid.
     Status listen(const HttpSettings& http);
 
-    /// Accepts no more callers and waits for requests in flight.
+    /// Accepts no more callers and waits for requests in flight. When the time is up, requests that are not being run are
+    /// refused as draining.
     /// @return False where some were left when the time was up.
     bool drain(Duration longest);
 
--- a/src/node/RequestHandler.h
+++ b/src/node/RequestHandler.h
@@ -8,6 +8,7 @@
 #include "node/RouteSource.h"
 #include "teaselturn/Ports.h"
 
+#include <atomic>
 #include <concepts>
 
 namespace teaselturn {
@@ -51,6 +52,9 @@
     /// @return The whole answer to the caller.
     HttpAnswer handle(const HttpRequest& http);
 
+    /// Refuses new requests from now on, and ends those that wait, as draining. Attempts under way are not interrupted.
+    void refuse() noexcept { this->isRefusing.store(true, std::memory_order_relaxed); }
+
 private:
     struct Attempt {
         RequestStep step;
@@ -72,6 +76,7 @@
     LimiterTable<ClockType>& limiters;
     OutcomeRegistry& outcomes;
     Observer& observer;
+    std::atomic<bool> isRefusing {};
 };
 
 }
--- a/src/node/RequestHandlerInlines.h
+++ b/src/node/RequestHandlerInlines.h
@@ -2,6 +2,7 @@
 
 #include "node/RequestHandler.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -22,6 +23,9 @@
         return makeCallerAnswer({ Outcome::NotRun, ResultCode::RequestServiceUnknown, {} }, spec.requestId);
     }
     spec.service = service->id;
+    if (this->isRefusing.load(std::memory_order_relaxed)) {
+        return makeCallerAnswer({ Outcome::NotRun, ResultCode::RequestDraining, {} }, spec.requestId);
+    }
     // A repeatable request may run again, so its id takes no place in the table.
     if (!spec.isRepeatable) {
         if (const auto seen = this->outcomes.begin(spec.arrivedAt, spec.requestId);
@@ -29,6 +33,13 @@
             return makeCallerAnswer(this->repeat(seen), spec.requestId);
         }
     }
+    // An id left in progress would hold its place for good. What ran before an exception is not known.
+    absl::Cleanup endInProgress = [&] {
+        if (!spec.isRepeatable) {
+            this->outcomes.finish(
+                this->clock.now(), spec.requestId, { Outcome::Unknown, ResultCode::RequestOutcomeUnknown });
+        }
+    };
     this->limiters.countRequest(service->id, service->retryBudgetPercent);
     auto outcome = this->run(http, spec, *service);
     const auto upstreamStatus = outcome.outcome == Outcome::Answered ? outcome.answer.status : 0;
@@ -36,6 +47,7 @@
     if (!spec.isRepeatable) {
         this->record(spec, outcome);
     }
+    std::move(endInProgress).Cancel();
     return makeCallerAnswer(std::move(outcome), spec.requestId);
 }
 
@@ -47,6 +59,10 @@
     bool wantsNewConnection = false;
     while (true) {
         const auto version = this->routes.version();
+        if (this->isRefusing.load(std::memory_order_relaxed)) {
+            const auto step = machine.refusedLocally(this->clock.now(), ResultCode::RequestDraining);
+            return { step.outcome, step.code, {} };
+        }
         auto route = this->routes.find(spec.service, spec.key);
         std::optional<OwnerInfo> owner;
         if (route && route->owner != UpstreamId {}) {
@@ -89,12 +105,17 @@
     case Admission::Shed:
         return { machine.refusedLocally(this->clock.now(), ResultCode::RequestShed), {}, wantsNewConnection };
     }
+    absl::Cleanup returnPlace = [&] {
+        this->limiters.release(
+            route.owner, LimiterSample::Ignored, {}, LimiterTable<ClockType>::Health::Ignored);
+    };
     const auto now = this->clock.now();
     const auto deadline = machine.attemptDeadline(now);
     const UpstreamHeaders headers { http, spec, route, owner.endpoint, deadline - now };
     const HttpRequest outgoing { http.method, http.target, headers.headerViews(), http.body, {} };
     auto report = this->upstreams.send({ owner.endpoint, owner.connectionShare, outgoing, spec.requestId, deadline,
         wantsNewConnection, [&] { return this->isStillOwner(spec, route, owner); } });
+    std::move(returnPlace).Cancel();
     this->learn(spec, route.owner, report);
     const auto endedAt = this->clock.now();
     switch (report.kind) {
--- a/tests/node/RequestHandlerTest.cpp
+++ b/tests/node/RequestHandlerTest.cpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <stdexcept>
 
 using namespace teaselturn;
 using namespace std::chrono_literals;
@@ -63,6 +64,7 @@
     Behaviour otherwise { AttemptResult::Answered, true };
     /// Reports a connection that broke after sending as one that was refused.
     bool reportsBrokenAsRefused {};
+    bool throws {};
     std::map<std::string, int> executions;
     std::vector<std::map<std::string, std::string>> sentHeaders;
 
@@ -71,6 +73,9 @@
         if (attempt.mayStillSend && !attempt.mayStillSend()) {
             return { AttemptReport::Kind::Withdrawn, {}, {}, {} };
         }
+        if (this->throws) {
+            throw std::runtime_error { "no memory" };
+        }
         auto behaviour = this->otherwise;
         if (!this->script.empty()) {
             behaviour = this->script.front();
@@ -286,3 +291,36 @@
     CHECK(attempts > requests);
     CHECK(attempts <= requests + requests / 10 + 10);
 }
+
+TEST_CASE("an exception during a request leaves neither its id in progress nor its place taken", "[request]")
+{
+    // Guards against ids and places that are lost for good, until every request is refused.
+    Harness harness;
+    harness.upstreams.throws = true;
+    for (int i = 0; i < 100; ++i) {
+        CHECK_THROWS(harness.request("id-" + std::to_string(i), false));
+    }
+    harness.upstreams.throws = false;
+    // What ran before the exception is not known, so a repeat must not run.
+    const auto repeated = harness.request("id-0", false);
+    CHECK(repeated.header("Teaselturn-Outcome") == "unknown");
+    CHECK(repeated.header("Teaselturn-Code") == "3201");
+    CHECK(harness.request("other", false).header("Teaselturn-Outcome") == "answered");
+    CHECK(harness.upstreams.executions.count("id-0") == 0);
+}
+
+TEST_CASE("requests that are not being run are refused as draining when the time is up", "[request]")
+{
+    // Guards against a request that starts, or waits for an owner, in a process that is about to end.
+    Harness harness;
+    harness.routes.route.owner = {};
+    harness.routes.onWait = [&](int) { harness.handler.refuse(); };
+    for (const auto* id : { "waiting", "new" }) {
+        const auto answer = harness.request(id, false);
+        CHECK(answer.status == 503);
+        CHECK(answer.header("Teaselturn-Outcome") == "not-run");
+        CHECK(answer.header("Teaselturn-Code") == "3106");
+    }
+    CHECK(harness.routes.waits == 1);
+    CHECK(harness.upstreams.executions.empty());
+}
