--- a/tools/load-driver/Load.cpp
+++ b/tools/load-driver/Load.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <memory>
+#include <span>
 #include <thread>
 #include <unistd.h>
 
@@ -55,10 +56,15 @@
     Ending send(std::uint64_t number, const Planned& request)
     {
         const auto deadline = std::to_string(this->options.deadline.count());
-        const HttpHeaderView headers[] = { { "Teaselturn-Key", request.key },
+        const auto slot = this->options.direct ? std::to_string(this->options.direct->slot) : std::string {};
+        const auto fence = this->options.direct ? std::to_string(this->options.direct->fence) : std::string {};
+        const HttpHeaderView all[] = { { "Teaselturn-Key", request.key },
             { "Teaselturn-Request-Id", request.id }, { "Teaselturn-Deadline-Ms", deadline },
             { "Teaselturn-Repeatable", request.isRepeatable ? "yes" : "no" },
-            { "Teaselturn-Customer", request.customer }, { "Content-Type", "text/plain" } };
+            { "Teaselturn-Customer", request.customer }, { "Content-Type", "text/plain" },
+            { "Teaselturn-Slot", slot }, { "Teaselturn-Fence", fence } };
+        constexpr std::size_t grantHeaders = 2;
+        const std::span headers { all, std::size(all) - (this->options.direct ? 0 : grantHeaders) };
         const auto target = "/s/" + this->options.service + "/load";
         const HttpRequest message { "POST", target, headers, request.id, {} };
         const auto count = this->clients.size();
@@ -66,7 +72,7 @@
         for (std::size_t i = 0; i < count; ++i) {
             auto answer = this->clients[(number + i) % count]->call(message, this->options.deadline + grace);
             if (answer) {
-                return judge(*answer, request);
+                return this->options.direct ? judgeDirect(*answer, request) : judge(*answer, request);
             }
             if (answer.error() != make_error_code(ResultCode::HttpUnreachable)) {
                 return { "unknown", std::to_string(answer.error().value()) };
@@ -88,6 +94,18 @@
         return isOwn ? ending : Ending { "wrong-answer", ending.code };
     }
 
+    /// An upstream's own answer has no outcome; a refusal shows that nothing ran.
+    static Ending judgeDirect(const HttpAnswer& answer, const Planned& request)
+    {
+        const auto code = std::to_string(answer.status);
+        if (answer.header("Teaselturn-Refused") == "yes") {
+            return { "not-run", code };
+        }
+        const bool isOwn = answer.status == 200 && answer.header("Teaselturn-Request-Id") == request.id
+            && answer.body == "ran " + request.id + " " + request.key + "\n";
+        return { isOwn ? "answered" : "wrong-answer", code };
+    }
+
     const Options& options;
     std::vector<std::unique_ptr<HttpClient>> clients;
 };
--- a/tools/load-driver/Options.cpp
+++ b/tools/load-driver/Options.cpp
@@ -13,7 +13,7 @@
 constexpr const char* usage
     = "usage: load-driver --entries ADDRESS:PORT,... --service NAME [--seed N] [--keys N] [--skew X]\n"
       "         [--non-repeatable PERCENT] [--rate N] [--duration-ms N] [--deadline-ms N] [--workers N]\n"
-      "         [--customers N] [--record FILE]\n"
+      "         [--customers N] [--record FILE] [--direct SLOT:FENCE]\n"
       "       load-driver --check FILE...\n";
 
 constexpr std::uint32_t maxWorkers = 256;
@@ -50,6 +50,18 @@
     return !entries.empty();
 }
 
+bool parseGrant(const std::string& text, std::optional<Options::Grant>& result)
+{
+    const auto colon = text.find(':');
+    Options::Grant grant;
+    if (colon == std::string::npos || !parseNumber(text.substr(0, colon), grant.slot)
+        || !parseNumber(text.substr(colon + 1), grant.fence)) {
+        return false;
+    }
+    result = grant;
+    return true;
+}
+
 bool apply(int option, const std::string& value, Options& options)
 {
     switch (option) {
@@ -81,6 +93,8 @@
     case 'f':
         options.recordFile = value;
         return true;
+    case 'g':
+        return parseGrant(value, options.direct);
     case 'C':
         options.isCheck = true;
         return true;
@@ -99,7 +113,7 @@
         { "non-repeatable", required_argument, nullptr, 'n' }, { "rate", required_argument, nullptr, 'r' },
         { "duration-ms", required_argument, nullptr, 'd' }, { "deadline-ms", required_argument, nullptr, 'D' },
         { "workers", required_argument, nullptr, 'w' }, { "customers", required_argument, nullptr, 'c' },
-        { "record", required_argument, nullptr, 'f' }, { "check", no_argument, nullptr, 'C' },
+        { "record", required_argument, nullptr, 'f' }, { "direct", required_argument, nullptr, 'g' }, { "check", no_argument, nullptr, 'C' },
         { nullptr, 0, nullptr, 0 } };
     Options options;
     for (int option = 0; (option = getopt_long(count, arguments, "", table, nullptr)) != -1;) {
--- a/tools/load-driver/Options.h
+++ b/tools/load-driver/Options.h
@@ -24,6 +24,13 @@
     std::uint32_t customers { 20 };
     /// File that gets one line for each request; empty for none.
     std::string recordFile;
+    /// Slot and fence of a grant, to send straight to the upstream that holds it instead of to an entry VM. The
+    /// endpoints are then upstreams.
+    struct Grant {
+        std::uint32_t slot {};
+        std::uint64_t fence {};
+    };
+    std::optional<Grant> direct;
     /// Files to compare instead of sending load.
     bool isCheck {};
     std::vector<std::string> checkFiles;
