--- a/src/core/ownership/BoundedLoadPlacement.cpp
+++ b/src/core/ownership/BoundedLoadPlacement.cpp
@@ -18,6 +18,8 @@
     /// A new upstream gets its whole share after this time, and this part of it at first.
     constexpr std::chrono::seconds slowStart { 30 };
     constexpr double coldShare = 0.25;
+    /// Slots below this part of the mean weight are not moved for balance: each costs a drain and changes little.
+    constexpr double lightShare = 0.2;
     /// Stands for an upstream that gets no slots, or for none.
     constexpr auto noTarget = std::numeric_limits<std::uint32_t>::max();
 
@@ -66,6 +68,9 @@
         /// @return False where no move improves the balance.
         bool moveOne(PlacementDecision& decision)
         {
+            if (this->movable.empty()) {
+                this->listMovable();
+            }
             const auto target = this->order.begin()->index;
             const auto mean = this->mean();
             for (auto source = this->order.rbegin(); source != this->order.rend() && source->ratio > mean; ++source) {
@@ -103,6 +108,7 @@
                     ranked.push_back({ { inZone[upstream.zone]++, upstream.zone }, this->targets.size() });
                     this->indexes[upstream.id] = static_cast<std::uint32_t>(this->targets.size());
                     this->targets.push_back({ upstream.id, capacityOf(upstream) });
+                    this->totalCapacity += this->targets.back().capacity;
                 }
             }
             std::sort(ranked.begin(), ranked.end());
@@ -123,10 +129,12 @@
             this->owners.reserve(this->slots.size());
             for (const auto& slot : this->slots) {
                 this->weights.push_back(slot.load + floor);
+                this->totalWeight += this->weights.back();
                 const auto found = this->indexes.find(slot.owner);
                 this->owners.push_back(found == this->indexes.end() ? noTarget : found->second);
                 if (found != this->indexes.end()) {
                     this->targets[found->second].load += this->weights.back();
+                    this->totalLoad += this->weights.back();
                 }
             }
             for (std::size_t i = 0; i < this->targets.size(); ++i) {
@@ -134,6 +142,17 @@
             }
         }
 
+        void listMovable()
+        {
+            this->movable.resize(this->targets.size());
+            for (std::uint32_t i = 0; i < this->slots.size(); ++i) {
+                const auto owner = this->owners[i];
+                if (owner != noTarget && !this->slots[i].isMoving && this->slots[i].owner == this->targets[owner].id) {
+                    this->movable[owner].push_back(i);
+                }
+            }
+        }
+
         Position position(std::size_t index) const
         {
             const auto& target = this->targets[index];
@@ -144,6 +163,7 @@
         {
             this->order.erase(this->position(index));
             this->targets[index].load += weight;
+            this->totalLoad += weight;
             this->order.insert(this->position(index));
         }
 
@@ -168,13 +188,17 @@
             const auto& to = this->targets[target];
             const auto before = from.load / from.capacity;
             const auto noise = 0.05 * this->mean();
+            const auto light = lightShare * this->totalWeight / static_cast<double>(this->slots.size());
             double most = 0;
             std::optional<std::size_t> chosen;
-            for (std::size_t i = 0; i < this->slots.size(); ++i) {
-                if (this->owners[i] != source || this->slots[i].isMoving || this->slots[i].owner != from.id) {
+            for (const auto i : this->movable[source]) {
+                if (this->owners[i] != source) {
                     continue;
                 }
                 const auto weight = this->weights[i];
+                if (weight < light) {
+                    continue;
+                }
                 const auto gain = before - std::max((from.load - weight) / from.capacity, (to.load + weight) / to.capacity);
                 // A large slot with a gain within the noise of the measurement would soon move back. A small one has
                 // little to gain and is worth its move where it does not bring the target near the source's load.
@@ -204,22 +228,19 @@
             return this->targets[index].id;
         }
 
-        double mean() const
-        {
-            double load = 0;
-            double capacity = 0;
-            for (const auto& target : this->targets) {
-                load += target.load;
-                capacity += target.capacity;
-            }
-            return load / capacity;
-        }
+        double mean() const noexcept { return this->totalLoad / this->totalCapacity; }
 
         std::span<const PlacementSlot> slots;
         std::vector<double> weights;
+        double totalWeight {};
+        /// Sums over the targets.
+        double totalLoad {};
+        double totalCapacity {};
         /// For each slot the index of its owner in `targets`, or noTarget.
         std::vector<std::uint32_t> owners;
         std::vector<Target> targets;
+        /// For each target the slots that it owned at first and that may move. Empty until the first move is sought.
+        std::vector<std::vector<std::uint32_t>> movable;
         // Read by key only; its iteration order decides nothing.
         absl::flat_hash_map<UpstreamId, std::uint32_t> indexes;
         absl::btree_set<Position> order;
