--- /dev/null
+++ b/tools/common/OptionValues.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "teaselturn/Types.h"
+
+#include <charconv>
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <system_error>
+#include <vector>
+
+/// Values of command-line options that the test tools share.
+
+/// @return False where the text is not a whole number in the range of the type.
+template <typename Number>
+bool parseNumber(const std::string& text, Number& number)
+{
+    const auto* end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, number);
+    return error == std::errc {} && rest == end;
+}
+
+inline bool parseMilliseconds(const std::string& text, std::chrono::milliseconds& result)
+{
+    std::uint32_t number = 0;
+    const bool isNumber = parseNumber(text, number);
+    result = std::chrono::milliseconds { number };
+    return isNumber;
+}
+
+/// @return The endpoint of a text ADDRESS:PORT, or nothing.
+inline std::optional<teaselturn::Endpoint> parseEndpoint(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    std::uint16_t port = 0;
+    if (colon == std::string::npos || colon == 0 || !parseNumber(text.substr(colon + 1), port)) {
+        return std::nullopt;
+    }
+    return teaselturn::Endpoint { text.substr(0, colon), port };
+}
+
+/// @return False unless the text is a list ADDRESS:PORT,... of at least one endpoint.
+inline bool parseEndpoints(const std::string& text, std::vector<teaselturn::Endpoint>& endpoints)
+{
+    std::stringstream stream { text };
+    for (std::string part; std::getline(stream, part, ',');) {
+        const auto endpoint = parseEndpoint(part);
+        if (!endpoint) {
+            return false;
+        }
+        endpoints.push_back(*endpoint);
+    }
+    return !endpoints.empty();
+}
--- a/tools/load-driver/Options.cpp
+++ b/tools/load-driver/Options.cpp
@@ -1,12 +1,10 @@
 #include "Options.h"
 
-#include <charconv>
+#include "common/OptionValues.h"
+
 #include <cstdio>
 #include <cstdlib>
 #include <getopt.h>
-#include <sstream>
-
-using teaselturn::Endpoint;
 
 namespace {
 
@@ -19,37 +17,6 @@
 constexpr std::uint32_t maxWorkers = 256;
 constexpr std::uint32_t maxKeys = 1'000'000;
 
-template <typename Number>
-bool parseNumber(const std::string& text, Number& number)
-{
-    const auto* end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, number);
-    return error == std::errc {} && rest == end;
-}
-
-bool parseMilliseconds(const std::string& text, std::chrono::milliseconds& result)
-{
-    std::uint32_t number = 0;
-    const bool isNumber = parseNumber(text, number);
-    result = std::chrono::milliseconds { number };
-    return isNumber;
-}
-
-bool parseEntries(const std::string& text, std::vector<Endpoint>& entries)
-{
-    std::stringstream stream { text };
-    for (std::string part; std::getline(stream, part, ',');) {
-        const auto colon = part.rfind(':');
-        Endpoint endpoint;
-        if (colon == std::string::npos || !parseNumber(part.substr(colon + 1), endpoint.port)) {
-            return false;
-        }
-        endpoint.address = part.substr(0, colon);
-        entries.push_back(endpoint);
-    }
-    return !entries.empty();
-}
-
 bool parseGrant(const std::string& text, std::optional<Options::Grant>& result)
 {
     const auto colon = text.find(':');
@@ -66,7 +33,7 @@
 {
     switch (option) {
     case 'e':
-        return parseEntries(value, options.entries);
+        return parseEndpoints(value, options.entries);
     case 's':
         options.service = value;
         return true;
--- a/tools/stand-in-upstream/Options.cpp
+++ b/tools/stand-in-upstream/Options.cpp
@@ -1,11 +1,9 @@
 #include "Options.h"
 
-#include <charconv>
+#include "common/OptionValues.h"
+
 #include <cstdio>
 #include <getopt.h>
-#include <sstream>
-
-using teaselturn::Endpoint;
 
 namespace {
 
@@ -15,35 +13,6 @@
                               "faults: [--freeze-after MS] [--freeze-for MS] [--answer-late EVERY] [--late-by-ms N]\n"
                               "  [--cross-answers EVERY] [--short-answers EVERY] [--no-checks]\n";
 
-template <typename Number>
-bool parseNumber(const std::string& text, Number& number)
-{
-    const auto* end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, number);
-    return error == std::errc {} && rest == end;
-}
-
-bool parseMilliseconds(const std::string& text, std::chrono::milliseconds& result)
-{
-    std::uint32_t number = 0;
-    const bool isNumber = parseNumber(text, number);
-    result = std::chrono::milliseconds { number };
-    return isNumber;
-}
-
-bool parseEntries(const std::string& text, std::vector<Endpoint>& entries)
-{
-    std::stringstream stream { text };
-    for (std::string part; std::getline(stream, part, ',');) {
-        const auto endpoint = parseEndpoint(part);
-        if (!endpoint) {
-            return false;
-        }
-        entries.push_back(*endpoint);
-    }
-    return !entries.empty();
-}
-
 bool apply(int option, const std::string& value, Options& options)
 {
     switch (option) {
@@ -63,7 +32,7 @@
         }
         return false;
     case 'e':
-        return parseEntries(value, options.entries);
+        return parseEndpoints(value, options.entries);
     case 'r':
         return parseNumber(value, options.requestSlots);
     case 'c':
@@ -97,16 +66,6 @@
 
 }
 
-std::optional<Endpoint> parseEndpoint(const std::string& text)
-{
-    const auto colon = text.rfind(':');
-    std::uint16_t port = 0;
-    if (colon == std::string::npos || colon == 0 || !parseNumber(text.substr(colon + 1), port)) {
-        return std::nullopt;
-    }
-    return Endpoint { text.substr(0, colon), port };
-}
-
 std::optional<Options> parseOptions(int count, char** arguments)
 {
     static const option table[] = { { "name", required_argument, nullptr, 'n' },
--- a/tools/stand-in-upstream/Options.h
+++ b/tools/stand-in-upstream/Options.h
@@ -38,6 +38,3 @@
 
 /// @return The options, or nothing after a message on standard error.
 std::optional<Options> parseOptions(int count, char** arguments);
-
-/// @return The endpoint of "ADDRESS:PORT", or nothing.
-std::optional<teaselturn::Endpoint> parseEndpoint(const std::string& text);
