--- a/tests/matrix/ClusterChecks.cpp
+++ b/tests/matrix/ClusterChecks.cpp
@@ -216,8 +216,9 @@
     }
     const auto applied = state->appliedIndex();
     const auto configured = this->configuration();
-    for (const auto& [id, process] : this->members) {
-        const auto isMember = std::ranges::any_of(configured, [&](const MemberSpec& spec) { return spec.node == process.disk.node && spec.disk == process.disk.disk; });
+    for (const auto& item : this->members) {
+        const auto& process = item.second;
+        const auto isMember = std::ranges::any_of(configured, [&process](const MemberSpec& spec) { return spec.node == process.disk.node && spec.disk == process.disk.disk; });
         if (isMember && process.service->ledgerMember().commitIndex() < applied) {
             return false;
         }
