--- /dev/null
+++ b/tests/adapters/http/HttpTlsTest.cpp
@@ -0,0 +1,48 @@
+#include "adapters/http/HttpClient.h"
+#include "adapters/http/HttpServer.h"
+#include "adapters/settings/TemporaryFolder.h"
+#include "adapters/settings/TlsMaterial.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+TEST_CASE("requests over TLS reach the handler only from clients that trust the certificate", "[http]")
+{
+    // Guards against serving in plain text on a port that is set up for TLS, and against a client that accepts any
+    // certificate.
+    const TemporaryFolder folder;
+    const auto certificate = (folder.path() / "server.crt").string();
+    const auto key = (folder.path() / "server.pem").string();
+    const auto other = (folder.path() / "other.crt").string();
+    writeTlsMaterial(certificate, key);
+    writeTlsMaterial(other, folder.path() / "other.pem");
+    std::atomic<int> handled { 0 };
+    WorkerPool workers { 2, 16 };
+    HttpServerSettings settings;
+    settings.certificateFile = certificate;
+    settings.keyFile = key;
+    auto server = HttpServer::start(settings, workers, [&handled](const HttpRequest& request) {
+        ++handled;
+        return HttpAnswer { 200, {}, std::string { request.body } };
+    });
+    REQUIRE(server);
+    const Endpoint address { "127.0.0.1", (*server)->port() };
+    const HttpRequest request { "POST", "/s/tills/pay", {}, "deposit", {} };
+
+    HttpClient trusting { address };
+    REQUIRE(trusting.useTls(certificate));
+    const auto answer = trusting.call(request, 10s);
+    REQUIRE(answer);
+    CHECK(answer->body == "deposit");
+    CHECK(handled == 1);
+
+    HttpClient distrusting { address };
+    REQUIRE(distrusting.useTls(other));
+    CHECK_FALSE(distrusting.call(request, 10s));
+    HttpClient plain { address };
+    CHECK_FALSE(plain.call(request, 10s));
+    CHECK(handled == 1);
+}
--- a/tests/adapters/settings/TlsMaterial.cpp
+++ b/tests/adapters/settings/TlsMaterial.cpp
@@ -6,6 +6,7 @@
 #include <openssl/ec.h>
 #include <openssl/pem.h>
 #include <openssl/x509.h>
+#include <openssl/x509v3.h>
 
 namespace teaselturn {
 
@@ -31,6 +32,15 @@
     REQUIRE(document);
     X509_gmtime_adj(X509_getm_notBefore(document.get()), 0);
     X509_gmtime_adj(X509_getm_notAfter(document.get()), validSeconds);
+    REQUIRE(X509_set_version(document.get(), X509_VERSION_3) == 1);
+    REQUIRE(ASN1_INTEGER_set(X509_get_serialNumber(document.get()), 1) == 1);
+    auto* name = X509_get_subject_name(document.get());
+    const auto* commonName = reinterpret_cast<const unsigned char*>("teaselturn test");
+    REQUIRE(X509_NAME_add_entry_by_txt(name, "CN", MBSTRING_ASC, commonName, -1, -1, 0) == 1);
+    REQUIRE(X509_set_issuer_name(document.get(), name) == 1);
+    const std::unique_ptr<X509_EXTENSION, void (*)(X509_EXTENSION*)> addresses { X509V3_EXT_conf_nid(nullptr, nullptr, NID_subject_alt_name, "IP:127.0.0.1"), X509_EXTENSION_free };
+    REQUIRE(addresses);
+    REQUIRE(X509_add_ext(document.get(), addresses.get(), -1) == 1);
     REQUIRE(X509_set_pubkey(document.get(), pair.get()) == 1);
     REQUIRE(X509_sign(document.get(), pair.get(), EVP_sha256()) > 0);
     REQUIRE(PEM_write_X509(openFile(certificate).get(), document.get()) == 1);
--- a/tests/matrix/Cluster.h
+++ b/tests/matrix/Cluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/codec/Codec.h"
+#include "adapters/codec/OwnershipCodec.h"
 #include "core/ledger/LedgerService.h"
 #include "core/ownership/BoundedLoadPlacement.h"
 #include "core/ownership/EntryService.h"
@@ -21,14 +21,8 @@
 
 using support::SeededRandom;
 
-/// The product's encoding of snapshots, as the daemon uses it.
-struct WireCodec {
-    std::vector<std::uint8_t> encode(const OwnershipSnapshot& snapshot) const { return encodeOwnershipSnapshot(snapshot); }
-    Result<OwnershipSnapshot> decode(std::span<const std::uint8_t> bytes) const { return decodeOwnershipSnapshot(bytes); }
-};
-
-using Ledger = LedgerService<SeededRandom, BoundedLoadPlacement, WireCodec>;
-using Entry = EntryService<WireCodec>;
+using Ledger = LedgerService<SeededRandom, BoundedLoadPlacement, OwnershipCodec>;
+using Entry = EntryService<OwnershipCodec>;
 
 /// Time of the test since its start; every process has a clock of its own.
 using Time = Duration;
--- a/tests/matrix/ClusterFaults.cpp
+++ b/tests/matrix/ClusterFaults.cpp
@@ -118,14 +118,14 @@
     if (const auto found = this->members.find(id); found != this->members.end()) {
         auto& member = found->second;
         member.isDiskFull = false;
-        member.service = std::make_unique<Ledger>(member.disk, MemberTiming {}, SeededRandom { this->random.below(1'000'000) }, BoundedLoadPlacement {}, acceptEveryBundle, WireCodec {}, now, LedgerOptions { snapshotInterval });
+        member.service = std::make_unique<Ledger>(member.disk, MemberTiming {}, SeededRandom { this->random.below(1'000'000) }, BoundedLoadPlacement {}, acceptEveryBundle, OwnershipCodec {}, now, LedgerOptions { snapshotInterval });
     } else if (const auto found = this->entries.find(id); found != this->entries.end()) {
         auto& entry = found->second;
         EntryIdentity identity { NodeId { id }, BootId { ++this->bootNumber * 1'000'000 }, entry.zone, RegionId { static_cast<std::uint16_t>(entry.zone.value <= 2 ? 1 : 2) }, {} };
         for (const auto& [number, member] : this->members) {
             identity.bootstrapMembers.push_back({ NodeId { number }, member.zone, RegionId { static_cast<std::uint16_t>(member.zone.value <= 2 ? 1 : 2) } });
         }
-        entry.service = std::make_unique<Entry>(std::move(identity), acceptEveryBundle, WireCodec {});
+        entry.service = std::make_unique<Entry>(std::move(identity), acceptEveryBundle, OwnershipCodec {});
         entry.finished.clear();
         if (this->mutation != Mutation::RevertsState) {
             entry.highestBundle = {};
