--- a/tests/node/DaemonTest.cpp
+++ b/tests/node/DaemonTest.cpp
@@ -8,6 +8,7 @@
 #include "adapters/settings/BundleJson.h"
 #include "adapters/settings/TemporaryFolder.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <fstream>
@@ -151,6 +152,46 @@
     CHECK(cluster.status()["slots"]["total"] == 16);
 }
 
+TEST_CASE("a graceful stop under load cuts no request in flight", "[processes]")
+{
+    // Guards against a deploy that leaves callers without the outcome of their deposits (I7).
+    SmallCluster cluster;
+    REQUIRE(eventually([&] {
+        const auto answer = cluster.admin("POST", "/v1/bundles", cluster.signedBundle(1));
+        return answer && answer->status == 200;
+    }));
+    auto command = cluster.upstreamCommand("tills-1");
+    command.insert(command.end(), { "--service-time-ms", "400" });
+    ChildProcess upstream { command, cluster.path("tills-1.txt") };
+    REQUIRE(eventually([&] { return cluster.status()["slots"]["unowned"] == 0 && cluster.status()["upstreams"] == 1; }));
+    std::atomic<int> sent { 0 };
+    std::atomic<int> answered { 0 };
+    std::atomic<int> cut { 0 };
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < 3; ++caller) {
+        callers.emplace_back([&, caller] {
+            for (int i = 0; i < 20; ++i) {
+                ++sent;
+                const auto answer = cluster.request("r-" + std::to_string(caller) + "-" + std::to_string(i));
+                if (!answer) {
+                    // A refused connection shows that nothing was sent; anything else is a request that was cut.
+                    cut += answer.error() == ResultCode::HttpUnreachable ? 0 : 1;
+                    return;
+                }
+                answered += answer->header("Teaselturn-Outcome") == "answered" ? 1 : 0;
+            }
+        });
+    }
+    REQUIRE(eventually([&] { return answered.load() >= 3 && sent.load() > answered.load(); }));
+    cluster.daemon->requestStop();
+    CHECK(cluster.daemon->run() == exits::success);
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    INFO("sent " << sent.load() << ", answered " << answered.load());
+    CHECK(cut.load() == 0);
+}
+
 TEST_CASE("operators who race with one number get one winner", "[processes]")
 {
     SmallCluster cluster;
