--- a/tests/node/LedgerNodeTest.cpp
+++ b/tests/node/LedgerNodeTest.cpp
@@ -182,12 +182,17 @@
         return fixture.store.snapshots >= 1;
     }));
     REQUIRE(fixture.runUntil([&] { return fixture.storedEntries() >= limits::snapshotInterval + 10; }));
-    // What was compacted is sent as a snapshot.
-    fixture.node.receive(NodeId { 8 }, FeedRequest { 1, {}, {}, 0 });
+    // What was compacted is sent as a snapshot. The log is cut a moment after the snapshot was stored, so the feed is asked
+    // until then.
+    std::uint64_t sequence = 0;
     std::optional<FeedReply> reply;
-    do {
-        reply = fixture.sender.next<FeedReply>();
-    } while (reply && reply->sequence != 1);
+    CHECK(fixture.runUntil([&] {
+        fixture.node.receive(NodeId { 8 }, FeedRequest { ++sequence, {}, {}, 0 });
+        do {
+            reply = fixture.sender.next<FeedReply>();
+        } while (reply && reply->sequence != sequence);
+        return !reply || reply->snapshotTotalBytes > 0;
+    }));
     REQUIRE(reply.has_value());
     CHECK(reply->snapshotTotalBytes > 0);
 }
