--- a/src/adapters/settings/BundleReader.h
+++ b/src/adapters/settings/BundleReader.h
@@ -29,7 +29,7 @@
 /// @return Zero where the member is missing.
 DiskId readDiskId(ObjectReader& reader);
 
-/// @return The identity as 16 hexadecimal digits, most significant first, as `teaselturnd --format` prints it.
+/// @return The identity as 16 hexadecimal digits, most significant first, as `/status` shows it.
 std::string formatDiskId(DiskId disk);
 
 /// Reads `{"address", "port"}` of another VM: an IP number that names one host, and a port other than 0.
--- a/src/node/LedgerNode.h
+++ b/src/node/LedgerNode.h
@@ -31,6 +31,8 @@
 
 /// What a ledger process tells about itself.
 struct LedgerView {
+    /// Identity of this member's disk.
+    DiskId disk;
     Term term;
     NodeId leader;
     MemberRole role {};
@@ -65,6 +67,7 @@
         , clock(clock)
         , logger(logger)
         , callbacks(std::move(callbacks))
+        , disk(state.disk)
         , service(std::move(state), MemberTiming {}, SystemRandom {}, BoundedLoadPlacement {}, std::move(check), OwnershipCodec {}, clock.now())
     {
     }
@@ -112,6 +115,7 @@
     const ClockType& clock;
     Logger* logger;
     const LedgerCallbacks callbacks;
+    const DiskId disk;
 
     Mutex mutex;
     ConditionVariable changed;
--- a/src/node/LedgerNodeInlines.h
+++ b/src/node/LedgerNodeInlines.h
@@ -62,7 +62,7 @@
 LedgerView LedgerNode<Sender, Store, ClockType>::viewLocked()
 {
     const auto& member = this->service.ledgerMember();
-    return { member.term(), member.leader(), member.role(), member.commitIndex(), member.hasLeaderLease(this->clock.now()) };
+    return { this->disk, member.term(), member.leader(), member.role(), member.commitIndex(), member.hasLeaderLease(this->clock.now()) };
 }
 
 template <PeerSender Sender, LogStore Store, Clock ClockType>
--- a/src/node/StatusJson.cpp
+++ b/src/node/StatusJson.cpp
@@ -1,6 +1,7 @@
 #include "node/StatusJson.h"
 
 #include "adapters/crypto/Hex.h"
+#include "adapters/settings/BundleReader.h"
 #include "core/routing/RouteTable.h"
 
 #include <algorithm>
@@ -106,6 +107,7 @@
         { "behind", facts.entry && facts.entry->isBehind },
         { "upstreams", countUpstreams(state) },
         { "slots", describeSlots(state) },
+        { "disk", facts.ledger ? json(formatDiskId(facts.ledger->disk)) : json {} },
         { "members", members },
     };
     return status.dump();
