--- a/tests/node/DaemonTest.cpp
+++ b/tests/node/DaemonTest.cpp
@@ -168,6 +168,7 @@
     std::atomic<int> answered { 0 };
     std::atomic<int> cut { 0 };
     std::vector<std::thread> callers;
+    callers.reserve(3);
     for (int caller = 0; caller < 3; ++caller) {
         callers.emplace_back([&, caller] {
             for (int i = 0; i < 20; ++i) {
