--- a/include/teaselturn/Command.h
+++ b/include/teaselturn/Command.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "teaselturn/Bundle.h"
+#include "teaselturn/Registry.h"
 #include "teaselturn/Types.h"
 
 #include <string>
@@ -130,16 +131,6 @@
     friend bool operator==(const MergeHotKey&, const MergeHotKey&) = default;
 };
 
-/// A ledger member as the configuration counts it.
-struct MemberSpec {
-    NodeId node;
-    DiskId disk;
-    /// A learner receives the log and does not vote.
-    bool voter {};
-
-    friend bool operator==(const MemberSpec&, const MemberSpec&) = default;
-};
-
 /// Replaces the ledger's configuration; it differs from the former one by at most one member.
 struct ChangeMembers {
     std::vector<MemberSpec> members;
@@ -152,9 +143,10 @@
     friend bool operator==(const NoOperation&, const NoOperation&) = default;
 };
 
-/// Any command of the log.
+/// Any command of the log. The order is part of the format: append only.
 using Command = std::variant<NoOperation, AttachUpstream, ExpireUpstream, DrainUpstream, AssignSlots, BeginMove,
-    ReleaseSlots, AcceptBundle, AdvanceRollout, CarveHotKey, MergeHotKey, ChangeMembers>;
+    ReleaseSlots, AcceptBundle, AdvanceRollout, CarveHotKey, MergeHotKey, ChangeMembers, ChangeItems, RegisterUpstream,
+    RemoveUpstream, AssignKeyRanges, BeginKeyMoves>;
 
 /// One entry of the log.
 struct LogEntry {
--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -35,6 +35,8 @@
     ConnectionReplaced = 3005,
     CircuitOpened = 3006,
     CircuitClosed = 3007,
+    RequestRetried = 3008,
+    CallRefused = 3009,
     MessageDropped = 4001,
     PeerUnreachable = 4002,
     ElectionStarted = 5001,
@@ -55,6 +57,13 @@
     DelegationLost = 6008,
     HeartbeatRefused = 6009,
     HotKeyCarved = 6010,
+    UpstreamRegistered = 6011,
+    UpstreamRemoved = 6012,
+    KeysAssigned = 6013,
+    KeyMovesBegun = 6014,
+    ItemsChanged = 6015,
+    FeedLost = 6016,
+    FeedRegained = 6017,
 };
 
 /// One row of the catalogue of log events.
@@ -66,7 +75,7 @@
 };
 
 /// Every log event with its name, level and meaning, in order of number.
-extern const std::array<LogEventRow, 38> logEventTable;
+extern const std::array<LogEventRow, 47> logEventTable;
 
 /// @param event A log event.
 /// @return Its row in logEventTable.
--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -166,9 +166,54 @@
     friend bool operator==(const ProposeReply&, const ProposeReply&) = default;
 };
 
+/// Load that an entry VM saw on consecutive keys since its last report.
+struct KeyLoad {
+    KeyNumber first {};
+    KeyNumber last {};
+    std::uint32_t requests {};
+    /// Time that these requests spent at their upstreams, in milliseconds.
+    std::uint32_t busyMs {};
+
+    friend bool operator==(const KeyLoad&, const KeyLoad&) = default;
+};
+
+struct ServiceKeyLoad {
+    std::string service;
+    std::vector<KeyLoad> loads;
+
+    friend bool operator==(const ServiceKeyLoad&, const ServiceKeyLoad&) = default;
+};
+
+/// Tells the leader which keys are busy. A member that does not lead passes it on.
+struct KeyLoadReport {
+    /// Entry VM that measured the load.
+    NodeId entry;
+    std::vector<ServiceKeyLoad> services;
+
+    friend bool operator==(const KeyLoadReport&, const KeyLoadReport&) = default;
+};
+
+/// Answers a KeyLoadReport.
+struct KeyLoadReply {
+    /// Entry VMs that reported lately; they share the retry budget and the upstreams' connections.
+    std::uint32_t entryCount {};
+
+    friend bool operator==(const KeyLoadReply&, const KeyLoadReply&) = default;
+};
+
+/// A member that is not in the configuration, or whose disk is not, asks to be taken in.
+struct JoinRequest {
+    /// Member that wants to join; members pass the request on to the leader.
+    NodeId node;
+    DiskId disk;
+
+    friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
+};
+
 /// Any message between processes of the system. The order is part of the protocol: append only.
 using PeerMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
-    DelegationRequest, DelegationReply, FeedRequest, FeedReply, ProposeRequest, ProposeReply>;
+    DelegationRequest, DelegationReply, FeedRequest, FeedReply, ProposeRequest, ProposeReply, KeyLoadReport, KeyLoadReply,
+    JoinRequest>;
 
 /// A message with the node that it goes to.
 struct OutboundMessage {
--- a/include/teaselturn/ResultCode.h
+++ b/include/teaselturn/ResultCode.h
@@ -89,6 +89,9 @@
     AlreadyApplied = 6009,
     ZoneRetired = 6010,
     TooManyHotKeys = 6011,
+    ItemsInvalid = 6012,
+    ItemConflict = 6013,
+    KeyOutOfRange = 6014,
 
     // 7xxx: process and adapters.
     ListenFailed = 7001,
@@ -107,7 +110,7 @@
 };
 
 /// Every result code with its name and message, in order of number.
-extern const std::array<ResultCodeRow, 74> resultCodeTable;
+extern const std::array<ResultCodeRow, 77> resultCodeTable;
 
 /// @return The category of teaselturn's error codes.
 const std::error_category& resultCategory() noexcept;
--- a/include/teaselturn/Types.h
+++ b/include/teaselturn/Types.h
@@ -114,6 +114,16 @@
     }
 };
 
+/// A ledger member as the configuration counts it.
+struct MemberSpec {
+    NodeId node;
+    DiskId disk;
+    /// A learner receives the log and does not vote.
+    bool voter {};
+
+    friend bool operator==(const MemberSpec&, const MemberSpec&) = default;
+};
+
 /// Bounds shared by the parts and by the limits in docs/design.md.
 namespace limits {
     /// Longest key, in bytes.
--- a/include/teaselturn/teaselturn.h
+++ b/include/teaselturn/teaselturn.h
@@ -8,6 +8,7 @@
 #include "teaselturn/Message.h"
 #include "teaselturn/OwnershipTypes.h"
 #include "teaselturn/Ports.h"
+#include "teaselturn/Registry.h"
 #include "teaselturn/Result.h"
 #include "teaselturn/ResultCode.h"
 #include "teaselturn/Types.h"
--- a/src/adapters/codec/Archive.h
+++ b/src/adapters/codec/Archive.h
@@ -242,6 +242,16 @@
     value = std::chrono::milliseconds { archive.readInteger<std::int64_t>() };
 }
 
+inline void CEREAL_SAVE_FUNCTION_NAME(EncodeArchive& archive, const Duration& value)
+{
+    archive.writeInteger(static_cast<std::int64_t>(value.count()));
+}
+
+inline void CEREAL_LOAD_FUNCTION_NAME(DecodeArchive& archive, Duration& value)
+{
+    value = Duration { archive.readInteger<std::int64_t>() };
+}
+
 /// Reads or writes an enumeration as its underlying integer; a value above the last one is malformed.
 template <typename Archive, typename Enum>
 void serializeEnum(Archive& archive, Enum& value, Enum last)
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -7,6 +7,9 @@
 // cereal has a serialization of its own for enumerations, which does not check the value.
 CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ZoneRule, cereal::specialization::non_member_serialize)
 CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ExpiryReason, cereal::specialization::non_member_serialize)
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::RequestKind, cereal::specialization::non_member_serialize)
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ItemKind, cereal::specialization::non_member_serialize)
+CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::UpstreamState, cereal::specialization::non_member_serialize)
 CEREAL_SPECIALIZE_FOR_ALL_ARCHIVES(teaselturn::ResultCode, cereal::specialization::non_member_serialize)
 
 namespace teaselturn {
@@ -168,6 +171,132 @@
 {
 }
 
+template <typename Archive>
+void serialize(Archive& archive, RequestKind& value)
+{
+    serializeEnum(archive, value, RequestKind::AtMostOnce);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ItemKind& value)
+{
+    serializeEnum(archive, value, ItemKind::Limits);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, UpstreamState& value)
+{
+    serializeEnum(archive, value, UpstreamState::Gone);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, TrafficShare& value)
+{
+    archive(value.service, value.weight);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RouteItem& value)
+{
+    archive(value.host, value.pathPrefix, value.kind, value.timeout, value.targetLatency, value.priority, value.attempts, value.shares);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceItem& value)
+{
+    archive(value.isSharded, value.maxConnections, value.coldKeyTime);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, CallerLimits& value)
+{
+    archive(value.maxHeaderBytes, value.maxBodyBytes, value.headerTimeout, value.idleTimeout);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ConfigItem& value)
+{
+    archive(value.name, value.version, value.content, value.document);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ItemDeletion& value)
+{
+    archive(value.kind, value.name, value.version);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ChangeItems& value)
+{
+    archive(value.upserts, value.deletions);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, UpstreamKey& value)
+{
+    archive(value.name, value.incarnation);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RegisterUpstream& value)
+{
+    archive(value.key, value.service, value.endpoint, value.zone, value.requestSlots, value.isDraining);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RemoveUpstream& value)
+{
+    archive(value.key, value.hasLeft);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyRangeGrant& value)
+{
+    archive(value.first, value.last, value.owner, value.handover);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, AssignKeyRanges& value)
+{
+    archive(value.service, value.grants);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyRangeMove& value)
+{
+    archive(value.first, value.last, value.target);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, BeginKeyMoves& value)
+{
+    archive(value.service, value.moves);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyRange& value)
+{
+    archive(value.first, value.last, value.owner, value.fence, value.handover, value.target);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, RegisteredUpstream& value)
+{
+    archive(value.announcement, value.state, value.changedAt);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ItemRecord& value)
+{
+    archive(value.kind, value.item, value.isDropped);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceKeys& value)
+{
+    archive(value.service, value.ranges);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, LogEntry& value)
 {
@@ -294,6 +423,42 @@
     archive(value.sequence, value.code, value.index, value.outcome, value.leader);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, RegistrySnapshot& value)
+{
+    archive(value.appliedIndex, value.itemsChangedAt, value.items, value.upstreams, value.keys, value.members);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyLoad& value)
+{
+    archive(value.first, value.last, value.requests, value.busyMs);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, ServiceKeyLoad& value)
+{
+    archive(value.service, value.loads);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyLoadReport& value)
+{
+    archive(value.entry, value.services);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, KeyLoadReply& value)
+{
+    archive(value.entryCount);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, JoinRequest& value)
+{
+    archive(value.node, value.disk);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, HardState& value)
 {
@@ -375,6 +540,16 @@
     return decode<OwnershipSnapshot>(bytes, ResultCode::SnapshotCorrupt);
 }
 
+std::vector<std::uint8_t> encodeRegistrySnapshot(const RegistrySnapshot& snapshot)
+{
+    return encode(snapshot);
+}
+
+Result<RegistrySnapshot> decodeRegistrySnapshot(std::span<const std::uint8_t> bytes)
+{
+    return decode<RegistrySnapshot>(bytes, ResultCode::SnapshotCorrupt);
+}
+
 std::vector<std::uint8_t> encodeLedgerSnapshot(const LedgerSnapshot& snapshot)
 {
     return encode(snapshot);
--- a/src/adapters/codec/Codec.h
+++ b/src/adapters/codec/Codec.h
@@ -27,6 +27,10 @@
 /// @return The snapshot, or SnapshotCorrupt.
 Result<OwnershipSnapshot> decodeOwnershipSnapshot(std::span<const std::uint8_t> bytes);
 
+std::vector<std::uint8_t> encodeRegistrySnapshot(const RegistrySnapshot& snapshot);
+/// @return The snapshot, or SnapshotCorrupt.
+Result<RegistrySnapshot> decodeRegistrySnapshot(std::span<const std::uint8_t> bytes);
+
 std::vector<std::uint8_t> encodeLedgerSnapshot(const LedgerSnapshot& snapshot);
 Result<LedgerSnapshot> decodeLedgerSnapshot(std::span<const std::uint8_t> bytes);
 
--- /dev/null
+++ b/src/adapters/codec/RegistryCodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "adapters/codec/Codec.h"
+#include "core/registry/RegistryService.h"
+
+namespace teaselturn {
+
+/// Binary form of the registry. Models RegistryCodec.
+struct BinaryRegistryCodec {
+    std::vector<std::uint8_t> encode(const RegistrySnapshot& snapshot) const { return encodeRegistrySnapshot(snapshot); }
+    Result<RegistrySnapshot> decode(std::span<const std::uint8_t> bytes) const { return decodeRegistrySnapshot(bytes); }
+};
+
+static_assert(RegistryCodec<BinaryRegistryCodec>);
+
+}
--- /dev/null
+++ b/src/adapters/http/MessageReader.cpp
@@ -0,0 +1,170 @@
+#include "adapters/http/MessageReader.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <type_traits>
+
+namespace teaselturn {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+    template <typename Message>
+    constexpr bool isRequestMessage = std::is_same_v<Message, ReceivedRequest>;
+
+    std::string_view headerIn(std::span<const HttpHeader> headers, std::string_view name) noexcept
+    {
+        const auto found = std::ranges::find_if(headers, [name](const HttpHeader& header) { return isSameHeaderName(header.name, name); });
+        return found == headers.end() ? std::string_view {} : std::string_view { found->value };
+    }
+
+    std::string textOf(boost::beast::string_view text)
+    {
+        return { text.data(), text.size() };
+    }
+
+    ReadProgress progressOf(const boost::beast::error_code& error)
+    {
+        if (!error || error == http::error::need_more) {
+            return ReadProgress::Incomplete;
+        }
+        if (error == http::error::header_limit) {
+            return ReadProgress::HeadTooLarge;
+        }
+        return error == http::error::body_limit ? ReadProgress::BodyTooLarge : ReadProgress::Malformed;
+    }
+
+}
+
+std::string_view ReceivedRequest::header(std::string_view name) const noexcept { return headerIn(this->headers, name); }
+
+std::string_view ReceivedResponse::header(std::string_view name) const noexcept { return headerIn(this->headers, name); }
+
+template <typename Message>
+struct MessageReader<Message>::Parser {
+    http::parser<isRequestMessage<Message>, http::string_body> content;
+};
+
+template <typename Message>
+MessageReader<Message>::MessageReader(ReadLimits limits)
+    : limits(limits)
+{
+}
+
+template <typename Message>
+MessageReader<Message>::~MessageReader() = default;
+template <typename Message>
+MessageReader<Message>::MessageReader(MessageReader&&) noexcept = default;
+template <typename Message>
+MessageReader<Message>& MessageReader<Message>::operator=(MessageReader&&) noexcept = default;
+
+template <typename Message>
+ReadProgress MessageReader<Message>::read(std::string& buffer)
+{
+    std::size_t consumed = 0;
+    auto progress = ReadProgress::Incomplete;
+    while (consumed < buffer.size()) {
+        if (!this->parser) {
+            this->parser = std::make_unique<Parser>();
+            this->parser->content.eager(true);
+            this->parser->content.header_limit(static_cast<std::uint32_t>(this->limits.maxHeadBytes));
+            this->parser->content.body_limit(this->limits.maxBodyBytes);
+            this->parser->content.skip(this->isBodyless);
+        }
+        boost::beast::error_code error;
+        const auto taken = this->parser->content.put(boost::asio::const_buffer { buffer.data() + consumed, buffer.size() - consumed }, error);
+        consumed += taken;
+        progress = progressOf(error);
+        if (progress != ReadProgress::Incomplete) {
+            break;
+        }
+        if (this->parser->content.is_done()) {
+            if constexpr (!isRequestMessage<Message>) {
+                if (this->parser->content.get().result_int() / 100 == 1) {
+                    // An interim response; the final one follows.
+                    this->parser.reset();
+                    continue;
+                }
+            }
+            progress = ReadProgress::Complete;
+            break;
+        }
+        if (taken == 0) {
+            break;
+        }
+    }
+    buffer.erase(0, consumed);
+    return progress;
+}
+
+template <typename Message>
+ReadProgress MessageReader<Message>::readEnd()
+{
+    if (!this->parser) {
+        return ReadProgress::Incomplete;
+    }
+    boost::beast::error_code error;
+    this->parser->content.put_eof(error);
+    return !error && this->parser->content.is_done() ? ReadProgress::Complete : ReadProgress::Malformed;
+}
+
+template <typename Message>
+Message MessageReader<Message>::take()
+{
+    Message message;
+    message.keepsAlive = this->parser->content.keep_alive();
+    auto& parsed = this->parser->content.get();
+    if constexpr (isRequestMessage<Message>) {
+        message.method = textOf(parsed.method_string());
+        message.target = textOf(parsed.target());
+    } else {
+        message.status = parsed.result_int();
+    }
+    for (const auto& field : parsed) {
+        message.headers.push_back({ textOf(field.name_string()), textOf(field.value()) });
+    }
+    message.body = std::move(parsed.body());
+    this->parser.reset();
+    this->isBodyless = false;
+    return message;
+}
+
+template class MessageReader<ReceivedRequest>;
+template class MessageReader<ReceivedResponse>;
+
+void appendRequestHead(std::string& out, std::string_view method, std::string_view target)
+{
+    out.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+}
+
+void appendHeader(std::string& out, std::string_view name, std::string_view value)
+{
+    out.append(name).append(": ").append(value).append("\r\n");
+}
+
+void appendStatusLine(std::string& out, unsigned status)
+{
+    const auto reason = http::obsolete_reason(static_cast<http::status>(status));
+    out.append("HTTP/1.1 ").append(std::to_string(status)).append(" ").append(reason.data(), reason.size()).append("\r\n");
+}
+
+void appendBody(std::string& out, std::string_view body, bool isLengthNeeded)
+{
+    if (isLengthNeeded || !body.empty()) {
+        appendHeader(out, "Content-Length", std::to_string(body.size()));
+    }
+    out.append("\r\n").append(body);
+}
+
+bool isHopByHopHeader(std::string_view name) noexcept
+{
+    static constexpr std::array<std::string_view, 10> names { "Connection", "Content-Length", "Keep-Alive", "Proxy-Authenticate",
+        "Proxy-Authorization", "Proxy-Connection", "TE", "Trailer", "Transfer-Encoding", "Upgrade" };
+    return std::ranges::any_of(names, [name](std::string_view listed) { return isSameHeaderName(listed, name); });
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/UpstreamLink.cpp
@@ -0,0 +1,191 @@
+#include "adapters/http/UpstreamLink.h"
+
+#include <sys/epoll.h>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::size_t endEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
+    /// Largest head of an answer.
+    constexpr std::size_t maxAnswerHeadBytes = 64 * 1024;
+
+}
+
+Result<std::shared_ptr<UpstreamLink>> UpstreamLink::open(Reactor& reactor, LinkId id, const SocketAddress& address, const Handlers& handlers)
+{
+    auto socket = startConnect(address, userTimeout);
+    if (!socket) {
+        return socket.failure();
+    }
+    std::shared_ptr<UpstreamLink> link { new UpstreamLink { reactor, id, std::move(*socket), handlers } };
+    link->watch();
+    return link;
+}
+
+UpstreamLink::UpstreamLink(Reactor& reactor, LinkId id, FileDescriptor socket, const Handlers& handlers)
+    : reactor(reactor)
+    , id(id)
+    , handlers(handlers)
+    , stream(std::move(socket))
+    , reader({ maxAnswerHeadBytes, limits::maxBodyBytes })
+{
+}
+
+UpstreamLink::~UpstreamLink()
+{
+    this->close();
+}
+
+void UpstreamLink::watch()
+{
+    const MutexLock lock { this->mutex };
+    this->watchId = this->reactor.add(this->stream.descriptor(), [weak = this->weak_from_this()](std::uint32_t events) {
+        if (const auto link = weak.lock()) {
+            link->handle(events);
+        }
+    });
+    this->connectTimer = this->reactor.after(connectPatience, [weak = this->weak_from_this()](Instant) {
+        if (const auto link = weak.lock()) {
+            link->connectTimedOut();
+        }
+    });
+}
+
+void UpstreamLink::send(std::string_view bytes, bool isHead)
+{
+    std::function<void()> next;
+    {
+        const MutexLock lock { this->mutex };
+        this->hasRequest = true;
+        if (isHead) {
+            this->reader.expectNoBody();
+        }
+        if (this->phase == Phase::Connecting) {
+            this->request = bytes;
+        } else if (this->phase == Phase::Closed) {
+            next = [this] { this->handlers.failed(this->id, LinkFailure::NotConnected); };
+        } else {
+            this->phase = Phase::Busy;
+            if (this->stream.write(bytes) != StreamState::Open) {
+                next = this->fail(LinkFailure::Broken);
+            }
+        }
+    }
+    if (next) {
+        next();
+    }
+}
+
+void UpstreamLink::close()
+{
+    const MutexLock lock { this->mutex };
+    this->hasRequest = false;
+    this->shut();
+}
+
+void UpstreamLink::shut()
+{
+    if (this->phase == Phase::Connecting) {
+        this->reactor.cancel(this->connectTimer);
+    }
+    if (this->phase != Phase::Closed) {
+        this->phase = Phase::Closed;
+        this->reactor.remove(this->stream.descriptor(), this->watchId);
+        this->stream.close();
+    }
+}
+
+void UpstreamLink::connectTimedOut()
+{
+    std::function<void()> next;
+    {
+        const MutexLock lock { this->mutex };
+        if (this->phase == Phase::Connecting) {
+            next = this->fail(LinkFailure::NotConnected);
+        }
+    }
+    if (next) {
+        next();
+    }
+}
+
+void UpstreamLink::handle(std::uint32_t events)
+{
+    std::function<void()> next;
+    {
+        const MutexLock lock { this->mutex };
+        next = this->advance(events);
+    }
+    if (next) {
+        next();
+    }
+}
+
+std::function<void()> UpstreamLink::advance(std::uint32_t events)
+{
+    if (this->phase == Phase::Closed) {
+        return {};
+    }
+    if (this->phase == Phase::Connecting) {
+        if ((events & (EPOLLERR | EPOLLHUP)) != 0 || !this->stream.isConnected()) {
+            return this->fail(LinkFailure::NotConnected);
+        }
+        if ((events & EPOLLOUT) == 0) {
+            return {};
+        }
+        this->reactor.cancel(this->connectTimer);
+        this->phase = this->hasRequest ? Phase::Busy : Phase::Idle;
+        if (this->hasRequest && this->stream.write(std::exchange(this->request, {})) != StreamState::Open) {
+            return this->fail(LinkFailure::Broken);
+        }
+    }
+    if (this->stream.flush() != StreamState::Open) {
+        return this->fail(LinkFailure::Broken);
+    }
+    if ((events & (EPOLLIN | endEvents)) == 0) {
+        return {};
+    }
+    auto state = this->stream.read(this->input);
+    if (state == StreamState::Open && (events & endEvents) != 0) {
+        state = this->stream.read(this->input);
+    }
+    return this->readAnswer(state);
+}
+
+std::function<void()> UpstreamLink::readAnswer(StreamState state)
+{
+    if (this->phase == Phase::Idle) {
+        // Bytes that answer no request belong to nobody; the connection cannot be trusted any more.
+        return state == StreamState::Open && this->input.empty() ? std::function<void()> {} : this->fail(LinkFailure::Malformed);
+    }
+    auto progress = this->reader.read(this->input);
+    if (progress == ReadProgress::Incomplete && state == StreamState::Ended) {
+        progress = this->reader.readEnd();
+    }
+    if (progress == ReadProgress::Incomplete) {
+        return state == StreamState::Open ? std::function<void()> {} : this->fail(LinkFailure::Broken);
+    }
+    if (progress != ReadProgress::Complete) {
+        return this->fail(state == StreamState::Open ? LinkFailure::Malformed : LinkFailure::Broken);
+    }
+    auto response = this->reader.take();
+    const bool isReusable = state == StreamState::Open && response.keepsAlive && this->input.empty();
+    this->hasRequest = false;
+    this->phase = Phase::Idle;
+    if (!isReusable) {
+        this->shut();
+    }
+    return [self = this->shared_from_this(), response = std::move(response), isReusable]() mutable { self->handlers.answered(self->id, std::move(response), isReusable); };
+}
+
+std::function<void()> UpstreamLink::fail(LinkFailure failure)
+{
+    this->shut();
+    if (std::exchange(this->hasRequest, false)) {
+        return [self = this->shared_from_this(), failure] { self->handlers.failed(self->id, failure); };
+    }
+    return [self = this->shared_from_this()] { self->handlers.closedIdle(self->id); };
+}
+
+}
--- /dev/null
+++ b/src/adapters/http/UpstreamLink.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "adapters/http/MessageReader.h"
+#include "adapters/reactor/Reactor.h"
+#include "adapters/reactor/TcpStream.h"
+#include "core/Mutex.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace teaselturn {
+
+/// Identifies a connection to an upstream within a process.
+using LinkId = StrongId<struct LinkIdTag, std::uint64_t>;
+
+/// Why a link has no answer.
+enum class LinkFailure : std::uint8_t {
+    /// The connection was never established, so no byte of the request left.
+    NotConnected,
+    /// The connection broke after the request was sent.
+    Broken,
+    /// The bytes that came are no answer.
+    Malformed,
+};
+
+/// A connection to an upstream that carries one request at a time. Thread-safe; handlers are called without its lock.
+class UpstreamLink : public std::enable_shared_from_this<UpstreamLink> {
+public:
+    struct Handlers {
+        /// @param isReusable True where the connection can carry another request.
+        std::function<void(LinkId link, ReceivedResponse response, bool isReusable)> answered;
+        std::function<void(LinkId link, LinkFailure failure)> failed;
+        /// The upstream closed a connection that carried no request, or sent what nobody asked for.
+        std::function<void(LinkId link)> closedIdle;
+    };
+
+    /// Starts to connect.
+    /// @param reactor Outlives the link.
+    /// @param handlers Outlive the link.
+    /// @return The link, or PeerUnreachable.
+    static Result<std::shared_ptr<UpstreamLink>> open(Reactor& reactor, LinkId id, const SocketAddress& address, const Handlers& handlers);
+
+    ~UpstreamLink();
+    UpstreamLink(const UpstreamLink&) = delete;
+    UpstreamLink& operator=(const UpstreamLink&) = delete;
+
+    /// Sends a request. Requires that the link carries none.
+    /// @param isHead True where the answer has no body.
+    void send(std::string_view bytes, bool isHead);
+    /// Ends the connection; no handler is called for it afterwards.
+    void close();
+
+    LinkId number() const noexcept { return this->id; }
+
+    /// Longest wait for a connection. It covers a round trip between regions several times.
+    static constexpr std::chrono::milliseconds connectPatience { 400 };
+    /// Sent bytes that stay unacknowledged for this long end the connection.
+    static constexpr std::chrono::milliseconds userTimeout { 1'000 };
+
+private:
+    enum class Phase : std::uint8_t {
+        Connecting,
+        Idle,
+        Busy,
+        Closed,
+    };
+
+    UpstreamLink(Reactor& reactor, LinkId id, FileDescriptor socket, const Handlers& handlers);
+
+    void watch();
+    void handle(std::uint32_t events);
+    void connectTimedOut();
+    /// @return The call of a handler that follows, to be made without the lock.
+    std::function<void()> advance(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    std::function<void()> readAnswer(StreamState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    std::function<void()> fail(LinkFailure failure) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void shut() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+
+    Reactor& reactor;
+    const LinkId id;
+    const Handlers& handlers;
+
+    Mutex mutex;
+    TcpStream stream ABSL_GUARDED_BY(mutex);
+    std::uint64_t watchId ABSL_GUARDED_BY(mutex) {};
+    TimerId connectTimer ABSL_GUARDED_BY(mutex);
+    MessageReader<ReceivedResponse> reader ABSL_GUARDED_BY(mutex);
+    std::string input ABSL_GUARDED_BY(mutex);
+    Phase phase ABSL_GUARDED_BY(mutex) { Phase::Connecting };
+    bool hasRequest ABSL_GUARDED_BY(mutex) {};
+    /// Kept until the connection is established.
+    std::string request ABSL_GUARDED_BY(mutex);
+};
+
+}
--- a/src/adapters/log/Logger.cpp
+++ b/src/adapters/log/Logger.cpp
@@ -109,7 +109,7 @@
 {
     boost::shared_ptr<std::ostream> stream;
     if (options.file.empty()) {
-        stream.reset(&std::clog, boost::null_deleter());
+        stream.reset(options.stream == LogStream::Output ? &std::cout : &std::clog, boost::null_deleter());
     } else {
         stream = boost::make_shared<std::ofstream>(options.file, std::ios::app);
         if (!*stream) {
--- a/src/adapters/log/Logger.h
+++ b/src/adapters/log/Logger.h
@@ -44,11 +44,18 @@
     }
 };
 
+/// Stream of a logger without a file.
+enum class LogStream : std::uint8_t {
+    Error,
+    Output,
+};
+
 /// Where a logger writes, and which lines.
 struct LoggerOptions {
     LogLevel minimum { LogLevel::Info };
-    /// File to append to. Empty means the standard error stream.
+    /// File to append to. Empty means a standard stream.
     std::string file;
+    LogStream stream { LogStream::Error };
 };
 
 /// Writes one line for each event: time (UTC, ISO 8601 with microseconds), level, number, name, key=value fields. A
--- a/src/adapters/peer/PeerTable.cpp
+++ b/src/adapters/peer/PeerTable.cpp
@@ -1,9 +1,32 @@
 #include "adapters/peer/PeerTable.h"
 
+#include <arpa/inet.h>
 #include <utility>
 
 namespace teaselturn {
 
+std::optional<NodeId> nodeAtAddress(std::string_view address)
+{
+    in_addr parsed {};
+    if (inet_pton(AF_INET, std::string { address }.c_str(), &parsed) != 1) {
+        return std::nullopt;
+    }
+    return NodeId { ntohl(parsed.s_addr) };
+}
+
+std::string addressOfNode(NodeId node)
+{
+    const in_addr address { htonl(node.value) };
+    char text[INET_ADDRSTRLEN] {};
+    return inet_ntop(AF_INET, &address, text, sizeof text);
+}
+
+void PeerTable::acceptByAddress(std::uint16_t port)
+{
+    const MutexLock lock { this->mutex };
+    this->addressPort = port;
+}
+
 Status PeerTable::replace(std::span<const PeerAddress> addresses)
 {
     std::vector<std::pair<NodeId, SocketAddress>> parsed;
@@ -30,24 +53,34 @@
 PeerTable::Peer* PeerTable::listed(NodeId node)
 {
     const auto found = this->peers.find(node);
-    return found != this->peers.end() && found->second.isListed ? &found->second : nullptr;
+    if (found != this->peers.end()) {
+        return found->second.isListed ? &found->second : nullptr;
+    }
+    if (this->addressPort == 0 || node == NodeId {} || this->peers.size() >= maxPeers) {
+        return nullptr;
+    }
+    const auto address = toSocketAddress({ addressOfNode(node), this->addressPort });
+    if (!address) {
+        return nullptr;
+    }
+    auto& peer = this->peers[node];
+    peer.address = *address;
+    peer.isListed = true;
+    return &peer;
 }
 
 bool PeerTable::contains(NodeId node) const
 {
     const MutexLock lock { this->mutex };
     const auto found = this->peers.find(node);
-    return found != this->peers.end() && found->second.isListed;
+    return found != this->peers.end() ? found->second.isListed : this->addressPort != 0;
 }
 
-std::optional<SocketAddress> PeerTable::addressOf(NodeId node) const
+std::optional<SocketAddress> PeerTable::addressOf(NodeId node)
 {
     const MutexLock lock { this->mutex };
-    const auto found = this->peers.find(node);
-    if (found == this->peers.end() || !found->second.isListed) {
-        return std::nullopt;
-    }
-    return found->second.address;
+    const auto* peer = this->listed(node);
+    return peer == nullptr ? std::nullopt : std::optional { peer->address };
 }
 
 std::optional<PeerTable::Target> PeerTable::nextDatagram(NodeId node)
--- a/src/adapters/peer/PeerTable.h
+++ b/src/adapters/peer/PeerTable.h
@@ -11,10 +11,18 @@
 #include <deque>
 #include <optional>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace teaselturn {
 
+/// @return The number of the node at an IPv4 address, or nothing where the text is none.
+std::optional<NodeId> nodeAtAddress(std::string_view address);
+
+/// @return The IPv4 address that a node's number stands for.
+std::string addressOfNode(NodeId node);
+
 /// Where a process of the system is reached.
 struct PeerAddress {
     NodeId node;
@@ -41,8 +49,12 @@
     /// @return SettingsInvalidValue where an address is not an IP number; the list is then unchanged.
     Status replace(std::span<const PeerAddress> addresses);
 
+    /// Takes every node whose number is an IPv4 address for a peer at that address and this port. Who may take part is
+    /// then decided by the cluster key alone.
+    void acceptByAddress(std::uint16_t port);
+
     bool contains(NodeId node) const;
-    std::optional<SocketAddress> addressOf(NodeId node) const;
+    std::optional<SocketAddress> addressOf(NodeId node);
 
     /// @return Address and sequence of the next datagram, or nothing where the peer is not listed.
     std::optional<Target> nextDatagram(NodeId node);
@@ -69,9 +81,14 @@
         std::size_t queuedBytes {};
     };
 
+    /// Most peers that are known by their address.
+    static constexpr std::size_t maxPeers = 8'192;
+
     Peer* listed(NodeId node) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     mutable Mutex mutex;
+    /// Port of the peers that are known by their address. Zero where all are listed.
+    std::uint16_t addressPort ABSL_GUARDED_BY(mutex) {};
     absl::flat_hash_map<NodeId, Peer> peers ABSL_GUARDED_BY(mutex);
     std::deque<PeerMessage> loopback ABSL_GUARDED_BY(mutex);
 };
--- a/src/adapters/peer/PeerTransport.cpp
+++ b/src/adapters/peer/PeerTransport.cpp
@@ -66,6 +66,12 @@
     return *this;
 }
 
+PeerTransport::Builder& PeerTransport::Builder::peersByAddress()
+{
+    this->settings.takesPeersByAddress = true;
+    return *this;
+}
+
 PeerTransport::Builder& PeerTransport::Builder::logger(Logger& logger)
 {
     this->settings.logger = &logger;
@@ -91,6 +97,9 @@
           this->events, [this](std::span<const std::uint8_t> frame) { return this->takeFrame(FrameChannel::Stream, frame); },
           [this](const Failure& failure) { this->drop(failure); })
 {
+    if (this->settings.takesPeersByAddress) {
+        this->peers.acceptByAddress(this->localEndpoint().port);
+    }
     this->datagramsId = this->events.add(this->datagrams, EPOLLIN);
     this->listenerId = this->events.add(this->listener, EPOLLIN);
     this->wakeUpId = this->events.add(this->wakeUp, EPOLLIN);
--- a/src/adapters/peer/PeerTransport.h
+++ b/src/adapters/peer/PeerTransport.h
@@ -61,6 +61,7 @@
         Endpoint listen;
         std::vector<std::uint8_t> clusterKey;
         Handler handler;
+        bool takesPeersByAddress {};
         Logger* logger {};
     };
 
@@ -124,6 +125,8 @@
     /// @param key Secret shared by the processes of the system.
     Builder& clusterKey(std::span<const std::uint8_t> key);
     Builder& handler(Handler handler);
+    /// Takes nodes whose number is their IPv4 address without a list; all listen on the same port as this process.
+    Builder& peersByAddress();
     /// @param logger Outlives the transport. Without one nothing is logged.
     Builder& logger(Logger& logger);
 
--- /dev/null
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -0,0 +1,84 @@
+#include "adapters/reactor/TcpStream.h"
+
+#include <array>
+#include <cerrno>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace teaselturn {
+
+namespace {
+
+    constexpr std::size_t readBytes = 16 * 1024;
+
+}
+
+StreamState TcpStream::read(std::string& into)
+{
+    std::array<char, readBytes> buffer;
+    while (true) {
+        const auto count = recv(this->socket.number(), buffer.data(), buffer.size(), 0);
+        if (count == 0) {
+            return StreamState::Ended;
+        }
+        if (count < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? StreamState::Open : StreamState::Broken;
+        }
+        into.append(buffer.data(), static_cast<std::size_t>(count));
+        // A short read emptied the socket; the next bytes or the end cause an event of their own.
+        if (static_cast<std::size_t>(count) < buffer.size()) {
+            return StreamState::Open;
+        }
+    }
+}
+
+StreamState TcpStream::write(std::string_view bytes)
+{
+    if (this->unsent() > 0) {
+        this->backlog.append(bytes);
+        return StreamState::Open;
+    }
+    const auto count = send(this->socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR && errno != ENOTCONN) {
+        return StreamState::Broken;
+    }
+    this->backlog.assign(bytes.substr(count < 0 ? 0 : static_cast<std::size_t>(count)));
+    this->sent = 0;
+    return StreamState::Open;
+}
+
+StreamState TcpStream::flush()
+{
+    while (this->unsent() > 0) {
+        const auto count = send(this->socket.number(), this->backlog.data() + this->sent, this->unsent(), MSG_NOSIGNAL);
+        if (count < 0) {
+            return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR || errno == ENOTCONN ? StreamState::Open : StreamState::Broken;
+        }
+        this->sent += static_cast<std::size_t>(count);
+    }
+    this->backlog = {};
+    this->sent = 0;
+    return StreamState::Open;
+}
+
+bool TcpStream::isConnected() const
+{
+    int error = 0;
+    socklen_t length = sizeof error;
+    return getsockopt(this->socket.number(), SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == 0;
+}
+
+FileDescriptor acceptConnection(const FileDescriptor& listener, std::chrono::milliseconds userTimeout)
+{
+    FileDescriptor socket { accept4(listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) };
+    if (socket) {
+        const int one = 1;
+        const auto timeout = static_cast<unsigned>(userTimeout.count());
+        setsockopt(socket.number(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+        setsockopt(socket.number(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+    }
+    return socket;
+}
+
+}
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 38> logEventTable { {
+const std::array<LogEventRow, 47> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -23,6 +23,8 @@
     { LogEvent::ConnectionReplaced, "ConnectionReplaced", LogLevel::Info, "a connection without progress was closed" },
     { LogEvent::CircuitOpened, "CircuitOpened", LogLevel::Warning, "the circuit breaker of an upstream opened" },
     { LogEvent::CircuitClosed, "CircuitClosed", LogLevel::Info, "the circuit breaker of an upstream closed" },
+    { LogEvent::RequestRetried, "RequestRetried", LogLevel::Info, "a request goes to an upstream again" },
+    { LogEvent::CallRefused, "CallRefused", LogLevel::Info, "a call of an operator or upstream was refused" },
     { LogEvent::MessageDropped, "MessageDropped", LogLevel::Warning, "a message from a peer was dropped" },
     { LogEvent::PeerUnreachable, "PeerUnreachable", LogLevel::Debug, "a peer cannot be reached" },
     { LogEvent::ElectionStarted, "ElectionStarted", LogLevel::Info, "an election started" },
@@ -43,6 +45,13 @@
     { LogEvent::DelegationLost, "DelegationLost", LogLevel::Warning, "this entry VM holds no valid delegation" },
     { LogEvent::HeartbeatRefused, "HeartbeatRefused", LogLevel::Debug, "a heartbeat was refused" },
     { LogEvent::HotKeyCarved, "HotKeyCarved", LogLevel::Info, "a hot key got a slot of its own" },
+    { LogEvent::UpstreamRegistered, "UpstreamRegistered", LogLevel::Info, "an upstream announced itself, or that it is leaving" },
+    { LogEvent::UpstreamRemoved, "UpstreamRemoved", LogLevel::Info, "an upstream left or fell silent" },
+    { LogEvent::KeysAssigned, "KeysAssigned", LogLevel::Info, "key ranges got owners" },
+    { LogEvent::KeyMovesBegun, "KeyMovesBegun", LogLevel::Info, "key ranges are to move" },
+    { LogEvent::ItemsChanged, "ItemsChanged", LogLevel::Info, "configuration items changed" },
+    { LogEvent::FeedLost, "FeedLost", LogLevel::Warning, "no member answers the feed of the registry" },
+    { LogEvent::FeedRegained, "FeedRegained", LogLevel::Info, "a member answers the feed of the registry" },
 } };
 
 const LogEventRow& logEventRow(LogEvent event) noexcept
--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -5,7 +5,7 @@
 
 namespace teaselturn {
 
-const std::array<ResultCodeRow, 74> resultCodeTable { {
+const std::array<ResultCodeRow, 77> resultCodeTable { {
     { ResultCode::Ok, "Ok", "success" },
     { ResultCode::Internal, "Internal", "internal error" },
     { ResultCode::UsageError, "UsageError", "the command line is not valid" },
@@ -74,6 +74,9 @@
     { ResultCode::AlreadyApplied, "AlreadyApplied", "the command had been applied before" },
     { ResultCode::ZoneRetired, "ZoneRetired", "the availability zone has been retired" },
     { ResultCode::TooManyHotKeys, "TooManyHotKeys", "too many hot keys are carved out" },
+    { ResultCode::ItemsInvalid, "ItemsInvalid", "a configuration item is invalid" },
+    { ResultCode::ItemConflict, "ItemConflict", "another content has the same version" },
+    { ResultCode::KeyOutOfRange, "KeyOutOfRange", "the key number is missing or out of range" },
     { ResultCode::ListenFailed, "ListenFailed", "the address cannot be listened on" },
     { ResultCode::QueueFull, "QueueFull", "the queue is full" },
     { ResultCode::ShuttingDown, "ShuttingDown", "the process is shutting down" },
--- /dev/null
+++ b/src/core/dispatch/DispatchTypes.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "core/dispatch/RouteIndex.h"
+#include "core/dispatch/UpstreamLoad.h"
+#include "teaselturn/Registry.h"
+#include "teaselturn/ResultCode.h"
+#include "teaselturn/Types.h"
+
+#include <memory>
+#include <optional>
+#include <variant>
+#include <vector>
+
+/// What the dispatcher takes and decides.
+namespace teaselturn {
+
+/// Identifies a request of a caller within one process.
+using ExchangeId = StrongId<struct ExchangeIdTag, std::uint64_t>;
+
+/// A caller's request as far as decisions need it.
+struct DispatchRequest {
+    ExchangeId id;
+    std::shared_ptr<const CompiledRoute> route;
+    /// Key of a sharded service. Empty where the request names none.
+    std::optional<KeyNumber> key;
+    Instant arrivedAt;
+    /// When the caller stops waiting.
+    Instant deadline;
+};
+
+/// Send the request to an upstream.
+struct SendRequest {
+    ExchangeId id;
+    UpstreamKey upstream;
+    Endpoint endpoint;
+    /// How long the upstream may take.
+    Duration timeLeft {};
+};
+
+/// Tell the caller that the request did not run and will not.
+struct RefuseRequest {
+    ExchangeId id;
+    ResultCode reason {};
+    /// When the caller should come back.
+    Duration retryAfter {};
+};
+
+/// Tell the caller that the outcome is unknown.
+struct FailRequest {
+    ExchangeId id;
+    ResultCode reason {};
+};
+
+/// Hand the answer that just came to the caller.
+struct DeliverAnswer {
+    ExchangeId id;
+};
+
+/// End the attempt that is under way: nobody waits for it.
+struct AbandonAttempt {
+    ExchangeId id;
+};
+
+using DispatchDecision = std::variant<SendRequest, RefuseRequest, FailRequest, DeliverAnswer, AbandonAttempt>;
+using DispatchDecisions = std::vector<DispatchDecision>;
+
+/// Settings of the dispatcher.
+struct DispatchOptions {
+    /// Availability zone of this entry VM.
+    std::string zone;
+    /// Bounds of retries over all entry VMs.
+    std::uint32_t retryRatioPerMille { 200 };
+    std::uint32_t retrySlack { 10 };
+    std::chrono::milliseconds retryWindow { 10'000 };
+};
+
+}
--- /dev/null
+++ b/src/core/dispatch/Dispatcher.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "core/dispatch/DispatchTypes.h"
+#include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/UpstreamLoad.h"
+#include "core/registry/RegistryState.h"
+#include "teaselturn/Message.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace teaselturn {
+
+/// Decides which upstream serves a request, how long it waits, and when it is refused. It does no I/O and reads no
+/// clock: every call takes the time and returns what is to be done. Not thread-safe.
+///
+/// A request of a sharded service waits for the owner of its key; any other waits for an upstream with room. Waiting
+/// requests leave by priority and then by age. A request is refused on arrival where the queue ahead of it already
+/// takes longer than its target latency allows, so that a caller hears at once and the queue stays worth serving.
+class Dispatcher {
+public:
+    explicit Dispatcher(DispatchOptions options);
+
+    /// Takes over upstreams and key owners. Queued requests that became possible are sent.
+    void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions);
+
+    /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
+    void setEntryCount(std::uint32_t count) noexcept { this->entryCount = std::max(1U, count); }
+
+    void submit(Instant now, DispatchRequest request, DispatchDecisions& decisions);
+    /// Reports how an attempt ended. The request's next step is among the decisions, which is exactly one for this request.
+    void attemptEnded(Instant now, ExchangeId id, AttemptOutcome outcome, DispatchDecisions& decisions);
+    /// The caller left.
+    void cancel(Instant now, ExchangeId id, DispatchDecisions& decisions);
+    /// Ends requests whose time is over.
+    void advance(Instant now, DispatchDecisions& decisions);
+    /// @return When advance() is to be called next, or nothing.
+    std::optional<Instant> nextDeadline() const;
+
+    /// @return Requests that are neither answered nor refused yet.
+    std::size_t openRequests() const noexcept { return this->exchanges.size(); }
+
+    /// @return Load of the keys since the last call, at most maxKeys for each service.
+    std::vector<ServiceKeyLoad> takeKeyLoads(std::size_t maxKeys);
+
+private:
+    struct Upstream {
+        RegisterUpstream announcement;
+        UpstreamState state { UpstreamState::Ready };
+        UpstreamLoad load;
+        bool isLocal {};
+        /// Set by each sync; upstreams that it does not reach are forgotten once nothing is under way there.
+        bool isListed { true };
+    };
+
+    /// Order in a queue: urgent first, then the oldest.
+    struct QueuePlace {
+        std::uint32_t priority {};
+        std::uint64_t number {};
+        ExchangeId id;
+
+        friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+    };
+    using Queue = absl::btree_set<QueuePlace>;
+
+    struct KeyUsage {
+        std::uint32_t requests {};
+        double busyMs {};
+    };
+
+    struct Service {
+        std::string name;
+        bool isSharded {};
+        std::vector<KeyRange> ranges;
+        std::vector<UpstreamKey> upstreams;
+        RetryWindow retries;
+        /// Mean time at an upstream.
+        Duration usualLatency { std::chrono::milliseconds { 60 } };
+        /// Waiting requests of a service without keys.
+        Queue queue;
+        /// Waiting requests by owner of their key; those without an owner wait under an empty key.
+        absl::btree_map<UpstreamKey, Queue> queues;
+        int inFlight {};
+        absl::flat_hash_map<KeyNumber, KeyUsage> usage;
+    };
+
+    struct Exchange {
+        DispatchRequest request;
+        Service* service {};
+        std::uint64_t number {};
+        std::uint32_t sends {};
+        /// Sends that may have run.
+        std::uint32_t runs {};
+        /// Where the request is queued; used only while isQueued.
+        UpstreamKey queuedAt;
+        bool isQueued {};
+        /// The upstream that has it; used only while isSent.
+        UpstreamKey sentTo;
+        bool isSent {};
+        Instant sentAt;
+        Instant giveUpAt;
+        std::vector<UpstreamKey> avoided;
+        /// A key whose owner refused it waits until the owner changes, or until then.
+        std::optional<Instant> holdUntil;
+        Fence refusedFence;
+    };
+
+    Service& service(std::string_view name);
+    Upstream* upstream(const UpstreamKey& key);
+    std::string_view chooseService(const CompiledRoute& route);
+    const KeyRange* rangeOf(const Exchange& exchange) const;
+
+    std::optional<ResultCode> admissionRefusal(Instant now, const Exchange& exchange);
+    Duration expectedWait(Instant now, const Exchange& exchange);
+    Duration retryAfter(Instant now, const Exchange& exchange);
+
+    void enqueue(Exchange& exchange);
+    void dequeue(Exchange& exchange);
+    Queue& queueOf(Exchange& exchange);
+    void serve(Instant now, Service& service, DispatchDecisions& decisions);
+    void serveKeys(Instant now, Service& service, DispatchDecisions& decisions);
+    Upstream* chooseUpstream(Instant now, Service& service, const Exchange& exchange);
+    double roomShare(const Service& service) const;
+    void send(Instant now, Exchange& exchange, Upstream& target, DispatchDecisions& decisions);
+    void refuse(Instant now, Exchange& exchange, ResultCode reason, DispatchDecisions& decisions);
+    void finish(Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions);
+    void tryAgain(Instant now, Exchange& exchange, AttemptOutcome outcome, DispatchDecisions& decisions);
+    bool mayRepeat(Instant now, const Exchange& exchange, AttemptOutcome outcome);
+    void detach(Instant now, Exchange& exchange, std::optional<AttemptOutcome> outcome);
+    void expire(Instant now, Exchange& exchange, DispatchDecisions& decisions);
+
+    DispatchOptions options;
+    std::uint32_t entryCount { 1 };
+    std::uint64_t lastNumber {};
+    absl::flat_hash_map<UpstreamKey, Upstream> upstreams;
+    absl::btree_map<std::string, std::unique_ptr<Service>, std::less<>> services;
+    absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
+    absl::btree_set<std::pair<Instant, ExchangeId>> deadlines;
+    /// Credit of each share of a route, for a smooth rotation by weight.
+    absl::flat_hash_map<std::string, std::vector<std::int64_t>> rotation;
+    /// Spreads the times at which refused callers return.
+    std::uint64_t spreadState { 0x9e3779b97f4a7c15 };
+};
+
+}
--- a/src/core/ledger/EntryLog.cpp
+++ b/src/core/ledger/EntryLog.cpp
@@ -48,6 +48,31 @@
         return command.members.size() * sizeof(MemberSpec);
     }
 
+    std::size_t extraBytes(const ChangeItems& command) noexcept
+    {
+        std::size_t bytes = command.deletions.size() * sizeof(ItemDeletion);
+        for (const auto& item : command.upserts) {
+            // The document and its parsed form are about the same size.
+            bytes += sizeof(ConfigItem) + item.name.size() + 2 * item.document.size();
+        }
+        return bytes;
+    }
+
+    std::size_t extraBytes(const RegisterUpstream& command) noexcept
+    {
+        return command.key.name.size() + command.service.size() + command.endpoint.address.size() + command.zone.size();
+    }
+
+    std::size_t extraBytes(const AssignKeyRanges& command) noexcept
+    {
+        return command.grants.size() * sizeof(KeyRangeGrant);
+    }
+
+    std::size_t extraBytes(const BeginKeyMoves& command) noexcept
+    {
+        return command.moves.size() * sizeof(KeyRangeMove);
+    }
+
     template <typename T>
     std::size_t extraBytes(const T&) noexcept
     {
--- a/src/core/ledger/Member.h
+++ b/src/core/ledger/Member.h
@@ -127,6 +127,8 @@
     std::span<const MemberSpec> members() const noexcept;
     /// @return The configuration in the log up to index: the members of a snapshot of the state applied up to there.
     std::span<const MemberSpec> membersAt(LogIndex index) const noexcept;
+    /// @return Time since a member last answered this leader, at most the time since it leads; zero for the leader itself.
+    Duration silence(NodeId node, Instant at) const noexcept;
     /// @return Committed entries above index, at most maxBytes of them estimated, or LogCompacted.
     Result<std::vector<LogEntry>> committedAfter(LogIndex index, std::size_t maxBytes) const;
 
--- a/src/core/ledger/MemberConfigurationInlines.h
+++ b/src/core/ledger/MemberConfigurationInlines.h
@@ -21,6 +21,13 @@
     return this->configuration.at(index);
 }
 
+template <RandomSource Random>
+Duration Member<Random>::silence(NodeId node, Instant at) const noexcept
+{
+    const auto found = std::find_if(this->peers.begin(), this->peers.end(), [node](const auto& progress) { return progress.node == node; });
+    return found == this->peers.end() ? Duration::zero() : at - std::max(found->confirmedAt, this->leaderSince);
+}
+
 template <RandomSource Random>
 Status Member<Random>::checkChange(const ChangeMembers& change) const
 {
--- a/src/core/ownership/OwnershipState.h
+++ b/src/core/ownership/OwnershipState.h
@@ -110,6 +110,12 @@
         LogIndex moveSince;
     };
 
+    /// Commands of the registry do not concern this state.
+    template <typename T>
+    ApplyOutcome run(const T&)
+    {
+        return { ResultCode::Internal };
+    }
     ApplyOutcome run(const NoOperation& command);
     ApplyOutcome run(const AttachUpstream& command);
     ApplyOutcome run(const ExpireUpstream& command);
--- /dev/null
+++ b/src/core/registry/JoinPlan.cpp
@@ -0,0 +1,97 @@
+#include "core/registry/JoinPlan.h"
+
+#include "core/ledger/LedgerLimits.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+namespace {
+
+    class JoinPlanner {
+    public:
+        explicit JoinPlanner(std::span<const MemberContact> contacts)
+            : contacts(contacts)
+        {
+        }
+
+        std::vector<ChangeMembers> plan(std::span<const JoinCandidate> candidates, const JoinLimits& bounds)
+        {
+            for (const auto& candidate : candidates) {
+                this->replaceDisk(candidate);
+            }
+            for (const auto& contact : this->contacts) {
+                if (!contact.member.voter) {
+                    this->change({ contact.member.node, contact.member.disk, true });
+                }
+            }
+            for (const auto& candidate : candidates) {
+                if (this->find(candidate.node) == nullptr && this->contacts.size() < limits::maxConfiguredMembers) {
+                    this->change({ candidate.node, candidate.disk, false });
+                }
+            }
+            this->removeSilent(bounds);
+            return std::move(this->changes);
+        }
+
+    private:
+        const MemberSpec* find(NodeId node) const noexcept
+        {
+            const auto found = std::ranges::find(this->contacts, node, [](const MemberContact& contact) { return contact.member.node; });
+            return found == this->contacts.end() ? nullptr : &found->member;
+        }
+
+        std::vector<MemberSpec> current() const
+        {
+            std::vector<MemberSpec> members;
+            std::ranges::transform(this->contacts, std::back_inserter(members), &MemberContact::member);
+            return members;
+        }
+
+        void change(const MemberSpec& next)
+        {
+            ChangeMembers command { this->current() };
+            const auto place = std::ranges::find(command.members, next.node, &MemberSpec::node);
+            if (place == command.members.end()) {
+                command.members.push_back(next);
+            } else {
+                *place = next;
+            }
+            this->changes.push_back(std::move(command));
+        }
+
+        /// The old disk's vote is lost already, so its removal takes nothing away.
+        void replaceDisk(const JoinCandidate& candidate)
+        {
+            const auto* member = this->find(candidate.node);
+            if (member != nullptr && member->disk != candidate.disk) {
+                this->change({ candidate.node, candidate.disk, false });
+            }
+        }
+
+        void removeSilent(const JoinLimits& bounds)
+        {
+            const auto voters = std::ranges::count_if(this->contacts, [](const MemberContact& contact) { return contact.member.voter; });
+            for (const auto& contact : this->contacts) {
+                const auto votersLeft = static_cast<std::size_t>(voters - (contact.member.voter ? 1 : 0));
+                if (contact.silentFor < bounds.removeAfter || (contact.member.voter && votersLeft < bounds.minimumVoters)) {
+                    continue;
+                }
+                ChangeMembers command { this->current() };
+                std::erase(command.members, contact.member);
+                this->changes.push_back(std::move(command));
+            }
+        }
+
+        std::span<const MemberContact> contacts;
+        std::vector<ChangeMembers> changes;
+    };
+
+}
+
+std::vector<ChangeMembers> planJoins(std::span<const MemberContact> contacts, std::span<const JoinCandidate> candidates, const JoinLimits& bounds)
+{
+    return JoinPlanner { contacts }.plan(candidates, bounds);
+}
+
+}
--- /dev/null
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -0,0 +1,309 @@
+#include "core/registry/KeyCoordinator.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+namespace {
+
+    /// How long an entry VM counts after its last report.
+    constexpr std::chrono::seconds entryMemory { 5 };
+    /// Weight of a new measurement in the typical latency of an upstream.
+    constexpr double latencyWeight = 0.3;
+    /// Requests below which an upstream's latency says too little.
+    constexpr double minimumSamples = 3;
+    /// Bounds of the speed of an upstream relative to the others.
+    constexpr double lowestSpeed = 0.25;
+    constexpr double highestSpeed = 2.5;
+
+    bool isListed(std::span<const HeldKeys> held, const KeyRange& range)
+    {
+        return std::ranges::any_of(held, [&range](const HeldKeys& keys) { return overlaps(keys.first, keys.last, range.first, range.last); });
+    }
+
+    std::string handoverOf(std::span<const ReleasedKeys> released, const KeyRange& range)
+    {
+        const auto found = std::ranges::find_if(released, [&range](const ReleasedKeys& keys) { return keys.first <= range.first && range.last <= keys.last; });
+        return found == released.end() ? std::string {} : found->handover;
+    }
+
+}
+
+void KeyCoordinator::becameLeader(Instant now, const RegistryState&)
+{
+    this->leaderSince = now;
+    this->balancedAt = now;
+    this->contacts.clear();
+    this->omissions.clear();
+    this->moveSeenAt.clear();
+    this->loads.clear();
+    this->entries.clear();
+}
+
+std::optional<Command> KeyCoordinator::registration(const Heartbeat& heartbeat, const RegistryState& state) const
+{
+    const auto& announcement = heartbeat.announcement;
+    const auto* known = state.findUpstream(announcement.key.name);
+    if (known == nullptr || known->announcement.key != announcement.key || known->state == UpstreamState::Dead) {
+        return announcement;
+    }
+    if (known->state == UpstreamState::Gone || known->announcement == announcement) {
+        return std::nullopt;
+    }
+    const auto* heard = this->contact(announcement.key);
+    const bool isOvertaken = heard != nullptr && heartbeat.sequence <= heard->sequence;
+    const bool wouldReturn = known->state == UpstreamState::Draining && !announcement.isDraining;
+    return isOvertaken || wouldReturn ? std::nullopt : std::optional<Command> { announcement };
+}
+
+const KeyCoordinator::Contact* KeyCoordinator::contact(const UpstreamKey& key) const
+{
+    const auto found = this->contacts.find(key.name);
+    return found == this->contacts.end() || found->second.key != key ? nullptr : &found->second;
+}
+
+bool KeyCoordinator::note(Instant now, const Heartbeat& heartbeat)
+{
+    auto& contact = this->contacts[heartbeat.announcement.key.name];
+    if (contact.key != heartbeat.announcement.key) {
+        contact = Contact { heartbeat.announcement.key, 0, now, now, std::nullopt };
+    } else if (heartbeat.sequence <= contact.sequence) {
+        return false;
+    } else {
+        const auto interval = std::min<Duration>(now - contact.heardAt, std::chrono::seconds { 1 });
+        // A heartbeat soon after the last one answers an omission; the regular one keeps its time.
+        if (interval > std::chrono::milliseconds { 300 }) {
+            contact.nextExpected = now + interval;
+        }
+    }
+    contact.sequence = heartbeat.sequence;
+    contact.heardAt = now;
+    return true;
+}
+
+std::vector<Command> KeyCoordinator::takeReleases(const Heartbeat& heartbeat, const RegistryState& state)
+{
+    const auto& announcement = heartbeat.announcement;
+    AssignKeyRanges assignment { announcement.service, {} };
+    std::erase_if(this->omissions, [&](const Omission& omission) {
+        if (omission.owner != announcement.key || heartbeat.sequence <= omission.sequence) {
+            return false;
+        }
+        const auto* range = state.findRange(announcement.service, omission.first);
+        if (range == nullptr || range->owner != omission.owner || range->fence != omission.fence || !range->isMoving()) {
+            return true;
+        }
+        if (isListed(heartbeat.held, *range)) {
+            return false;
+        }
+        assignment.grants.push_back({ range->first, range->last, range->target, handoverOf(heartbeat.released, *range) });
+        return true;
+    });
+    if (assignment.grants.empty()) {
+        return {};
+    }
+    return { std::move(assignment) };
+}
+
+bool KeyCoordinator::isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state)
+{
+    const bool isOmitted = std::ranges::any_of(this->omissions, [&range](const Omission& omission) { return omission.owner == range.owner && omission.fence == range.fence && omission.first == range.first; });
+    if (isOmitted || !state.isAlive(range.owner)) {
+        return true;
+    }
+    const auto* target = this->contact(range.target);
+    if (target == nullptr) {
+        return false;
+    }
+    const auto key = range.fence.value * keyNumberCount + range.first;
+    const auto seenAt = this->moveSeenAt.emplace(key, now).first->second;
+    const auto ahead = target->nextExpected - now;
+    if ((ahead >= this->timing.moveLead && ahead <= this->timing.moveReach) || now - seenAt > this->timing.movePatience) {
+        this->moveSeenAt.erase(key);
+        return true;
+    }
+    return false;
+}
+
+void KeyCoordinator::omit(const KeyRange& range, std::uint64_t sequence)
+{
+    const auto isSame = [&range](const Omission& omission) { return omission.owner == range.owner && omission.first == range.first && omission.fence == range.fence; };
+    if (std::ranges::none_of(this->omissions, isSame)) {
+        this->omissions.push_back({ range.owner, range.first, range.last, range.fence, sequence });
+    }
+}
+
+HeartbeatAnswer KeyCoordinator::answer(Instant now, const Heartbeat& heartbeat, const RegistryState& state)
+{
+    const auto& announcement = heartbeat.announcement;
+    const auto* service = state.findService(announcement.service);
+    if (service == nullptr || !service->isSharded || !state.isAlive(announcement.key)) {
+        return {};
+    }
+    HeartbeatAnswer answer { true, {}, this->timing.lease };
+    for (const auto& range : state.keyRanges(announcement.service)) {
+        if (range.owner != announcement.key) {
+            continue;
+        }
+        if (range.isMoving() && this->isOmissionDue(now, range, state)) {
+            this->omit(range, heartbeat.sequence);
+            continue;
+        }
+        answer.grants.push_back(range);
+    }
+    this->contacts[announcement.key.name].leaseEnd = now + this->timing.lease + this->timing.lease / this->timing.driftDivisor;
+    return answer;
+}
+
+void KeyCoordinator::addLoad(Instant now, const KeyLoadReport& report, const RegistryState& state)
+{
+    this->entries[report.entry] = now;
+    for (const auto& service : report.services) {
+        this->loads[service.service].add(service.loads);
+        this->learnLatency(service, state);
+    }
+}
+
+void KeyCoordinator::learnLatency(const ServiceKeyLoad& load, const RegistryState& state)
+{
+    struct Sum {
+        double requests {};
+        double busyMs {};
+    };
+    absl::flat_hash_map<UpstreamKey, Sum> sums;
+    for (const auto& keys : load.loads) {
+        const auto* range = state.findRange(load.service, keys.first);
+        if (range != nullptr && range->isOwned() && keys.busyMs > 0) {
+            auto& sum = sums[range->owner];
+            sum.requests += keys.requests;
+            sum.busyMs += keys.busyMs;
+        }
+    }
+    for (const auto& [owner, sum] : sums) {
+        if (sum.requests >= minimumSamples) {
+            auto& typical = this->typicalLatency[owner];
+            const auto mean = sum.busyMs / sum.requests;
+            typical = typical == 0 ? mean : typical + (mean - typical) * latencyWeight;
+        }
+    }
+}
+
+std::uint32_t KeyCoordinator::entryCount(Instant now) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(this->entries, [now](const auto& entry) { return now - entry.second < entryMemory; }));
+}
+
+bool KeyCoordinator::isLeasePossible(Instant now, const UpstreamKey& key, const RegistryState& state) const
+{
+    const auto* registered = state.findUpstream(key.name);
+    if (registered != nullptr && registered->announcement.key.incarnation > key.incarnation) {
+        // A later start of the process shows that this one is over.
+        return false;
+    }
+    const auto formerTerm = this->leaderSince + this->timing.lease + this->timing.lease / this->timing.driftDivisor;
+    const auto* heard = this->contact(key);
+    const auto end = heard != nullptr && heard->leaseEnd ? std::max(*heard->leaseEnd, formerTerm) : formerTerm;
+    return now < end;
+}
+
+bool KeyCoordinator::isFree(Instant now, const KeyRange& range, const RegistryState& state) const
+{
+    return !range.isOwned() || (!state.isAlive(range.owner) && !this->isLeasePossible(now, range.owner, state));
+}
+
+void KeyCoordinator::findSilent(Instant now, const RegistryState& state, std::vector<Command>& commands) const
+{
+    for (const auto& [name, upstream] : state.upstreams()) {
+        const auto& key = upstream.announcement.key;
+        if (!state.isAlive(key)) {
+            continue;
+        }
+        const auto* heard = this->contact(key);
+        const auto heardAt = heard == nullptr ? this->leaderSince : std::max(heard->heardAt, this->leaderSince);
+        if (now - heardAt > this->timing.lease + this->timing.lease / this->timing.driftDivisor) {
+            commands.push_back(RemoveUpstream { key, false });
+        }
+    }
+}
+
+std::vector<KeyHolder> KeyCoordinator::holders(std::string_view service, const RegistryState& state) const
+{
+    std::vector<double> latencies;
+    for (const auto& [key, latency] : this->typicalLatency) {
+        latencies.push_back(latency);
+    }
+    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+    std::ranges::nth_element(latencies, middle);
+    std::vector<KeyHolder> result;
+    for (const auto& [name, upstream] : state.upstreams()) {
+        const auto& announcement = upstream.announcement;
+        if (announcement.service != service || !state.isAlive(announcement.key)) {
+            continue;
+        }
+        const auto known = this->typicalLatency.find(announcement.key);
+        const auto speed = known == this->typicalLatency.end() || known->second <= 0 ? 1.0 : std::clamp(*middle / known->second, lowestSpeed, highestSpeed);
+        result.push_back({ announcement.key, std::max(1U, announcement.requestSlots) * speed, upstream.isUsable() });
+    }
+    return result;
+}
+
+void KeyCoordinator::place(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands)
+{
+    const auto available = this->holders(service, state);
+    if (available.empty()) {
+        return;
+    }
+    const auto announcedAt = this->firstAnnounced.emplace(std::string { service }, now).first->second;
+    const auto known = state.keyRanges(service);
+    if (known.empty() && now - announcedAt < this->timing.settleTime) {
+        return;
+    }
+    static const std::vector<KeyRange> unowned { KeyRange { 0, keyNumberCount - 1, {}, {}, {}, {} } };
+    const auto ranges = known.empty() ? std::span<const KeyRange> { unowned } : known;
+    const auto found = this->loads.find(service);
+    const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
+    auto grants = placeFreeKeys(
+        ranges, [&](const KeyRange& range) { return this->isFree(now, range, state); }, available, weights);
+    if (!grants.empty()) {
+        commands.push_back(AssignKeyRanges { std::string { service }, std::move(grants) });
+    }
+}
+
+void KeyCoordinator::balance(std::string_view service, const RegistryState& state, std::vector<Command>& commands)
+{
+    const auto found = this->loads.find(service);
+    const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
+    auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
+    if (!moves.empty()) {
+        commands.push_back(BeginKeyMoves { std::string { service }, std::move(moves) });
+    }
+}
+
+std::vector<Command> KeyCoordinator::decide(Instant now, const RegistryState& state)
+{
+    std::vector<Command> commands;
+    this->findSilent(now, state, commands);
+    std::vector<std::string> sharded;
+    state.forEachItem([&sharded](const ConfigItem& item) {
+        const auto* service = std::get_if<ServiceItem>(&item.content);
+        if (service != nullptr && service->isSharded) {
+            sharded.push_back(item.name);
+        }
+    });
+    for (const auto& service : sharded) {
+        this->place(now, service, state, commands);
+    }
+    const auto elapsed = now - this->balancedAt;
+    if (commands.empty() && elapsed >= this->timing.balanceInterval) {
+        this->balancedAt = now;
+        for (auto& [service, load] : this->loads) {
+            load.fade(elapsed);
+        }
+        for (const auto& service : sharded) {
+            this->balance(service, state, commands);
+        }
+    }
+    return commands;
+}
+
+}
--- /dev/null
+++ b/src/core/registry/KeyCoordinator.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/registry/Heartbeat.h"
+#include "core/registry/KeyBalance.h"
+#include "core/registry/KeyLoadTable.h"
+#include "core/registry/RegistryState.h"
+#include "teaselturn/Command.h"
+#include "teaselturn/Message.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace teaselturn {
+
+/// Intervals of the leases on numbered keys.
+struct KeyLeaseTiming {
+    /// Length of a lease as its holder counts it. It outlasts the loss of a leader: a heartbeat interval of 0.9 s, an
+    /// election of 1 s and the second after which a caller tries another member.
+    Duration lease { std::chrono::milliseconds { 4'000 } };
+    /// A holder's clock runs slow by at most one part in this many.
+    std::int64_t driftDivisor { 40 };
+    /// How long after the first announcement of a service keys are placed, so that all upstreams of a start are there.
+    Duration settleTime { std::chrono::milliseconds { 1'200 } };
+    /// How often keys are balanced.
+    Duration balanceInterval { std::chrono::milliseconds { 500 } };
+    /// How long a move waits for a moment at which the target's next heartbeat follows soon.
+    Duration movePatience { std::chrono::milliseconds { 1'800 } };
+    /// The target's heartbeat has to be at least this far ahead of the source's: the source answers the omission within
+    /// 100 ms, and the assignment has to be committed across regions.
+    Duration moveLead { std::chrono::milliseconds { 180 } };
+    /// A target whose heartbeat is further ahead than this is not worth starting now.
+    Duration moveReach { std::chrono::milliseconds { 480 } };
+};
+
+/// Grants leases on numbered keys, moves keys and finds upstreams that fell silent. Used by the leader only; everything
+/// it must not lose is in the log, the rest it learns anew in a term. Not thread-safe.
+///
+/// A key gets its next owner only when the last one released it, was restarted, or cannot hold a lease any more.
+class KeyCoordinator {
+public:
+    explicit KeyCoordinator(KeyLeaseTiming timing = {})
+        : timing(timing)
+    {
+    }
+
+    /// Starts a term: any lease may have been granted just before.
+    void becameLeader(Instant now, const RegistryState& state);
+
+    /// @return The command that the heartbeat calls for before it can be answered, or nothing.
+    std::optional<Command> registration(const Heartbeat& heartbeat, const RegistryState& state) const;
+
+    /// Takes a heartbeat of a registered upstream.
+    /// @return False where it was overtaken by a later one of the same start; it is then not to be answered with grants.
+    bool note(Instant now, const Heartbeat& heartbeat);
+
+    /// @return Assignments of keys that the heartbeat shows to be free.
+    std::vector<Command> takeReleases(const Heartbeat& heartbeat, const RegistryState& state);
+
+    /// Renews the upstream's lease and says what it is to hold.
+    HeartbeatAnswer answer(Instant now, const Heartbeat& heartbeat, const RegistryState& state);
+
+    void addLoad(Instant now, const KeyLoadReport& report, const RegistryState& state);
+    /// @return Entry VMs that reported load lately.
+    std::uint32_t entryCount(Instant now) const;
+
+    /// @return What is to be proposed now. Called every tick while no former decision is pending.
+    std::vector<Command> decide(Instant now, const RegistryState& state);
+
+private:
+    /// What the leader knows of a start of an upstream beside the registry.
+    struct Contact {
+        UpstreamKey key;
+        std::uint64_t sequence {};
+        Instant heardAt;
+        Instant nextExpected;
+        /// No lease granted in this term lasts longer. Empty where none was granted.
+        std::optional<Instant> leaseEnd;
+    };
+
+    /// Keys that the answer to a heartbeat left out for the first time.
+    struct Omission {
+        UpstreamKey owner;
+        KeyNumber first {};
+        KeyNumber last {};
+        Fence fence;
+        std::uint64_t sequence {};
+    };
+
+    const Contact* contact(const UpstreamKey& key) const;
+    bool isLeasePossible(Instant now, const UpstreamKey& key, const RegistryState& state) const;
+    bool isFree(Instant now, const KeyRange& range, const RegistryState& state) const;
+    bool isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state);
+    void omit(const KeyRange& range, std::uint64_t sequence);
+    std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
+    void findSilent(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
+    void place(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
+    void balance(std::string_view service, const RegistryState& state, std::vector<Command>& commands);
+    void learnLatency(const ServiceKeyLoad& load, const RegistryState& state);
+
+    KeyLeaseTiming timing;
+    Instant leaderSince;
+    Instant balancedAt;
+    absl::flat_hash_map<std::string, Contact> contacts;
+    std::vector<Omission> omissions;
+    absl::btree_map<std::string, KeyLoadTable, std::less<>> loads;
+    /// Mean time of a request at an upstream, in milliseconds.
+    absl::flat_hash_map<UpstreamKey, double> typicalLatency;
+    absl::flat_hash_map<NodeId, Instant> entries;
+    /// When a move was first seen, by service and first key.
+    absl::flat_hash_map<std::uint64_t, Instant> moveSeenAt;
+    absl::flat_hash_map<std::string, Instant> firstAnnounced;
+};
+
+}
--- /dev/null
+++ b/src/core/registry/RegistryService.h
@@ -0,0 +1,204 @@
+#pragma once
+
+#include "core/ledger/Member.h"
+#include "core/registry/Heartbeat.h"
+#include "core/registry/JoinPlan.h"
+#include "core/registry/KeyCoordinator.h"
+#include "core/registry/RegistryState.h"
+#include "teaselturn/Message.h"
+#include "teaselturn/Ports.h"
+
+#include <absl/container/btree_map.h>
+#include <concepts>
+#include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace teaselturn {
+
+/// Encodes the registry for snapshots; the core sees only the bytes.
+template <typename T>
+concept RegistryCodec = requires(const T& codec, const RegistrySnapshot& snapshot, std::span<const std::uint8_t> bytes)
+{
+    {
+        codec.encode(snapshot)
+        } -> std::same_as<std::vector<std::uint8_t>>;
+    {
+        codec.decode(bytes)
+        } -> std::same_as<Result<RegistrySnapshot>>;
+};
+
+/// Identifies a call of a front end until it is answered.
+using CallId = StrongId<struct CallIdTag, std::uint64_t>;
+
+/// Another member has to be called.
+struct CallElsewhere {
+    NodeId leader;
+};
+
+/// Nobody can answer at the moment. The call may or may not take effect.
+struct CallUnavailable {
+};
+
+/// The change was committed, or refused for what it says.
+struct ItemsAnswer {
+    ResultCode code { ResultCode::Ok };
+    std::string detail;
+};
+
+/// The upstream's departure was recorded.
+struct DepartureAnswer {
+};
+
+using CallResult = std::variant<CallElsewhere, CallUnavailable, ItemsAnswer, DepartureAnswer, HeartbeatAnswer>;
+
+/// The answer to a call.
+struct CallAnswer {
+    CallId call;
+    CallResult result;
+};
+
+/// An applied entry with its outcome.
+struct AppliedCommand {
+    LogEntry entry;
+    ApplyOutcome outcome;
+};
+
+/// Work that a registry process carries out: send immediate and answers; write and sync storage; report with
+/// persisted(); send afterPersist; write the snapshot and report it with snapshotSaved().
+struct RegistryEffects {
+    MemberEffects storage;
+    std::vector<OutboundMessage> immediate;
+    std::vector<OutboundMessage> afterPersist;
+    std::vector<CallAnswer> answers;
+    std::vector<AppliedCommand> applied;
+    std::optional<LedgerSnapshot> snapshot;
+};
+
+/// Settings of a registry process.
+struct RegistryOptions {
+    MemberTiming election;
+    KeyLeaseTiming leases;
+    JoinLimits joins;
+    /// Log entries after which the state is written as a snapshot and the log is cut.
+    std::uint64_t snapshotInterval { 2'048 };
+};
+
+/// Everything that one member of the registry decides: the replicated log, the state applied from it, leases and key
+/// placement while it leads, its own membership, and the feed for entry VMs. It does no I/O and takes calls as typed
+/// values. Not thread-safe: the driver holds its lock around every call.
+/// @tparam Random Source of election timeouts.
+/// @tparam Codec Encoding of snapshots.
+template <RandomSource Random, RegistryCodec Codec>
+class RegistryService {
+public:
+    /// @param seeds Members to ask for admission while this one is not in the configuration that it knows.
+    RegistryService(MemberState state, std::vector<NodeId> seeds, Random random, Codec codec, Instant now, RegistryOptions options = {});
+
+    void tick(Instant now);
+
+    /// Takes a message of a member or an entry VM.
+    void receive(Instant now, NodeId from, const PeerMessage& message);
+
+    /// Takes a call of a front end. The answer follows in takeEffects().
+    void heartbeat(Instant now, CallId call, Heartbeat heartbeat);
+    void depart(Instant now, CallId call, std::string_view upstream, std::optional<std::uint64_t> incarnation);
+    void changeItems(Instant now, CallId call, ChangeItems change);
+
+    /// @return Ok where this member may answer reads now; otherwise where to go.
+    std::optional<CallResult> readRefusal(Instant now) const;
+
+    RegistryEffects takeEffects(Instant now);
+    /// Reports that the storage part of every effect taken so far is on disk.
+    void persisted(Instant now);
+    void snapshotSaved(const LedgerSnapshot& snapshot);
+
+    const std::optional<Failure>& startFailure() const noexcept { return this->failure; }
+    const RegistryState& state() const noexcept { return this->registry; }
+    const Member<Random>& ledgerMember() const noexcept { return this->member; }
+
+private:
+    struct WaitingHeartbeat {
+        CallId call;
+        Heartbeat heartbeat;
+    };
+    struct WaitingItems {
+        CallId call;
+    };
+    struct WaitingDeparture {
+        CallId call;
+    };
+    /// Of the coordinator; nobody waits for it.
+    struct Decision {
+    };
+    /// Keys that pass on; their owner's next heartbeat brings them up again where the proposal is lost.
+    struct KeyRelease {
+    };
+    using Waiting = std::variant<Decision, KeyRelease, WaitingHeartbeat, WaitingItems, WaitingDeparture>;
+
+    struct Pending {
+        Term term;
+        Waiting waiting;
+    };
+    struct FeedWaiter {
+        FeedRequest request;
+        Instant answerBy;
+    };
+    struct Joiner {
+        DiskId disk;
+        Instant heardAt;
+    };
+
+    bool leads(Instant now) const noexcept { return this->coordinatedTerm != Term {} && this->member.hasLeaderLease(now); }
+    bool isInContact(Instant now) const noexcept;
+    CallResult elsewhere() const;
+    void answer(CallId call, CallResult result) { this->answers.push_back({ call, std::move(result) }); }
+    void reply(NodeId to, PeerMessage message) { this->replies.push_back({ to, std::move(message) }); }
+    bool propose(Instant now, Command command, Waiting waiting);
+    void answerHeartbeat(Instant now, CallId call, const Heartbeat& heartbeat);
+    void followLeadership(Instant now);
+    void decide(Instant now);
+    void changeMembers(Instant now);
+    void askToJoin(Instant now);
+    void dropPending();
+    void install(const LedgerSnapshot& snapshot);
+    void applyCommitted(Instant now, std::vector<LogEntry> entries);
+    void settle(Instant now, const LogEntry& entry, const ApplyOutcome& outcome);
+    void takeFeedRequest(Instant now, NodeId from, const FeedRequest& request);
+    void takeLoadReport(Instant now, NodeId from, const KeyLoadReport& report);
+    void takeJoinRequest(Instant now, NodeId from, const JoinRequest& request);
+    void answerFeeds(Instant now);
+    FeedReply feedReply(const FeedRequest& request);
+
+    NodeId self;
+    DiskId disk;
+    std::vector<NodeId> seeds;
+    RegistryOptions options;
+    Member<Random> member;
+    RegistryState registry;
+    KeyCoordinator coordinator;
+    Codec codec;
+    std::optional<Failure> failure;
+    /// Term in which this member coordinates. Zero where it does not.
+    Term coordinatedTerm;
+    Term appliedTerm;
+    LogIndex takenThrough;
+    bool isSnapshotPending {};
+    Instant leaderHeardAt;
+    Instant joinAskedAt;
+    std::size_t pendingDecisions {};
+    std::vector<OutboundMessage> replies;
+    std::vector<CallAnswer> answers;
+    std::vector<AppliedCommand> appliedCommands;
+    absl::btree_map<LogIndex, Pending> pending;
+    absl::btree_map<NodeId, FeedWaiter> feedWaiters;
+    absl::btree_map<NodeId, Joiner> joiners;
+    /// Snapshot for feeds, encoded once for all that need it.
+    LogIndex feedSnapshotIndex;
+    std::vector<std::uint8_t> feedSnapshot;
+};
+
+}
+
+#include "core/registry/RegistryServiceInlines.h"
--- /dev/null
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -0,0 +1,430 @@
+#pragma once
+
+#include "core/registry/RegistryService.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+namespace registry {
+    /// How long a member holds a feed request open when it has nothing new.
+    inline constexpr std::chrono::milliseconds feedHold { 700 };
+    /// A member that heard nothing of a leader for this long does not answer feeds and calls: what it has may be old.
+    inline constexpr std::chrono::milliseconds contactPatience { 1'000 };
+    /// How often a process asks to become a member.
+    inline constexpr std::chrono::milliseconds joinInterval { 300 };
+    /// How long a request to join counts.
+    inline constexpr std::chrono::seconds joinMemory { 2 };
+    /// Entries in one feed answer, in bytes.
+    inline constexpr std::size_t feedBytes = 48 * 1024;
+    /// Part of a snapshot in one feed answer, in bytes.
+    inline constexpr std::size_t feedSnapshotPartBytes = 256 * 1024;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+RegistryService<Random, Codec>::RegistryService(MemberState state, std::vector<NodeId> seeds, Random random, Codec codec, Instant now, RegistryOptions options)
+    : self(state.node)
+    , disk(state.disk)
+    , seeds(std::move(seeds))
+    , options(options)
+    , member(state, options.election, std::move(random), now)
+    , coordinator(options.leases)
+    , codec(std::move(codec))
+    , leaderHeardAt(now - registry::contactPatience)
+    , joinAskedAt(now)
+{
+    if (state.snapshot) {
+        this->install(*state.snapshot);
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::tick(Instant now)
+{
+    this->member.tick(now);
+    this->followLeadership(now);
+    this->decide(now);
+    this->askToJoin(now);
+    this->answerFeeds(now);
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::receive(Instant now, NodeId from, const PeerMessage& message)
+{
+    if (const auto* request = std::get_if<FeedRequest>(&message)) {
+        this->takeFeedRequest(now, from, *request);
+    } else if (const auto* report = std::get_if<KeyLoadReport>(&message)) {
+        this->takeLoadReport(now, from, *report);
+    } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
+        this->takeJoinRequest(now, from, *join);
+    } else {
+        const auto isFromLeader = std::holds_alternative<AppendRequest>(message) || std::holds_alternative<SnapshotChunk>(message);
+        this->member.receive(now, from, message);
+        if (isFromLeader && this->member.leader() == from) {
+            this->leaderHeardAt = now;
+        }
+    }
+    this->followLeadership(now);
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+bool RegistryService<Random, Codec>::isInContact(Instant now) const noexcept
+{
+    return this->leads(now) || (this->member.leader() != NodeId {} && this->member.leader() != this->self && now - this->leaderHeardAt < registry::contactPatience);
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+CallResult RegistryService<Random, Codec>::elsewhere() const
+{
+    const auto leader = this->member.leader();
+    if (leader == NodeId {} || leader == this->self) {
+        return CallUnavailable {};
+    }
+    return CallElsewhere { leader };
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+std::optional<CallResult> RegistryService<Random, Codec>::readRefusal(Instant now) const
+{
+    if (this->leads(now)) {
+        return std::nullopt;
+    }
+    return this->isInContact(now) ? this->elsewhere() : CallResult { CallUnavailable {} };
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+bool RegistryService<Random, Codec>::propose(Instant now, Command command, Waiting waiting)
+{
+    const auto index = this->member.propose(now, std::move(command));
+    if (!index) {
+        return false;
+    }
+    this->pendingDecisions += std::holds_alternative<Decision>(waiting) ? 1 : 0;
+    this->pending.emplace(*index, Pending { this->member.term(), std::move(waiting) });
+    return true;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::heartbeat(Instant now, CallId call, Heartbeat heartbeat)
+{
+    if (auto refusal = this->readRefusal(now)) {
+        this->answer(call, std::move(*refusal));
+        return;
+    }
+    if (auto command = this->coordinator.registration(heartbeat, this->registry)) {
+        if (!this->propose(now, std::move(*command), WaitingHeartbeat { call, std::move(heartbeat) })) {
+            this->answer(call, CallUnavailable {});
+        }
+        return;
+    }
+    this->answerHeartbeat(now, call, heartbeat);
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::answerHeartbeat(Instant now, CallId call, const Heartbeat& heartbeat)
+{
+    const auto* registered = this->registry.findUpstream(heartbeat.announcement.key.name);
+    const bool isKnown = registered != nullptr && registered->announcement.key == heartbeat.announcement.key;
+    if (!isKnown || !this->coordinator.note(now, heartbeat)) {
+        this->answer(call, HeartbeatAnswer {});
+        return;
+    }
+    for (auto& command : this->coordinator.takeReleases(heartbeat, this->registry)) {
+        // A refused proposal is made again: the next heartbeat shows the same keys as released.
+        static_cast<void>(this->propose(now, std::move(command), KeyRelease {}));
+    }
+    this->answer(call, this->coordinator.answer(now, heartbeat, this->registry));
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::depart(Instant now, CallId call, std::string_view upstream, std::optional<std::uint64_t> incarnation)
+{
+    if (auto refusal = this->readRefusal(now)) {
+        this->answer(call, std::move(*refusal));
+        return;
+    }
+    const auto* known = this->registry.findUpstream(upstream);
+    if (known == nullptr || known->state == UpstreamState::Gone || (incarnation && known->announcement.key.incarnation != *incarnation)) {
+        this->answer(call, DepartureAnswer {});
+        return;
+    }
+    if (!this->propose(now, RemoveUpstream { known->announcement.key, true }, WaitingDeparture { call })) {
+        this->answer(call, CallUnavailable {});
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::changeItems(Instant now, CallId call, ChangeItems change)
+{
+    if (auto refusal = this->readRefusal(now)) {
+        this->answer(call, std::move(*refusal));
+        return;
+    }
+    if (const auto checked = this->registry.check(change); !checked) {
+        this->answer(call, ItemsAnswer { static_cast<ResultCode>(checked.error().value()), checked.failure().detail });
+        return;
+    }
+    if (!this->propose(now, std::move(change), WaitingItems { call })) {
+        this->answer(call, CallUnavailable {});
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::followLeadership(Instant now)
+{
+    const auto isLeader = this->member.role() == MemberRole::Leader;
+    if (this->coordinatedTerm != Term {} && (!isLeader || this->member.term() != this->coordinatedTerm)) {
+        this->coordinatedTerm = Term {};
+        this->dropPending();
+    }
+    // The leader lease implies that an entry of this term is committed; the applied state then holds every earlier one.
+    if (isLeader && this->coordinatedTerm == Term {} && this->member.hasLeaderLease(now) && this->registry.appliedIndex() >= this->member.commitIndex()) {
+        this->coordinatedTerm = this->member.term();
+        this->coordinator.becameLeader(now, this->registry);
+        this->joiners.clear();
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::decide(Instant now)
+{
+    if (!this->leads(now)) {
+        return;
+    }
+    this->changeMembers(now);
+    if (this->pendingDecisions > 0) {
+        return;
+    }
+    for (auto& command : this->coordinator.decide(now, this->registry)) {
+        if (!this->propose(now, std::move(command), Decision {})) {
+            return;
+        }
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::changeMembers(Instant now)
+{
+    std::vector<JoinCandidate> candidates;
+    for (const auto& [node, joiner] : this->joiners) {
+        if (now - joiner.heardAt <= registry::joinMemory) {
+            candidates.push_back({ node, joiner.disk });
+        }
+    }
+    std::vector<MemberContact> contacts;
+    for (const auto& spec : this->member.members()) {
+        contacts.push_back({ spec, this->member.silence(spec.node, now) });
+    }
+    for (auto& change : planJoins(contacts, candidates, this->options.joins)) {
+        // The member refuses a change while another is pending, and a promotion of a learner that lags.
+        if (this->member.propose(now, std::move(change))) {
+            return;
+        }
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::askToJoin(Instant now)
+{
+    const auto members = this->member.members();
+    const auto isMember = std::ranges::any_of(members, [this](const MemberSpec& spec) { return spec.node == this->self && spec.disk == this->disk; });
+    if (isMember || now - this->joinAskedAt < registry::joinInterval) {
+        return;
+    }
+    this->joinAskedAt = now;
+    std::vector<NodeId> asked { this->seeds };
+    std::ranges::transform(members, std::back_inserter(asked), &MemberSpec::node);
+    std::ranges::sort(asked);
+    const auto repeated = std::ranges::unique(asked);
+    asked.erase(repeated.begin(), repeated.end());
+    for (const auto node : asked) {
+        if (node != this->self) {
+            this->reply(node, JoinRequest { this->self, this->disk });
+        }
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::takeJoinRequest(Instant now, NodeId from, const JoinRequest& request)
+{
+    if (this->leads(now)) {
+        this->joiners[request.node] = Joiner { request.disk, now };
+    } else if (from == request.node && this->isInContact(now)) {
+        this->reply(this->member.leader(), request);
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::takeLoadReport(Instant now, NodeId from, const KeyLoadReport& report)
+{
+    if (this->leads(now)) {
+        this->coordinator.addLoad(now, report, this->registry);
+        this->reply(report.entry, KeyLoadReply { this->coordinator.entryCount(now) });
+    } else if (from == report.entry && this->isInContact(now)) {
+        this->reply(this->member.leader(), report);
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::takeFeedRequest(Instant now, NodeId from, const FeedRequest& request)
+{
+    if (!this->isInContact(now)) {
+        return;
+    }
+    if (request.appliedIndex < this->registry.appliedIndex()) {
+        this->feedWaiters.erase(from);
+        this->reply(from, this->feedReply(request));
+        return;
+    }
+    this->feedWaiters[from] = FeedWaiter { request, now + registry::feedHold };
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::answerFeeds(Instant now)
+{
+    const bool isCurrent = this->isInContact(now);
+    for (auto waiter = this->feedWaiters.begin(); waiter != this->feedWaiters.end();) {
+        const auto hasNews = waiter->second.request.appliedIndex < this->registry.appliedIndex();
+        if (!hasNews && now < waiter->second.answerBy) {
+            ++waiter;
+            continue;
+        }
+        if (isCurrent) {
+            this->reply(waiter->first, this->feedReply(waiter->second.request));
+        }
+        waiter = this->feedWaiters.erase(waiter);
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+FeedReply RegistryService<Random, Codec>::feedReply(const FeedRequest& request)
+{
+    const auto applied = this->registry.appliedIndex();
+    if (request.snapshotIndex == LogIndex {} || request.snapshotIndex != this->feedSnapshotIndex) {
+        auto entries = this->member.committedAfter(request.appliedIndex, registry::feedBytes);
+        if (entries) {
+            std::erase_if(*entries, [applied](const LogEntry& entry) { return entry.index > applied; });
+            return FeedReply { request.sequence, applied, std::move(*entries), 0, 0, {}, {} };
+        }
+        if (this->feedSnapshotIndex <= request.appliedIndex || this->feedSnapshotIndex < this->member.firstIndex()) {
+            this->feedSnapshotIndex = applied;
+            this->feedSnapshot = this->codec.encode(this->registry.snapshot());
+        }
+    }
+    const auto offset = request.snapshotIndex == this->feedSnapshotIndex ? request.snapshotOffset : 0;
+    const auto begin = std::min<std::size_t>(offset, this->feedSnapshot.size());
+    const auto end = std::min(begin + registry::feedSnapshotPartBytes, this->feedSnapshot.size());
+    FeedReply answer { request.sequence, applied, {}, begin, this->feedSnapshot.size(), this->feedSnapshotIndex, {} };
+    answer.snapshotBytes.assign(this->feedSnapshot.begin() + static_cast<std::ptrdiff_t>(begin), this->feedSnapshot.begin() + static_cast<std::ptrdiff_t>(end));
+    return answer;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::dropPending()
+{
+    for (auto& [index, entry] : this->pending) {
+        if (const auto* heartbeat = std::get_if<WaitingHeartbeat>(&entry.waiting)) {
+            this->answer(heartbeat->call, CallUnavailable {});
+        } else if (const auto* items = std::get_if<WaitingItems>(&entry.waiting)) {
+            this->answer(items->call, CallUnavailable {});
+        } else if (const auto* departure = std::get_if<WaitingDeparture>(&entry.waiting)) {
+            this->answer(departure->call, CallUnavailable {});
+        }
+    }
+    this->pending.clear();
+    this->pendingDecisions = 0;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::settle(Instant now, const LogEntry& entry, const ApplyOutcome& outcome)
+{
+    const auto found = this->pending.find(entry.index);
+    if (found == this->pending.end()) {
+        return;
+    }
+    const auto held = std::move(found->second);
+    this->pending.erase(found);
+    const bool isOurs = held.term == entry.term;
+    if (std::holds_alternative<Decision>(held.waiting)) {
+        --this->pendingDecisions;
+    } else if (const auto* heartbeat = std::get_if<WaitingHeartbeat>(&held.waiting)) {
+        if (isOurs && this->leads(now)) {
+            this->answerHeartbeat(now, heartbeat->call, heartbeat->heartbeat);
+        } else {
+            this->answer(heartbeat->call, CallUnavailable {});
+        }
+    } else if (const auto* items = std::get_if<WaitingItems>(&held.waiting)) {
+        this->answer(items->call, isOurs ? CallResult { ItemsAnswer { outcome.code, {} } } : CallResult { CallUnavailable {} });
+    } else if (const auto* departure = std::get_if<WaitingDeparture>(&held.waiting)) {
+        this->answer(departure->call, isOurs ? CallResult { DepartureAnswer {} } : CallResult { CallUnavailable {} });
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+RegistryEffects RegistryService<Random, Codec>::takeEffects(Instant now)
+{
+    RegistryEffects effects;
+    effects.storage = this->member.takeEffects();
+    this->takenThrough = this->member.lastIndex();
+    if (effects.storage.install) {
+        this->install(*effects.storage.install);
+    }
+    this->applyCommitted(now, std::move(effects.storage.committed));
+    effects.storage.committed.clear();
+    this->followLeadership(now);
+    this->answerFeeds(now);
+    effects.applied = std::exchange(this->appliedCommands, {});
+    effects.answers = std::exchange(this->answers, {});
+    effects.immediate = std::exchange(effects.storage.immediate, {});
+    effects.afterPersist = std::exchange(effects.storage.afterPersist, {});
+    std::ranges::move(std::exchange(this->replies, {}), std::back_inserter(effects.immediate));
+    const auto applied = this->registry.appliedIndex();
+    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + this->options.snapshotInterval) {
+        this->isSnapshotPending = true;
+        const auto members = this->member.membersAt(applied);
+        effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->registry.snapshot()) };
+    }
+    return effects;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::install(const LedgerSnapshot& snapshot)
+{
+    auto decoded = this->codec.decode(snapshot.bytes);
+    if (!decoded) {
+        this->failure = decoded.failure();
+        return;
+    }
+    this->registry.restore(std::move(*decoded));
+    this->appliedTerm = snapshot.lastTerm;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::applyCommitted(Instant now, std::vector<LogEntry> entries)
+{
+    for (auto& entry : entries) {
+        if (entry.index <= this->registry.appliedIndex()) {
+            continue;
+        }
+        const auto outcome = this->registry.apply(entry.index, entry.command);
+        this->appliedTerm = entry.term;
+        this->settle(now, entry, outcome);
+        this->appliedCommands.push_back({ std::move(entry), outcome });
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::persisted(Instant now)
+{
+    this->member.persisted(now, this->takenThrough);
+    this->followLeadership(now);
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::snapshotSaved(const LedgerSnapshot& snapshot)
+{
+    this->isSnapshotPending = false;
+    this->member.compacted(snapshot);
+}
+
+}
--- /dev/null
+++ b/src/core/registry/RegistryState.cpp
@@ -0,0 +1,290 @@
+#include "core/registry/RegistryState.h"
+
+#include "core/registry/ItemRules.h"
+#include "core/registry/KeyRanges.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+namespace {
+
+    ApplyOutcome outcomeOf(const Status& status)
+    {
+        ApplyOutcome outcome;
+        outcome.code = status ? ResultCode::Ok : static_cast<ResultCode>(status.error().value());
+        return outcome;
+    }
+
+}
+
+ApplyOutcome RegistryState::apply(LogIndex entryIndex, const Command& command)
+{
+    if (entryIndex.value != this->index.value + 1) {
+        return { ResultCode::Internal };
+    }
+    this->index = entryIndex;
+    return std::visit([this](const auto& alternative) { return this->run(alternative); }, command);
+}
+
+ApplyOutcome RegistryState::run(const ChangeMembers& command)
+{
+    this->memberSpecs = command.members;
+    return {};
+}
+
+const ItemRecord* RegistryState::findItem(ItemKind kind, std::string_view name) const
+{
+    const auto found = this->items.find(ItemKey { kind, std::string { name } });
+    return found == this->items.end() ? nullptr : &found->second;
+}
+
+bool RegistryState::takesEffect(ItemKind kind, std::string_view name, std::uint64_t version) const
+{
+    const auto* record = this->findItem(kind, name);
+    return record == nullptr || version > record->item.version;
+}
+
+/// @param document Content of the item; empty for a deletion.
+Status RegistryState::checkVersion(ItemKind kind, std::string_view name, std::uint64_t version, std::string_view document) const
+{
+    const auto* record = this->findItem(kind, name);
+    if (record == nullptr || record->item.version != version) {
+        return success();
+    }
+    // Two operators may bring different content under one number. The first that commits wins, and the other must not
+    // take its own for accepted.
+    if (record->isDropped != document.empty() || (!record->isDropped && record->item.document != document)) {
+        return { ResultCode::ItemConflict, std::string { name } + " has other content under this version" };
+    }
+    return success();
+}
+
+Status RegistryState::check(const ChangeItems& change) const
+{
+    const auto hasService = [this, &change](std::string_view name) {
+        const auto isNamed = [name](const auto& item) { return item.name == name && item.kind == ItemKind::Service; };
+        const auto isSet = std::ranges::any_of(change.upserts, [name](const ConfigItem& item) { return item.name == name && item.kind() == ItemKind::Service; });
+        if (isSet) {
+            return true;
+        }
+        const auto dropped = std::ranges::find_if(change.deletions, isNamed);
+        if (dropped != change.deletions.end() && this->takesEffect(ItemKind::Service, name, dropped->version)) {
+            return false;
+        }
+        return this->findService(name) != nullptr;
+    };
+    for (const auto& item : change.upserts) {
+        if (auto checked = checkItem(item, hasService); !checked) {
+            return checked;
+        }
+        if (auto checked = this->checkVersion(item.kind(), item.name, item.version, item.document); !checked) {
+            return checked;
+        }
+    }
+    for (const auto& deletion : change.deletions) {
+        if (auto checked = this->checkVersion(deletion.kind, deletion.name, deletion.version, {}); !checked) {
+            return checked;
+        }
+    }
+    if (this->items.size() + change.upserts.size() + change.deletions.size() > limits::maxConfigItems) {
+        return { ResultCode::ItemsInvalid, "too many items" };
+    }
+    return success();
+}
+
+ApplyOutcome RegistryState::run(const ChangeItems& command)
+{
+    if (const auto checked = this->check(command); !checked) {
+        return outcomeOf(checked);
+    }
+    bool isChanged = false;
+    for (const auto& item : command.upserts) {
+        if (this->takesEffect(item.kind(), item.name, item.version)) {
+            this->items[{ item.kind(), item.name }] = ItemRecord { item.kind(), item, false };
+            isChanged = true;
+        }
+    }
+    for (const auto& deletion : command.deletions) {
+        if (this->takesEffect(deletion.kind, deletion.name, deletion.version)) {
+            ConfigItem dropped { deletion.name, deletion.version, {}, {} };
+            this->items[{ deletion.kind, deletion.name }] = ItemRecord { deletion.kind, std::move(dropped), true };
+            isChanged = true;
+        }
+    }
+    if (isChanged) {
+        this->itemsIndex = this->index;
+    }
+    return {};
+}
+
+const ServiceItem* RegistryState::findService(std::string_view name) const
+{
+    const auto* record = this->findItem(ItemKind::Service, name);
+    return record == nullptr || record->isDropped ? nullptr : std::get_if<ServiceItem>(&record->item.content);
+}
+
+CallerLimits RegistryState::callerLimits() const
+{
+    CallerLimits inForce;
+    this->forEachItem([&inForce](const ConfigItem& item) {
+        if (const auto* callerLimits = std::get_if<CallerLimits>(&item.content)) {
+            inForce = *callerLimits;
+        }
+    });
+    return inForce;
+}
+
+const RegisteredUpstream* RegistryState::findUpstream(std::string_view name) const
+{
+    const auto found = this->registered.find(name);
+    return found == this->registered.end() ? nullptr : &found->second;
+}
+
+bool RegistryState::isAlive(const UpstreamKey& key) const
+{
+    const auto* upstream = this->findUpstream(key.name);
+    return upstream != nullptr && upstream->announcement.key == key && (upstream->state == UpstreamState::Ready || upstream->state == UpstreamState::Draining);
+}
+
+ApplyOutcome RegistryState::run(const RegisterUpstream& command)
+{
+    const auto known = this->registered.find(command.key.name);
+    if (known != this->registered.end()) {
+        const auto& held = known->second;
+        const bool isSameStart = held.announcement.key == command.key;
+        const bool wouldReturn = held.state == UpstreamState::Draining && !command.isDraining;
+        if (held.announcement.key.incarnation > command.key.incarnation || (isSameStart && (held.state == UpstreamState::Gone || wouldReturn))) {
+            return { ResultCode::AlreadyApplied };
+        }
+    }
+    for (auto& [name, other] : this->registered) {
+        const bool sharesAddress = name != command.key.name && other.announcement.endpoint == command.endpoint && other.state != UpstreamState::Gone;
+        if (!sharesAddress) {
+            continue;
+        }
+        if (other.announcement.key.incarnation > command.key.incarnation) {
+            // The announcement was held up, and its address belongs to a later start by now.
+            return { ResultCode::AlreadyApplied };
+        }
+        this->depart(other, UpstreamState::Gone);
+    }
+    const auto state = command.isDraining ? UpstreamState::Draining : UpstreamState::Ready;
+    this->registered[command.key.name] = RegisteredUpstream { command, state, this->index };
+    return {};
+}
+
+ApplyOutcome RegistryState::run(const RemoveUpstream& command)
+{
+    const auto known = this->registered.find(command.key.name);
+    if (known == this->registered.end() || known->second.announcement.key != command.key || known->second.state == UpstreamState::Gone) {
+        return { ResultCode::AlreadyApplied };
+    }
+    this->depart(known->second, command.hasLeft ? UpstreamState::Gone : UpstreamState::Dead);
+    return {};
+}
+
+void RegistryState::depart(RegisteredUpstream& upstream, UpstreamState state)
+{
+    upstream.state = state;
+    upstream.changedAt = this->index;
+    this->clearMovesTo(upstream.announcement.key);
+    if (state != UpstreamState::Gone) {
+        return;
+    }
+    this->departed.push_back(upstream.announcement.key.name);
+    while (this->departed.size() > limits::maxDepartedUpstreams) {
+        const auto oldest = this->registered.find(this->departed.front());
+        if (oldest != this->registered.end() && oldest->second.state == UpstreamState::Gone) {
+            this->registered.erase(oldest);
+        }
+        this->departed.pop_front();
+    }
+}
+
+void RegistryState::clearMovesTo(const UpstreamKey& target)
+{
+    for (auto& [service, ranges] : this->keys) {
+        for (auto& range : ranges) {
+            if (range.target == target) {
+                range.target = {};
+            }
+        }
+        joinKeyRanges(ranges);
+    }
+}
+
+ApplyOutcome RegistryState::run(const AssignKeyRanges& command)
+{
+    auto& ranges = this->keys[command.service];
+    for (const auto& grant : command.grants) {
+        grantKeys(ranges, grant, Fence { this->index.value });
+    }
+    joinKeyRanges(ranges);
+    return {};
+}
+
+ApplyOutcome RegistryState::run(const BeginKeyMoves& command)
+{
+    auto& ranges = this->keys[command.service];
+    for (const auto& move : command.moves) {
+        if (this->isAlive(move.target)) {
+            markMove(ranges, move);
+        }
+    }
+    joinKeyRanges(ranges);
+    return {};
+}
+
+std::span<const KeyRange> RegistryState::keyRanges(std::string_view service) const
+{
+    const auto found = this->keys.find(service);
+    return found == this->keys.end() ? std::span<const KeyRange> {} : std::span<const KeyRange> { found->second };
+}
+
+const KeyRange* RegistryState::findRange(std::string_view service, KeyNumber key) const
+{
+    return findKeyRange(this->keyRanges(service), key);
+}
+
+RegistrySnapshot RegistryState::snapshot() const
+{
+    RegistrySnapshot result { this->index, this->itemsIndex, {}, {}, {}, this->memberSpecs };
+    for (const auto& [key, record] : this->items) {
+        result.items.push_back(record);
+    }
+    for (const auto& [name, upstream] : this->registered) {
+        result.upstreams.push_back(upstream);
+    }
+    for (const auto& [service, ranges] : this->keys) {
+        result.keys.push_back({ service, ranges });
+    }
+    return result;
+}
+
+void RegistryState::restore(RegistrySnapshot snapshot)
+{
+    this->index = snapshot.appliedIndex;
+    this->itemsIndex = snapshot.itemsChangedAt;
+    this->memberSpecs = std::move(snapshot.members);
+    this->items.clear();
+    for (auto& record : snapshot.items) {
+        this->items.emplace(ItemKey { record.kind, record.item.name }, std::move(record));
+    }
+    this->registered.clear();
+    this->departed.clear();
+    for (auto& upstream : snapshot.upstreams) {
+        if (upstream.state == UpstreamState::Gone) {
+            this->departed.push_back(upstream.announcement.key.name);
+        }
+        this->registered.emplace(upstream.announcement.key.name, std::move(upstream));
+    }
+    // Members evict the oldest first, so a restored member must have the same order as the others.
+    std::ranges::sort(this->departed, {}, [this](const std::string& name) { return this->registered.at(name).changedAt; });
+    this->keys.clear();
+    for (auto& service : snapshot.keys) {
+        this->keys.emplace(std::move(service.service), std::move(service.ranges));
+    }
+}
+
+}
--- a/src/node/AppliedLog.cpp
+++ b/src/node/AppliedLog.cpp
@@ -66,8 +66,10 @@
             this->logger.log(LogEvent::MembersChanged, "", { { "index", this->index }, { "members", command.members.size() } });
         }
 
-        void operator()(const NoOperation&) const { }
-        void operator()(const MergeHotKey&) const { }
+        template <typename T>
+        void operator()(const T&) const
+        {
+        }
 
     private:
         Logger& logger;
--- a/src/node/CommandLine.cpp
+++ b/src/node/CommandLine.cpp
@@ -5,11 +5,13 @@
 namespace teaselturn {
 
 const char* const daemonUsage = "usage: teaselturnd --settings FILE [--check | --create-ledger]\n"
+                                "       teaselturnd --platform\n"
                                 "\n"
                                 "  --settings FILE  settings of this VM, as JSON with comments\n"
                                 "  --check          check the settings and the files they name, and exit\n"
                                 "  --create-ledger  create the data folder of a first member of a new ledger, and exit;\n"
                                 "                   never use it to replace a lost disk\n"
+                                "  --platform       run the role that the users' platform names in its own settings file\n"
                                 "  --help           show this text\n"
                                 "  --version        show the version\n"
                                 "\n"
@@ -22,6 +24,7 @@
         Settings = 1,
         Check,
         CreateLedger,
+        Platform,
         Help,
         Version,
     };
@@ -29,6 +32,7 @@
         { "settings", required_argument, nullptr, Settings },
         { "check", no_argument, nullptr, Check },
         { "create-ledger", no_argument, nullptr, CreateLedger },
+        { "platform", no_argument, nullptr, Platform },
         { "help", no_argument, nullptr, Help },
         { "version", no_argument, nullptr, Version },
         { nullptr, 0, nullptr, 0 },
@@ -48,6 +52,8 @@
         case CreateLedger:
             line.action = Action::CreateLedger;
             break;
+        case Platform:
+            return CommandLine { Action::RunOnPlatform, {} };
         case Help:
             return CommandLine { Action::Help, {} };
         case Version:
--- a/src/node/CommandLine.h
+++ b/src/node/CommandLine.h
@@ -10,6 +10,8 @@
 struct CommandLine {
     enum class Action {
         Run,
+        /// Run the role that the users' platform asks for.
+        RunOnPlatform,
         /// Check the settings and end.
         Check,
         /// Create the data folder of a first member of a new ledger and end.
--- a/src/node/LedgerRole.h
+++ b/src/node/LedgerRole.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ledger/FirstDisk.h"
 #include "adapters/clock/SteadyClock.h"
 #include "adapters/disk/DataFolder.h"
 #include "adapters/peer/PeerTransport.h"
@@ -14,15 +15,6 @@
 using DaemonLedger = LedgerNode<PeerTransport, DataFolder<>, SteadyClock>;
 using DaemonProposals = ProposalClient<PeerTransport, SteadyClock>;
 
-/// Identity of a disk that a new ledger begins with, where the settings state none: `teaselturnd --create-ledger` writes
-/// it. A folder that is
-/// created otherwise has a random identity, so a member that lost its disk has no vote until the ledger admits it.
-/// @return A number that randomDiskId() practically never gives.
-constexpr DiskId firstDiskId(NodeId node) noexcept
-{
-    return DiskId { node.value };
-}
-
 /// Creates the data folder of a first member.
 /// @return DataFolderInvalid where there is one already.
 Status createLedger(const Settings& settings);
--- /dev/null
+++ b/src/node/Signals.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "adapters/peer/Socket.h"
+#include "adapters/reactor/Reactor.h"
+
+#include <functional>
+
+namespace teaselturn {
+
+/// Hands SIGTERM, SIGINT and SIGHUP to a reactor. One object exists in a process at a time.
+class Signals {
+public:
+    struct Handlers {
+        std::function<void()> terminate;
+        std::function<void()> reload;
+    };
+
+    /// @param reactor Outlives the object.
+    Signals(Reactor& reactor, Handlers handlers);
+    ~Signals();
+    Signals(const Signals&) = delete;
+    Signals& operator=(const Signals&) = delete;
+
+private:
+    void take();
+
+    Reactor& reactor;
+    Handlers handlers;
+    FileDescriptor readEnd;
+    FileDescriptor writeEnd;
+    std::uint64_t watch {};
+};
+
+}
--- /dev/null
+++ b/src/node/gateway/EntryDaemon.h
@@ -0,0 +1,213 @@
+#pragma once
+
+#include "adapters/codec/RegistryCodec.h"
+#include "adapters/peer/PeerTransport.h"
+#include "core/registry/RegistryReplica.h"
+#include "node/gateway/Gateway.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+
+namespace teaselturn {
+
+/// Settings of an entry VM that follows a registry.
+struct EntryOptions {
+    NodeId self;
+    Endpoint front;
+    Endpoint readiness;
+    Endpoint peer;
+    std::vector<NodeId> seeds;
+    std::vector<std::uint8_t> clusterKey;
+    DispatchOptions dispatch;
+    /// Time from the request to stop to the end of the process.
+    std::chrono::milliseconds grace { 5'000 };
+};
+
+/// An entry VM: the gateway, its copy of the registry, and readiness.
+/// @tparam Dialect How callers and upstreams are spoken to.
+template <CallerDialect Dialect>
+class EntryDaemon {
+public:
+    /// @param stopped Called once when the process may end.
+    EntryDaemon(Reactor& reactor, Logger& logger, EntryOptions options, std::function<void()> stopped)
+        : reactor(reactor)
+        , logger(logger)
+        , options(std::move(options))
+        , stopped(std::move(stopped))
+        , gateway(reactor, logger, this->options.dispatch)
+        , readiness(reactor, { [this](HttpCallId call, ReceivedRequest request) { this->answerStatus(call, request); }, {} })
+        , replica(this->options.seeds, BinaryRegistryCodec {})
+    {
+    }
+
+    /// Opens the ports. Timers and messages begin at once.
+    Status open();
+
+    /// Asks the balancer for no more callers, serves those that come meanwhile, and ends.
+    void beginStop();
+
+    /// Takes over seeds that changed in the settings.
+    void setSeeds(std::vector<NodeId> seeds);
+
+private:
+    /// The balancer takes a VM out after two misses of its check, one a second.
+    static constexpr std::chrono::milliseconds removalTime { 2'600 };
+    static constexpr std::chrono::milliseconds feedInterval { 50 };
+    static constexpr std::chrono::milliseconds loadInterval { 500 };
+    static constexpr std::chrono::milliseconds transportInterval { 500 };
+    static constexpr std::chrono::milliseconds drainInterval { 50 };
+    /// A feed without an answer for this long is logged as lost.
+    static constexpr std::chrono::milliseconds feedLostAfter { 3'000 };
+
+    void answerStatus(HttpCallId call, const ReceivedRequest& request);
+    void takeMessage(NodeId from, const PeerMessage& message);
+    void followFeed();
+    void reportLoad();
+    void drain();
+
+    Reactor& reactor;
+    Logger& logger;
+    const EntryOptions options;
+    std::function<void()> stopped;
+    Gateway<Dialect> gateway;
+    HttpListener readiness;
+    std::unique_ptr<PeerTransport> transport;
+    std::atomic<bool> isStopping { false };
+    std::atomic<bool> hasStopped { false };
+    Instant stopAt;
+
+    /// Taken before the gateway's lock, so that states are handed over in their order.
+    Mutex mutex;
+    RegistryReplica<BinaryRegistryCodec> replica ABSL_GUARDED_BY(mutex);
+    bool isFeedLost ABSL_GUARDED_BY(mutex) {};
+};
+
+template <CallerDialect Dialect>
+Status EntryDaemon<Dialect>::open()
+{
+    auto started = PeerTransport::Builder {}
+                       .identity(this->options.self, makeBootId())
+                       .listenOn(this->options.peer)
+                       .clusterKey(this->options.clusterKey)
+                       .peersByAddress()
+                       .handler([this](NodeId from, const PeerMessage& message) { this->takeMessage(from, message); })
+                       .logger(this->logger)
+                       .start();
+    if (!started) {
+        return started.failure();
+    }
+    this->transport = std::move(*started);
+    if (auto opened = this->gateway.listen(this->options.front); !opened) {
+        return opened;
+    }
+    if (auto opened = this->readiness.listen(this->options.readiness); !opened) {
+        return opened;
+    }
+    this->reactor.every(feedInterval, [this](Instant) { this->followFeed(); });
+    this->reactor.every(loadInterval, [this](Instant) { this->reportLoad(); });
+    this->reactor.every(transportInterval, [this](Instant) { this->transport->tick(); });
+    return success();
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::setSeeds(std::vector<NodeId> seeds)
+{
+    const MutexLock lock { this->mutex };
+    this->replica.setSeeds(std::move(seeds));
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::answerStatus(HttpCallId call, const ReceivedRequest& request)
+{
+    HttpReply reply;
+    if (request.target == "/metrics") {
+        reply.body = this->gateway.statistics().text();
+    } else {
+        reply.status = !this->isStopping && this->gateway.hasRoutes() ? 200 : 503;
+    }
+    this->readiness.respond(call, std::move(reply));
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::takeMessage(NodeId from, const PeerMessage& message)
+{
+    if (const auto* reply = std::get_if<FeedReply>(&message)) {
+        typename Gateway<Dialect>::Work work;
+        {
+            const MutexLock lock { this->mutex };
+            const auto changed = this->replica.take(this->reactor.now(), from, *reply);
+            if (!changed) {
+                this->logger.log(LogEvent::MessageDropped, changed.failure().describe(), { { "from", from } });
+            } else if (*changed) {
+                work = this->gateway.applyState(this->replica.state());
+            }
+        }
+        this->gateway.perform(std::move(work));
+        this->followFeed();
+    } else if (const auto* load = std::get_if<KeyLoadReply>(&message)) {
+        this->gateway.setEntryCount(load->entryCount);
+    }
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::followFeed()
+{
+    std::optional<OutboundMessage> request;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        request = this->replica.nextRequest(now);
+        const bool isLost = this->replica.isComplete() && now - this->replica.answeredAt() > feedLostAfter;
+        if (isLost != std::exchange(this->isFeedLost, isLost)) {
+            this->logger.log(isLost ? LogEvent::FeedLost : LogEvent::FeedRegained, "", { { "index", this->replica.state().appliedIndex() } });
+        }
+    }
+    if (request) {
+        this->transport->send(request->to, request->message);
+    }
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::reportLoad()
+{
+    NodeId source;
+    {
+        const MutexLock lock { this->mutex };
+        source = this->replica.source();
+    }
+    if (source != NodeId {}) {
+        this->transport->send(source, KeyLoadReport { this->options.self, this->gateway.takeKeyLoads() });
+    }
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::beginStop()
+{
+    if (this->isStopping.exchange(true)) {
+        return;
+    }
+    this->logger.log(LogEvent::ProcessStopping);
+    this->gateway.beginDrain();
+    this->stopAt = this->reactor.now() + this->options.grace;
+    this->reactor.after(removalTime, [this](Instant) {
+        this->gateway.stopListening();
+        this->reactor.every(drainInterval, [this](Instant) { this->drain(); });
+    });
+}
+
+template <CallerDialect Dialect>
+void EntryDaemon<Dialect>::drain()
+{
+    this->gateway.closeIdle();
+    const auto open = this->gateway.openCalls();
+    const bool isOver = this->reactor.now() >= this->stopAt;
+    if ((open == 0 || isOver) && !this->hasStopped.exchange(true)) {
+        if (open > 0) {
+            this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open } });
+        }
+        this->stopped();
+    }
+}
+
+}
--- /dev/null
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -0,0 +1,39 @@
+#include "node/gateway/GatewayCounters.h"
+
+#include "node/MetricsText.h"
+
+#include <array>
+#include <utility>
+
+namespace teaselturn {
+
+std::string GatewayCounters::text() const
+{
+    const std::array<std::pair<std::string_view, const Counter*>, 9> rows { {
+        { "teaselturn_requests_received_total", &this->received },
+        { "teaselturn_requests_delivered_total", &this->delivered },
+        { "teaselturn_requests_refused_total", &this->refused },
+        { "teaselturn_requests_unknown_total", &this->unknown },
+        { "teaselturn_requests_rejected_total", &this->rejected },
+        { "teaselturn_callers_left_total", &this->callersLeft },
+        { "teaselturn_attempts_total", &this->attempts },
+        { "teaselturn_upstream_connections_total", &this->connectionsOpened },
+        { "teaselturn_answers_dropped_total", &this->answersDropped },
+    } };
+    std::string out;
+    for (const auto& [name, counter] : rows) {
+        writeMetricHead(out, name, "counter", name);
+        writeSample(out, name, "", counter->value());
+    }
+    constexpr std::string_view latencyName = "teaselturn_request_latency_seconds";
+    writeMetricHead(out, latencyName, "summary", "Time from the whole request to the whole answer.");
+    for (const auto* share : { "0.5", "0.9", "0.99" }) {
+        const auto value = this->latency.percentile(std::stod(share));
+        writeSample(out, latencyName, writeLabel("quantile", share), writeSeconds(static_cast<std::uint64_t>(value.count())));
+    }
+    writeSample(out, "teaselturn_request_latency_seconds_sum", "", writeSeconds(static_cast<std::uint64_t>(this->latency.sum().count())));
+    writeSample(out, "teaselturn_request_latency_seconds_count", "", this->latency.count());
+    return out;
+}
+
+}
--- /dev/null
+++ b/src/node/gateway/GatewayInlines.h
@@ -0,0 +1,420 @@
+#pragma once
+
+#include "node/gateway/Gateway.h"
+
+#include <charconv>
+
+namespace teaselturn {
+
+namespace gateway {
+    /// Keys reported with one load report; more of them are too cold to matter.
+    inline constexpr std::size_t maxReportedKeys = 256;
+    inline constexpr std::chrono::milliseconds linkExpiryInterval { 500 };
+
+    /// @return The idle time that a Keep-Alive header states, or nothing.
+    inline std::optional<Duration> statedIdleTime(std::string_view keepAlive)
+    {
+        constexpr std::string_view name = "timeout=";
+        const auto place = keepAlive.find(name);
+        if (place == std::string_view::npos) {
+            return std::nullopt;
+        }
+        const auto digits = keepAlive.substr(place + name.size());
+        std::uint32_t seconds = 0;
+        if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec != std::errc {}) {
+            return std::nullopt;
+        }
+        return std::chrono::seconds { seconds };
+    }
+
+    inline std::string_view pathOf(std::string_view target)
+    {
+        return target.substr(0, target.find('?'));
+    }
+}
+
+template <CallerDialect Dialect>
+Gateway<Dialect>::Gateway(Reactor& reactor, Logger& logger, DispatchOptions options)
+    : reactor(reactor)
+    , logger(logger)
+    , linkHandlers {
+        [this](LinkId link, ReceivedResponse response, bool isReusable) { this->answered(link, std::move(response), isReusable); },
+        [this](LinkId link, LinkFailure failure) { this->failed(link, failure); },
+        [this](LinkId link) { this->closedIdle(link); },
+    }
+    , dispatcher(std::move(options))
+    , listener(reactor, { [this](HttpCallId call, ReceivedRequest request) { this->takeRequest(call, std::move(request)); }, [this](HttpCallId call) { this->callerLeft(call); } })
+{
+    reactor.every(gateway::linkExpiryInterval, [this](Instant) { this->dropExpiredLinks(); });
+}
+
+template <CallerDialect Dialect>
+typename Gateway<Dialect>::Work Gateway<Dialect>::applyState(const RegistryState& state)
+{
+    const MutexLock lock { this->mutex };
+    const auto now = this->reactor.now();
+    if (state.itemsChangedAt() != this->routesIndex) {
+        this->routes = std::make_shared<const RouteIndex>(state);
+        this->routesIndex = state.itemsChangedAt();
+        this->listener.setLimits(state.callerLimits());
+    }
+    this->knownUpstreams.clear();
+    for (const auto& [name, upstream] : state.upstreams()) {
+        if (upstream.state != UpstreamState::Gone) {
+            this->knownUpstreams.insert(upstream.announcement.key);
+        }
+    }
+    Work work;
+    DispatchDecisions decisions;
+    this->dispatcher.sync(now, state, decisions);
+    this->carryOut(now, decisions, work);
+    return work;
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::setEntryCount(std::uint32_t count)
+{
+    const MutexLock lock { this->mutex };
+    this->dispatcher.setEntryCount(count);
+}
+
+template <CallerDialect Dialect>
+std::vector<ServiceKeyLoad> Gateway<Dialect>::takeKeyLoads()
+{
+    const MutexLock lock { this->mutex };
+    return this->dispatcher.takeKeyLoads(gateway::maxReportedKeys);
+}
+
+template <CallerDialect Dialect>
+bool Gateway<Dialect>::hasRoutes()
+{
+    const MutexLock lock { this->mutex };
+    return this->routes && this->routes->size() > 0;
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::takeRequest(HttpCallId call, ReceivedRequest request)
+{
+    this->counters.received.add();
+    auto facts = Dialect::readRequest(request);
+    if (!facts) {
+        this->counters.rejected.add();
+        this->listener.respond(call, Dialect::rejection({}, static_cast<ResultCode>(facts.error().value())));
+        return;
+    }
+    Work work;
+    std::optional<HttpReply> rejection;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        if (!this->routes || this->routes->size() == 0) {
+            rejection = Dialect::refusal(*facts, ResultCode::RequestTableStale, std::chrono::milliseconds { 500 });
+        } else if (auto route = this->routes->find(facts->host, gateway::pathOf(request.target))) {
+            const ExchangeId id { call.value };
+            DispatchRequest dispatch { id, route, facts->key, now, now + facts->timeLeft };
+            this->exchanges.emplace(id, Exchange { call, std::move(request), std::move(*facts), std::move(route), now, {}, 0, std::nullopt });
+            DispatchDecisions decisions;
+            this->dispatcher.submit(now, std::move(dispatch), decisions);
+            this->carryOut(now, decisions, work);
+        } else {
+            rejection = Dialect::rejection(*facts, ResultCode::RequestServiceUnknown);
+        }
+    }
+    if (rejection) {
+        this->counters.rejected.add();
+        this->listener.respond(call, std::move(*rejection));
+    }
+    this->perform(std::move(work));
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::callerLeft(HttpCallId call)
+{
+    this->counters.callersLeft.add();
+    Work work;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        const ExchangeId id { call.value };
+        DispatchDecisions decisions;
+        this->dispatcher.cancel(now, id, decisions);
+        this->carryOut(now, decisions, work);
+        this->exchanges.erase(id);
+    }
+    this->perform(std::move(work));
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::carryOut(Instant now, DispatchDecisions& decisions, Work& work)
+{
+    for (const auto& decision : decisions) {
+        if (const auto* send = std::get_if<SendRequest>(&decision)) {
+            this->begin(now, *send, work);
+        } else if (const auto* refusal = std::get_if<RefuseRequest>(&decision)) {
+            const auto found = this->exchanges.find(refusal->id);
+            if (found != this->exchanges.end()) {
+                this->counters.refused.add();
+                this->logOutcome(LogEvent::RequestNotRun, found->second, refusal->reason, now);
+                this->reply(now, refusal->id, Dialect::refusal(found->second.facts, refusal->reason, refusal->retryAfter), work);
+            }
+        } else if (const auto* failure = std::get_if<FailRequest>(&decision)) {
+            const auto found = this->exchanges.find(failure->id);
+            if (found != this->exchanges.end()) {
+                this->counters.unknown.add();
+                this->logOutcome(LogEvent::RequestUnknown, found->second, failure->reason, now);
+                this->reply(now, failure->id, Dialect::unknownOutcome(found->second.facts, failure->reason), work);
+            }
+        } else if (const auto* delivery = std::get_if<DeliverAnswer>(&decision)) {
+            const auto found = this->exchanges.find(delivery->id);
+            if (found != this->exchanges.end() && found->second.answer) {
+                this->counters.delivered.add();
+                this->counters.latency.record(now - found->second.arrivedAt);
+                this->reply(now, delivery->id, relay(std::move(*found->second.answer)), work);
+            }
+        } else if (const auto* abandoned = std::get_if<AbandonAttempt>(&decision)) {
+            const auto found = this->exchanges.find(abandoned->id);
+            const auto link = found == this->exchanges.end() ? this->links.end() : this->links.find(found->second.link);
+            if (link != this->links.end()) {
+                work.closings.push_back(std::move(link->second.link));
+                this->links.erase(link);
+            }
+        }
+    }
+    decisions.clear();
+    this->scheduleAdvance(now);
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::reply(Instant, ExchangeId id, HttpReply reply, Work& work)
+{
+    const auto found = this->exchanges.find(id);
+    work.replies.push_back({ found->second.call, std::move(reply) });
+    this->exchanges.erase(found);
+}
+
+template <CallerDialect Dialect>
+std::shared_ptr<UpstreamLink> Gateway<Dialect>::openLink(const SendRequest& decision)
+{
+    const auto address = toSocketAddress(decision.endpoint);
+    if (!address) {
+        return nullptr;
+    }
+    const LinkId id { ++this->lastLink };
+    auto opened = UpstreamLink::open(this->reactor, id, *address, this->linkHandlers);
+    if (!opened) {
+        return nullptr;
+    }
+    this->counters.connectionsOpened.add();
+    this->links.emplace(id, Link { *opened, decision.upstream, {}, LinkPool::assumedIdleTime });
+    return *opened;
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::begin(Instant now, const SendRequest& decision, Work& work)
+{
+    const auto found = this->exchanges.find(decision.id);
+    if (found == this->exchanges.end()) {
+        return;
+    }
+    auto& exchange = found->second;
+    this->counters.attempts.add();
+    if (exchange.sends++ > 0) {
+        this->logOutcome(LogEvent::RequestRetried, exchange, ResultCode::Ok, now);
+    }
+    auto link = this->pool.take(decision.upstream, now);
+    if (!link) {
+        link = this->openLink(decision);
+    }
+    if (!link) {
+        work.notSent.push_back(decision.id);
+        return;
+    }
+    exchange.link = link->number();
+    this->links.at(link->number()).exchange = decision.id;
+    const bool isHead = exchange.request.method == "HEAD";
+    work.sends.push_back({ std::move(link), this->upstreamRequest(exchange, decision.upstream, decision.timeLeft), isHead });
+}
+
+template <CallerDialect Dialect>
+std::string Gateway<Dialect>::upstreamRequest(const Exchange& exchange, const UpstreamKey& upstream, Duration timeLeft) const
+{
+    const auto& request = exchange.request;
+    std::string bytes;
+    bytes.reserve(512 + request.body.size());
+    appendRequestHead(bytes, request.method, request.target);
+    for (const auto& header : request.headers) {
+        if (!isHopByHopHeader(header.name) && !Dialect::isReplacedHeader(header.name)) {
+            appendHeader(bytes, header.name, header.value);
+        }
+    }
+    Dialect::appendUpstreamHeaders(bytes, upstream, timeLeft);
+    const bool hasBodyByCustom = request.method != "GET" && request.method != "HEAD" && request.method != "DELETE";
+    appendBody(bytes, request.body, hasBodyByCustom);
+    return bytes;
+}
+
+template <CallerDialect Dialect>
+HttpReply Gateway<Dialect>::relay(ReceivedResponse answer)
+{
+    HttpReply reply;
+    reply.status = answer.status;
+    for (const auto& header : answer.headers) {
+        if (!isHopByHopHeader(header.name)) {
+            appendHeader(reply.headerLines, header.name, header.value);
+        }
+    }
+    reply.body = std::move(answer.body);
+    return reply;
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::endAttempt(Instant now, ExchangeId id, AttemptOutcome outcome, Work& work)
+{
+    DispatchDecisions decisions;
+    this->dispatcher.attemptEnded(now, id, outcome, decisions);
+    this->carryOut(now, decisions, work);
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::answered(LinkId id, ReceivedResponse response, bool isReusable)
+{
+    Work work;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        const auto link = this->links.find(id);
+        if (link == this->links.end()) {
+            return;
+        }
+        const auto exchangeId = std::exchange(link->second.exchange, {});
+        const auto exchange = this->exchanges.find(exchangeId);
+        const auto outcome = exchange == this->exchanges.end() ? AttemptOutcome::Lost : Dialect::judge(response, exchange->second.facts);
+        if (outcome == AttemptOutcome::Lost) {
+            // The bytes belong to another request or are damaged; what follows on the connection cannot be trusted.
+            this->counters.answersDropped.add();
+            isReusable = false;
+        }
+        if (isReusable) {
+            const auto idleTime = gateway::statedIdleTime(response.header("Keep-Alive"));
+            link->second.idleTime = idleTime.value_or(link->second.idleTime);
+            this->pool.put(link->second.upstream, link->second.link, now, link->second.idleTime);
+        } else {
+            work.closings.push_back(std::move(link->second.link));
+            this->links.erase(link);
+        }
+        if (exchange != this->exchanges.end()) {
+            exchange->second.answer = std::move(response);
+            this->endAttempt(now, exchangeId, outcome, work);
+        }
+    }
+    this->perform(std::move(work));
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::failed(LinkId id, LinkFailure failure)
+{
+    Work work;
+    {
+        const MutexLock lock { this->mutex };
+        const auto link = this->links.find(id);
+        if (link == this->links.end()) {
+            return;
+        }
+        const auto exchange = link->second.exchange;
+        work.closings.push_back(std::move(link->second.link));
+        this->links.erase(link);
+        const auto outcome = failure == LinkFailure::NotConnected ? AttemptOutcome::NotSent : AttemptOutcome::Lost;
+        this->endAttempt(this->reactor.now(), exchange, outcome, work);
+    }
+    this->perform(std::move(work));
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::closedIdle(LinkId id)
+{
+    std::shared_ptr<UpstreamLink> closed;
+    const MutexLock lock { this->mutex };
+    const auto link = this->links.find(id);
+    if (link != this->links.end()) {
+        this->pool.remove(link->second.upstream, id);
+        closed = std::move(link->second.link);
+        this->links.erase(link);
+    }
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::dropExpiredLinks()
+{
+    std::vector<std::shared_ptr<UpstreamLink>> expired;
+    {
+        const MutexLock lock { this->mutex };
+        expired = this->pool.takeExpired(this->reactor.now(), [this](const UpstreamKey& key) { return this->knownUpstreams.contains(key); });
+        for (const auto& link : expired) {
+            this->links.erase(link->number());
+        }
+    }
+    for (const auto& link : expired) {
+        link->close();
+    }
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::scheduleAdvance(Instant now)
+{
+    const auto next = this->dispatcher.nextDeadline();
+    if (!next || (this->advanceDue && *this->advanceDue <= *next)) {
+        return;
+    }
+    this->advanceDue = *next;
+    this->reactor.after(std::max<Duration>(*next - now, Duration::zero()), [this](Instant) { this->advance(); });
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::advance()
+{
+    Work work;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        this->advanceDue.reset();
+        DispatchDecisions decisions;
+        this->dispatcher.advance(now, decisions);
+        this->carryOut(now, decisions, work);
+    }
+    this->perform(std::move(work));
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::perform(Work work)
+{
+    for (const auto& link : work.closings) {
+        link->close();
+    }
+    for (auto& [call, reply] : work.replies) {
+        this->listener.respond(call, std::move(reply));
+    }
+    for (auto& [link, bytes, isHead] : work.sends) {
+        link->send(bytes, isHead);
+    }
+    for (const auto id : work.notSent) {
+        Work next;
+        {
+            const MutexLock lock { this->mutex };
+            this->endAttempt(this->reactor.now(), id, AttemptOutcome::NotSent, next);
+        }
+        this->perform(std::move(next));
+    }
+}
+
+template <CallerDialect Dialect>
+void Gateway<Dialect>::logOutcome(LogEvent event, const Exchange& exchange, ResultCode code, Instant now)
+{
+    if (!this->logger.isEnabled(event) || !this->logAllowance.take(now)) {
+        return;
+    }
+    const auto link = this->links.find(exchange.link);
+    const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - exchange.arrivedAt).count();
+    this->logger.log(event, "", { { "request", exchange.facts.requestId }, { "route", exchange.route->name }, { "version", exchange.route->version }, { "code", static_cast<unsigned>(code) }, { "reason", resultCodeName(code) }, { "waitedMs", waitedMs }, { "sends", exchange.sends }, { "upstream", link == this->links.end() ? std::string_view { "-" } : std::string_view { link->second.upstream.name } }, { "skippedLines", this->logAllowance.takeSkipped() } });
+}
+
+}
--- /dev/null
+++ b/src/node/gateway/LinkPool.cpp
@@ -0,0 +1,54 @@
+#include "node/gateway/LinkPool.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+std::shared_ptr<UpstreamLink> LinkPool::take(const UpstreamKey& upstream, Instant now)
+{
+    const auto found = this->idle.find(upstream);
+    if (found == this->idle.end() || found->second.empty() || found->second.back().usableUntil <= now) {
+        return nullptr;
+    }
+    auto link = std::move(found->second.back().link);
+    found->second.pop_back();
+    return link;
+}
+
+void LinkPool::put(const UpstreamKey& upstream, std::shared_ptr<UpstreamLink> link, Instant now, Duration idleTime)
+{
+    auto& links = this->idle[upstream];
+    const auto usable = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { idleTime } * usableShare);
+    links.push_back({ std::move(link), now + usable });
+}
+
+void LinkPool::remove(const UpstreamKey& upstream, LinkId link)
+{
+    const auto found = this->idle.find(upstream);
+    if (found != this->idle.end()) {
+        std::erase_if(found->second, [link](const Idle& entry) { return entry.link->number() == link; });
+    }
+}
+
+std::vector<std::shared_ptr<UpstreamLink>> LinkPool::takeExpired(Instant now, const std::function<bool(const UpstreamKey&)>& isKept)
+{
+    std::vector<std::shared_ptr<UpstreamLink>> expired;
+    for (auto& [upstream, links] : this->idle) {
+        const bool keeps = isKept(upstream);
+        std::erase_if(links, [&](Idle& entry) {
+            if (keeps && entry.usableUntil > now) {
+                return false;
+            }
+            expired.push_back(std::move(entry.link));
+            return true;
+        });
+        while (links.size() > maxIdle) {
+            expired.push_back(std::move(links.front().link));
+            links.erase(links.begin());
+        }
+    }
+    absl::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+    return expired;
+}
+
+}
--- /dev/null
+++ b/src/node/gateway/LinkPool.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "adapters/http/UpstreamLink.h"
+#include "teaselturn/Registry.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace teaselturn {
+
+/// Connections to upstreams that carry no request at the moment, newest first, so that as few as possible stay in use.
+/// Not thread-safe.
+class LinkPool {
+public:
+    /// Connections are not used again after this share of the time after which the upstream closes them.
+    static constexpr double usableShare = 0.7;
+    /// Idle time assumed where the upstream does not state one.
+    static constexpr std::chrono::milliseconds assumedIdleTime { 5'000 };
+    /// Idle connections kept for one upstream.
+    static constexpr std::size_t maxIdle = 8;
+
+    /// @return A connection that the upstream does not close soon, or null.
+    std::shared_ptr<UpstreamLink> take(const UpstreamKey& upstream, Instant now);
+
+    /// @param idleTime How long the upstream keeps the connection open.
+    void put(const UpstreamKey& upstream, std::shared_ptr<UpstreamLink> link, Instant now, Duration idleTime);
+
+    /// Forgets a connection that closed.
+    void remove(const UpstreamKey& upstream, LinkId link);
+
+    /// @return Connections whose time is over, and those of upstreams that are not kept. They are to be closed without a lock.
+    std::vector<std::shared_ptr<UpstreamLink>> takeExpired(Instant now, const std::function<bool(const UpstreamKey&)>& isKept);
+
+private:
+    struct Idle {
+        std::shared_ptr<UpstreamLink> link;
+        Instant usableUntil;
+    };
+
+    absl::flat_hash_map<UpstreamKey, std::vector<Idle>> idle;
+};
+
+}
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -2,6 +2,7 @@
 #include "node/CommandLine.h"
 #include "node/Daemon.h"
 #include "node/SignalWait.h"
+#include "platform/PlatformProcess.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -65,6 +66,9 @@
         std::puts("teaselturnd " TEASELTURN_VERSION);
         return exits::success;
     }
+    if (line->action == CommandLine::Action::RunOnPlatform) {
+        return platform::runOnPlatform();
+    }
     auto settings = loadSettings(line->settingsFile);
     if (!settings.value) {
         for (const auto& problem : settings.problems) {
--- /dev/null
+++ b/src/node/registry/RegistryDaemon.h
@@ -0,0 +1,195 @@
+#pragma once
+
+#include "adapters/disk/DataFolder.h"
+#include "adapters/http/HttpListener.h"
+#include "adapters/peer/PeerTransport.h"
+#include "core/ledger/FirstDisk.h"
+#include "node/registry/ControlDialect.h"
+#include "node/registry/RegistryNode.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <functional>
+#include <memory>
+
+namespace teaselturn {
+
+/// Settings of a member of a registry.
+struct RegistryDaemonOptions {
+    NodeId self;
+    Endpoint control;
+    Endpoint peer;
+    std::string dataFolder;
+    std::vector<NodeId> seeds;
+    /// True where the whole system starts for the first time: the seeds are the first members.
+    bool isFirstStart {};
+    std::vector<std::uint8_t> clusterKey;
+    RegistryOptions registry;
+};
+
+/// A member of the registry: its node, messages to the others, and the calls of upstreams and operators.
+/// @tparam Dialect How upstreams and operators are spoken to.
+template <ControlDialect Dialect>
+class RegistryDaemon {
+public:
+    /// @param failed Called where the process has to end.
+    RegistryDaemon(Reactor& reactor, Logger& logger, RegistryDaemonOptions options, std::function<void()> failed)
+        : reactor(reactor)
+        , logger(logger)
+        , options(std::move(options))
+        , failed(std::move(failed))
+        , listener(reactor, { [this](HttpCallId call, ReceivedRequest request) { this->takeCall(call, request); }, {} })
+    {
+    }
+
+    /// Opens the data folder and the ports.
+    Status open();
+
+private:
+    using Node = RegistryNode<PeerTransport, DataFolder<>, SteadyClock>;
+
+    static constexpr std::chrono::milliseconds transportInterval { 500 };
+
+    Result<std::unique_ptr<Node>> makeNode();
+    void takeCall(HttpCallId call, const ReceivedRequest& request);
+    void answerCall(CallAnswer answer);
+    Endpoint ownerOf(const CallResult& result) const;
+
+    Reactor& reactor;
+    Logger& logger;
+    const RegistryDaemonOptions options;
+    std::function<void()> failed;
+    SteadyClock clock;
+    HttpListener listener;
+    std::unique_ptr<PeerTransport> transport;
+    std::unique_ptr<Node> node;
+    std::atomic<bool> isOpen { false };
+
+    Mutex mutex;
+    /// Paths of the calls under way, for redirects.
+    absl::flat_hash_map<HttpCallId, std::string> targets ABSL_GUARDED_BY(mutex);
+};
+
+template <ControlDialect Dialect>
+Result<std::unique_ptr<typename RegistryDaemon<Dialect>::Node>> RegistryDaemon<Dialect>::makeNode()
+{
+    const auto isFirstMember = this->options.isFirstStart && std::ranges::find(this->options.seeds, this->options.self) != this->options.seeds.end();
+    // First members know each other's disks by their nodes; any other folder has an identity of its own, so that a disk
+    // that was lost does not count as the former one.
+    auto folder = DataFolder<>::open(PosixFiles {}, this->options.dataFolder, isFirstMember ? firstDiskId(this->options.self) : randomDiskId());
+    if (!folder) {
+        return folder.failure();
+    }
+    if (folder->cutBytes() > 0) {
+        this->logger.log(LogEvent::LogTailCut, "", { { "bytes", folder->cutBytes() } });
+    }
+    auto state = folder->takeState();
+    state.node = this->options.self;
+    if (isFirstMember) {
+        for (const auto seed : this->options.seeds) {
+            state.initialMembers.push_back({ seed, firstDiskId(seed), true });
+        }
+    }
+    RegistryCallbacks callbacks { [this](CallAnswer answer) { this->answerCall(std::move(answer)); }, [this](const Failure&) { this->failed(); } };
+    auto made = std::make_unique<Node>(*this->transport, std::move(*folder), std::move(state), this->options.seeds, this->clock, this->logger, std::move(callbacks), this->options.registry);
+    if (const auto checked = made->checkStart(); !checked) {
+        return checked.failure();
+    }
+    return made;
+}
+
+template <ControlDialect Dialect>
+Status RegistryDaemon<Dialect>::open()
+{
+    auto started = PeerTransport::Builder {}
+                       .identity(this->options.self, makeBootId())
+                       .listenOn(this->options.peer)
+                       .clusterKey(this->options.clusterKey)
+                       .peersByAddress()
+                       .handler([this](NodeId from, const PeerMessage& message) {
+                           // Messages that come before the node stands are repeated by their senders.
+                           if (this->isOpen) {
+                               this->node->receive(from, message);
+                           }
+                       })
+                       .logger(this->logger)
+                       .start();
+    if (!started) {
+        return started.failure();
+    }
+    this->transport = std::move(*started);
+    auto made = this->makeNode();
+    if (!made) {
+        return made.failure();
+    }
+    this->node = std::move(*made);
+    this->isOpen = true;
+    if (auto opened = this->listener.listen(this->options.control); !opened) {
+        return opened;
+    }
+    this->reactor.every(Node::tickInterval, [this](Instant) { this->node->tick(); });
+    this->reactor.every(transportInterval, [this](Instant) { this->transport->tick(); });
+    return success();
+}
+
+template <ControlDialect Dialect>
+void RegistryDaemon<Dialect>::takeCall(HttpCallId call, const ReceivedRequest& request)
+{
+    const CallId id { call.value };
+    auto decoded = Dialect::readCall(request);
+    if (const auto* unreadable = std::get_if<UnreadableCall>(&decoded)) {
+        this->logger.log(LogEvent::CallRefused, unreadable->detail, { { "method", request.method }, { "path", request.target }, { "status", unreadable->status } });
+        this->listener.respond(call, Dialect::encodeUnreadable(*unreadable));
+        return;
+    }
+    {
+        const MutexLock lock { this->mutex };
+        this->targets[call] = request.target;
+    }
+    if (auto* heartbeat = std::get_if<Heartbeat>(&decoded)) {
+        this->node->heartbeat(id, std::move(*heartbeat));
+    } else if (const auto* departure = std::get_if<Departure>(&decoded)) {
+        this->node->depart(id, departure->name, departure->incarnation);
+    } else if (auto* change = std::get_if<ChangeItems>(&decoded)) {
+        this->node->changeItems(id, std::move(*change));
+    } else {
+        HttpReply reply;
+        auto elsewhere = this->node->read([&reply](const RegistryState& state) { reply = Dialect::encodeItems(state); });
+        if (elsewhere) {
+            this->answerCall({ id, std::move(*elsewhere) });
+        } else {
+            {
+                const MutexLock lock { this->mutex };
+                this->targets.erase(call);
+            }
+            this->listener.respond(call, std::move(reply));
+        }
+    }
+}
+
+template <ControlDialect Dialect>
+Endpoint RegistryDaemon<Dialect>::ownerOf(const CallResult& result) const
+{
+    const auto* elsewhere = std::get_if<CallElsewhere>(&result);
+    return elsewhere == nullptr ? this->options.control : Endpoint { addressOfNode(elsewhere->leader), this->options.control.port };
+}
+
+template <ControlDialect Dialect>
+void RegistryDaemon<Dialect>::answerCall(CallAnswer answer)
+{
+    const HttpCallId call { answer.call.value };
+    std::string target;
+    {
+        const MutexLock lock { this->mutex };
+        const auto found = this->targets.find(call);
+        if (found != this->targets.end()) {
+            target = std::move(found->second);
+            this->targets.erase(found);
+        }
+    }
+    if (const auto* items = std::get_if<ItemsAnswer>(&answer.result); items != nullptr && items->code != ResultCode::Ok) {
+        this->logger.log(LogEvent::CallRefused, items->detail, { { "path", target }, { "code", static_cast<unsigned>(items->code) } });
+    }
+    this->listener.respond(call, Dialect::encodeResult(answer.result, this->ownerOf(answer.result), target));
+}
+
+}
--- a/tests/matrix/ClusterChecks.cpp
+++ b/tests/matrix/ClusterChecks.cpp
@@ -254,6 +254,11 @@
         std::string operator()(const AdvanceRollout& c) const { return "AdvanceRollout " + std::to_string(c.version.value) + " stage " + std::to_string(c.stage); }
         std::string operator()(const CarveHotKey& c) const { return "CarveHotKey " + c.key; }
         std::string operator()(const MergeHotKey& c) const { return "MergeHotKey " + std::to_string(c.slot.index); }
+        std::string operator()(const ChangeItems&) const { return "ChangeItems"; }
+        std::string operator()(const RegisterUpstream& c) const { return "RegisterUpstream " + c.key.name; }
+        std::string operator()(const RemoveUpstream& c) const { return "RemoveUpstream " + c.key.name; }
+        std::string operator()(const AssignKeyRanges& c) const { return "AssignKeyRanges " + c.service; }
+        std::string operator()(const BeginKeyMoves& c) const { return "BeginKeyMoves " + c.service; }
         std::string operator()(const ChangeMembers& c) const { return "ChangeMembers to " + std::to_string(c.members.size()); }
 
         static std::string list(const std::vector<SlotAssignment>& assignments)
