Keep an omission until its keys have passed on

Cause: an upstream's second heartbeat showed moving keys as released, and the answer to the same heartbeat granted them again because the omission had been forgotten while the assignment was not committed yet. Ruled out: a late answer (the log shows one answer each). Also: a range joined in place was moved to itself and lost its owner's name.

--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -40,7 +40,7 @@
     this->entries.clear();
 }
 
-std::optional<Command> KeyCoordinator::registration(const Heartbeat& heartbeat, const RegistryState& state) const
+std::optional<Command> KeyCoordinator::registration(const KeyHeartbeat& heartbeat, const RegistryState& state) const
 {
     const auto& announcement = heartbeat.announcement;
     const auto* known = state.findUpstream(announcement.key.name);
@@ -62,7 +62,7 @@
     return found == this->contacts.end() || found->second.key != key ? nullptr : &found->second;
 }
 
-bool KeyCoordinator::note(Instant now, const Heartbeat& heartbeat)
+bool KeyCoordinator::note(Instant now, const KeyHeartbeat& heartbeat)
 {
     auto& contact = this->contacts[heartbeat.announcement.key.name];
     if (contact.key != heartbeat.announcement.key) {
@@ -81,7 +81,7 @@
     return true;
 }
 
-std::vector<Command> KeyCoordinator::takeReleases(const Heartbeat& heartbeat, const RegistryState& state)
+std::vector<Command> KeyCoordinator::takeReleases(const KeyHeartbeat& heartbeat, const RegistryState& state)
 {
     const auto& announcement = heartbeat.announcement;
     AssignKeyRanges assignment { announcement.service, {} };
@@ -93,11 +93,11 @@
         if (range == nullptr || range->owner != omission.owner || range->fence != omission.fence || !range->isMoving()) {
             return true;
         }
-        if (isListed(heartbeat.held, *range)) {
-            return false;
+        if (!isListed(heartbeat.held, *range)) {
+            assignment.grants.push_back({ range->first, range->last, range->target, handoverOf(heartbeat.released, *range) });
         }
-        assignment.grants.push_back({ range->first, range->last, range->target, handoverOf(heartbeat.released, *range) });
-        return true;
+        // The omission stands until the assignment is applied: an answer before that must not grant the keys again.
+        return false;
     });
     if (assignment.grants.empty()) {
         return {};
@@ -133,14 +133,14 @@
     }
 }
 
-HeartbeatAnswer KeyCoordinator::answer(Instant now, const Heartbeat& heartbeat, const RegistryState& state)
+KeyHeartbeatAnswer KeyCoordinator::answer(Instant now, const KeyHeartbeat& heartbeat, const RegistryState& state)
 {
     const auto& announcement = heartbeat.announcement;
     const auto* service = state.findService(announcement.service);
     if (service == nullptr || !service->isSharded || !state.isAlive(announcement.key)) {
         return {};
     }
-    HeartbeatAnswer answer { true, {}, this->timing.lease };
+    KeyHeartbeatAnswer answer { true, {}, this->timing.lease };
     for (const auto& range : state.keyRanges(announcement.service)) {
         if (range.owner != announcement.key) {
             continue;
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/registry/Heartbeat.h"
+#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/KeyBalance.h"
 #include "core/registry/KeyLoadTable.h"
 #include "core/registry/RegistryState.h"
@@ -50,17 +50,17 @@
     void becameLeader(Instant now, const RegistryState& state);
 
     /// @return The command that the heartbeat calls for before it can be answered, or nothing.
-    std::optional<Command> registration(const Heartbeat& heartbeat, const RegistryState& state) const;
+    std::optional<Command> registration(const KeyHeartbeat& heartbeat, const RegistryState& state) const;
 
     /// Takes a heartbeat of a registered upstream.
     /// @return False where it was overtaken by a later one of the same start; it is then not to be answered with grants.
-    bool note(Instant now, const Heartbeat& heartbeat);
+    bool note(Instant now, const KeyHeartbeat& heartbeat);
 
     /// @return Assignments of keys that the heartbeat shows to be free.
-    std::vector<Command> takeReleases(const Heartbeat& heartbeat, const RegistryState& state);
+    std::vector<Command> takeReleases(const KeyHeartbeat& heartbeat, const RegistryState& state);
 
     /// Renews the upstream's lease and says what it is to hold.
-    HeartbeatAnswer answer(Instant now, const Heartbeat& heartbeat, const RegistryState& state);
+    KeyHeartbeatAnswer answer(Instant now, const KeyHeartbeat& heartbeat, const RegistryState& state);
 
     void addLoad(Instant now, const KeyLoadReport& report, const RegistryState& state);
     /// @return Entry VMs that reported load lately.
--- a/src/core/registry/Heartbeat.h
+++ b/src/core/registry/KeyHeartbeat.h
@@ -29,18 +29,18 @@
 };
 
 /// An announcement of an upstream.
-struct Heartbeat {
+struct KeyHeartbeat {
     RegisterUpstream announcement;
     /// Grows with each heartbeat of one start, so that one that was held up is recognised.
     std::uint64_t sequence {};
     std::vector<HeldKeys> held;
     std::vector<ReleasedKeys> released;
 
-    friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+    friend bool operator==(const KeyHeartbeat&, const KeyHeartbeat&) = default;
 };
 
 /// Answer to a heartbeat.
-struct HeartbeatAnswer {
+struct KeyHeartbeatAnswer {
     /// True where the answer grants keys; without it the upstream's leases are not renewed.
     bool hasGrants {};
     /// Every key range that the upstream may hold. It releases the others.
@@ -48,7 +48,7 @@
     /// Length of the lease, counted by the upstream from when it sent the heartbeat.
     Duration lease {};
 
-    friend bool operator==(const HeartbeatAnswer&, const HeartbeatAnswer&) = default;
+    friend bool operator==(const KeyHeartbeatAnswer&, const KeyHeartbeatAnswer&) = default;
 };
 
 /// @return True where the two spans of keys share a key.
--- a/src/core/registry/KeyRanges.cpp
+++ b/src/core/registry/KeyRanges.cpp
@@ -82,8 +82,9 @@
     for (std::size_t i = 1; i < ranges.size(); ++i) {
         if (isJoinable(ranges[kept], ranges[i])) {
             ranges[kept].last = ranges[i].last;
-        } else {
-            ranges[++kept] = std::move(ranges[i]);
+        } else if (++kept != i) {
+            // A string that is moved to itself may lose its text.
+            ranges[kept] = std::move(ranges[i]);
         }
     }
     if (!ranges.empty()) {
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/ledger/Member.h"
-#include "core/registry/Heartbeat.h"
+#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/JoinPlan.h"
 #include "core/registry/KeyCoordinator.h"
 #include "core/registry/RegistryState.h"
@@ -51,7 +51,7 @@
 struct DepartureAnswer {
 };
 
-using CallResult = std::variant<CallElsewhere, CallUnavailable, ItemsAnswer, DepartureAnswer, HeartbeatAnswer>;
+using CallResult = std::variant<CallElsewhere, CallUnavailable, ItemsAnswer, DepartureAnswer, KeyHeartbeatAnswer>;
 
 /// The answer to a call.
 struct CallAnswer {
@@ -102,7 +102,7 @@
     void receive(Instant now, NodeId from, const PeerMessage& message);
 
     /// Takes a call of a front end. The answer follows in takeEffects().
-    void heartbeat(Instant now, CallId call, Heartbeat heartbeat);
+    void heartbeat(Instant now, CallId call, KeyHeartbeat heartbeat);
     void depart(Instant now, CallId call, std::string_view upstream, std::optional<std::uint64_t> incarnation);
     void changeItems(Instant now, CallId call, ChangeItems change);
 
@@ -121,7 +121,7 @@
 private:
     struct WaitingHeartbeat {
         CallId call;
-        Heartbeat heartbeat;
+        KeyHeartbeat heartbeat;
     };
     struct WaitingItems {
         CallId call;
@@ -156,7 +156,7 @@
     void answer(CallId call, CallResult result) { this->answers.push_back({ call, std::move(result) }); }
     void reply(NodeId to, PeerMessage message) { this->replies.push_back({ to, std::move(message) }); }
     bool propose(Instant now, Command command, Waiting waiting);
-    void answerHeartbeat(Instant now, CallId call, const Heartbeat& heartbeat);
+    void answerHeartbeat(Instant now, CallId call, const KeyHeartbeat& heartbeat);
     void followLeadership(Instant now);
     void decide(Instant now);
     void changeMembers(Instant now);
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -105,7 +105,7 @@
 }
 
 template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::heartbeat(Instant now, CallId call, Heartbeat heartbeat)
+void RegistryService<Random, Codec>::heartbeat(Instant now, CallId call, KeyHeartbeat heartbeat)
 {
     if (auto refusal = this->readRefusal(now)) {
         this->answer(call, std::move(*refusal));
@@ -121,12 +121,12 @@
 }
 
 template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::answerHeartbeat(Instant now, CallId call, const Heartbeat& heartbeat)
+void RegistryService<Random, Codec>::answerHeartbeat(Instant now, CallId call, const KeyHeartbeat& heartbeat)
 {
     const auto* registered = this->registry.findUpstream(heartbeat.announcement.key.name);
     const bool isKnown = registered != nullptr && registered->announcement.key == heartbeat.announcement.key;
     if (!isKnown || !this->coordinator.note(now, heartbeat)) {
-        this->answer(call, HeartbeatAnswer {});
+        this->answer(call, KeyHeartbeatAnswer {});
         return;
     }
     for (auto& command : this->coordinator.takeReleases(heartbeat, this->registry)) {
--- a/src/node/registry/ControlDialect.h
+++ b/src/node/registry/ControlDialect.h
@@ -2,7 +2,7 @@
 
 #include "adapters/http/HttpListener.h"
 #include "adapters/http/MessageReader.h"
-#include "core/registry/Heartbeat.h"
+#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/RegistryService.h"
 
 #include <concepts>
@@ -29,7 +29,7 @@
     std::string detail;
 };
 
-using ControlCall = std::variant<Heartbeat, Departure, ChangeItems, ReadItems, UnreadableCall>;
+using ControlCall = std::variant<KeyHeartbeat, Departure, ChangeItems, ReadItems, UnreadableCall>;
 
 /// How members speak with upstreams and operators over HTTP.
 template <typename T>
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -145,7 +145,7 @@
         const MutexLock lock { this->mutex };
         this->targets[call] = request.target;
     }
-    if (auto* heartbeat = std::get_if<Heartbeat>(&decoded)) {
+    if (auto* heartbeat = std::get_if<KeyHeartbeat>(&decoded)) {
         this->node->heartbeat(id, std::move(*heartbeat));
     } else if (const auto* departure = std::get_if<Departure>(&decoded)) {
         this->node->depart(id, departure->name, departure->incarnation);
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -62,7 +62,7 @@
         this->step([&](Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { this->service.receive(now, from, message); });
     }
 
-    void heartbeat(CallId call, Heartbeat heartbeat)
+    void heartbeat(CallId call, KeyHeartbeat heartbeat)
     {
         this->step([&](Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { this->service.heartbeat(now, call, std::move(heartbeat)); });
     }
