Spread entry VMs over upstreams, prefer near ones, empty leaving owners at once

Cause: without a measurement every entry VM found the same upstreams best, so 86 of them met at a few of 136 servers, whose connections overflowed; keys of an upstream that leaves waited for the balance round and for a phase of heartbeats.

--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -6,8 +6,11 @@
 #include "teaselturn/ResultCode.h"
 #include "teaselturn/Types.h"
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -68,10 +71,16 @@
 struct DispatchOptions {
     /// Availability zone of this entry VM.
     std::string zone;
+    /// Region of each availability zone.
+    std::map<std::string, std::string, std::less<>> regions;
+    /// Number that differs between entry VMs, so that they do not all prefer the same upstreams.
+    std::uint64_t spread {};
     /// Bounds of retries over all entry VMs.
     std::uint32_t retryRatioPerMille { 200 };
     std::uint32_t retrySlack { 10 };
     std::chrono::milliseconds retryWindow { 10'000 };
+    /// An upstream that leaves gets no request later than this after this entry VM heard of it.
+    std::chrono::milliseconds drainTime { 2'000 };
 };
 
 }
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/Dispatcher.h"
 
 #include "core/registry/KeyRanges.h"
+#include "core/routing/RouteTable.h"
 
 #include <algorithm>
 #include <cmath>
@@ -22,11 +23,24 @@
     /// Largest number of requests waiting at one entry VM.
     constexpr std::size_t maxOpenRequests = 4'096;
 
+    /// Round trips assumed before any is measured.
+    constexpr std::chrono::milliseconds zoneDistance { 3 };
+    constexpr std::chrono::milliseconds regionDistance { 60 };
+    /// Largest share of the usual latency by which an entry VM prefers one upstream to another of the same speed.
+    constexpr double largestAversion = 0.3;
+
     Duration scaled(Duration value, double factor)
     {
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { value } * factor);
     }
 
+    /// @return The same number in [0, largestAversion) for the same pair in every process.
+    double aversionTo(const UpstreamKey& key, std::uint64_t spread)
+    {
+        const auto hash = hashKey(key.name + ":" + std::to_string(spread));
+        return largestAversion * static_cast<double>(hash % 1'024) / 1'024;
+    }
+
 }
 
 Dispatcher::Dispatcher(DispatchOptions options)
@@ -69,7 +83,11 @@
         known.announcement = announcement;
         known.state = registered.state;
         known.load.setSlots(announcement.requestSlots);
-        known.isLocal = announcement.zone == this->options.zone;
+        known.distance = this->distanceTo(announcement.zone);
+        known.aversion = aversionTo(announcement.key, this->options.spread);
+        if (registered.state == UpstreamState::Draining && !known.drainingSince) {
+            known.drainingSince = now;
+        }
         known.isListed = true;
         this->service(announcement.service).upstreams.push_back(announcement.key);
     }
@@ -101,6 +119,28 @@
     }
 }
 
+Duration Dispatcher::distanceTo(std::string_view zone) const
+{
+    if (zone == this->options.zone) {
+        return Duration::zero();
+    }
+    const auto own = this->options.regions.find(this->options.zone);
+    const auto other = this->options.regions.find(zone);
+    const bool isSameRegion = own != this->options.regions.end() && other != this->options.regions.end() && own->second == other->second;
+    return isSameRegion ? zoneDistance : regionDistance;
+}
+
+Duration Dispatcher::expectedLatency(Instant now, const Service& service, const Upstream& upstream) const
+{
+    const auto expected = upstream.load.expectedLatency(now, service.usualLatency + upstream.distance);
+    return expected + scaled(service.usualLatency, upstream.aversion);
+}
+
+bool Dispatcher::isDrained(Instant now, const Upstream& upstream) const noexcept
+{
+    return upstream.drainingSince && now - *upstream.drainingSince >= this->options.drainTime;
+}
+
 std::string_view Dispatcher::chooseService(const CompiledRoute& route)
 {
     const auto& shares = route.item.shares;
@@ -168,7 +208,7 @@
             return ResultCode::RequestNoOwner;
         }
         auto* owner = this->upstream(range->owner);
-        if (owner == nullptr || owner->state == UpstreamState::Dead) {
+        if (owner == nullptr || owner->state == UpstreamState::Dead || this->isDrained(now, *owner)) {
             return ResultCode::RequestNoOwner;
         }
         if (owner->load.isClosed(now)) {
@@ -286,7 +326,7 @@
     std::vector<std::pair<ExchangeId, Upstream*>> ready;
     for (const auto& [key, queue] : service.queues) {
         auto* owner = this->upstream(key);
-        if (owner == nullptr || owner->load.isClosed(now)) {
+        if (owner == nullptr || owner->load.isClosed(now) || this->isDrained(now, *owner)) {
             continue;
         }
         auto room = owner->load.hasRoom(now) ? std::max(1, static_cast<int>(owner->load.currentLimit()) - owner->load.inFlight()) : 0;
@@ -325,7 +365,7 @@
         if (!isUsable || std::ranges::find(exchange.avoided, key) != exchange.avoided.end()) {
             continue;
         }
-        auto latency = candidate->load.expectedLatency(now, service.usualLatency);
+        auto latency = this->expectedLatency(now, service, *candidate);
         if (candidate->state == UpstreamState::Dead) {
             // It sends no heartbeats, though it may still serve.
             latency *= 3;
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -54,7 +54,13 @@
         RegisterUpstream announcement;
         UpstreamState state { UpstreamState::Ready };
         UpstreamLoad load;
-        bool isLocal {};
+        /// Round trip beyond one within the availability zone.
+        Duration distance {};
+        /// Share of the usual latency by which this entry VM prefers others. It differs between entry VMs, so that each
+        /// keeps to some upstreams, with few connections, and all together use every upstream alike.
+        double aversion {};
+        /// When this entry VM heard that the upstream leaves. Empty while it does not.
+        std::optional<Instant> drainingSince;
         /// Set by each sync; upstreams that it does not reach are forgotten once nothing is under way there.
         bool isListed { true };
     };
@@ -113,6 +119,9 @@
 
     Service& service(std::string_view name);
     Upstream* upstream(const UpstreamKey& key);
+    Duration distanceTo(std::string_view zone) const;
+    Duration expectedLatency(Instant now, const Service& service, const Upstream& upstream) const;
+    bool isDrained(Instant now, const Upstream& upstream) const noexcept;
     std::string_view chooseService(const CompiledRoute& route);
     const KeyRange* rangeOf(const Exchange& exchange) const;
 
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -27,6 +27,16 @@
         return found == released.end() ? std::string {} : found->handover;
     }
 
+    /// @return True where an upstream that leaves owns keys that are not on their way to another.
+    bool hasLeavingOwner(std::span<const std::string> services, const RegistryState& state)
+    {
+        const auto isLeaving = [&state](const KeyRange& range) {
+            const auto* owner = range.isMoving() ? nullptr : state.findUpstream(range.owner.name);
+            return owner != nullptr && owner->announcement.key == range.owner && owner->state == UpstreamState::Draining;
+        };
+        return std::ranges::any_of(services, [&](const std::string& service) { return std::ranges::any_of(state.keyRanges(service), isLeaving); });
+    }
+
 }
 
 void KeyCoordinator::becameLeader(Instant now, const RegistryState&)
@@ -108,7 +118,9 @@
 bool KeyCoordinator::isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state)
 {
     const bool isOmitted = std::ranges::any_of(this->omissions, [&range](const Omission& omission) { return omission.owner == range.owner && omission.fence == range.fence && omission.first == range.first; });
-    if (isOmitted || !state.isAlive(range.owner)) {
+    const auto* owner = state.findUpstream(range.owner.name);
+    if (isOmitted || owner == nullptr || !owner->isUsable()) {
+        // An upstream that leaves has little time; where nobody can take its keys yet they wait for the next owner.
         return true;
     }
     const auto* target = this->contact(range.target);
@@ -294,7 +306,7 @@
         this->place(now, service, state, commands);
     }
     const auto elapsed = now - this->balancedAt;
-    if (commands.empty() && elapsed >= this->timing.balanceInterval) {
+    if (commands.empty() && (elapsed >= this->timing.balanceInterval || hasLeavingOwner(sharded, state))) {
         this->balancedAt = now;
         for (auto& [service, load] : this->loads) {
             load.fade(elapsed);
