--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -17,7 +17,7 @@
     { LogEvent::BundleInForce, "BundleInForce", LogLevel::Info, "a bundle came into force" },
     { LogEvent::RolloutAdvanced, "RolloutAdvanced", LogLevel::Info, "the rollout reached another region" },
     { LogEvent::RequestRefused, "RequestRefused", LogLevel::Debug, "a malformed request was refused" },
-    { LogEvent::RequestNotRun, "RequestNotRun", LogLevel::Debug, "a request ended as not run" },
+    { LogEvent::RequestNotRun, "RequestNotRun", LogLevel::Info, "a request ended as not run" },
     { LogEvent::RequestUnknown, "RequestUnknown", LogLevel::Warning, "a request ended with unknown outcome" },
     { LogEvent::AnswerDropped, "AnswerDropped", LogLevel::Warning, "an answer was incomplete or belonged to another request" },
     { LogEvent::ConnectionReplaced, "ConnectionReplaced", LogLevel::Info, "a connection without progress was closed" },
