Compress messages between processes and feed entry VMs from the nearest member

Cause: a change of 1,005 items is one log entry of some 600 KB; entry VMs on 2 Mbit/s gave up on the answer after 0.3 to 1 s and asked the next member, which sent it again, until the links were full. Now: zstd on payloads from 512 bytes, patience that doubles, probes that find the nearest member, repeats of a pending or held change are answered without a log entry.

--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -210,10 +210,24 @@
     friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
 };
 
+/// Asks a member whether it could answer feeds, and how far away it is.
+struct MemberProbe {
+    std::uint64_t sequence {};
+
+    friend bool operator==(const MemberProbe&, const MemberProbe&) = default;
+};
+
+/// Answers a MemberProbe at once. Members that are out of contact with a leader do not answer.
+struct MemberProbeReply {
+    std::uint64_t sequence {};
+
+    friend bool operator==(const MemberProbeReply&, const MemberProbeReply&) = default;
+};
+
 /// Any message between processes of the system. The order is part of the protocol: append only.
 using PeerMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
     DelegationRequest, DelegationReply, FeedRequest, FeedReply, ProposeRequest, ProposeReply, KeyLoadReport, KeyLoadReply,
-    JoinRequest>;
+    JoinRequest, MemberProbe, MemberProbeReply>;
 
 /// A message with the node that it goes to.
 struct OutboundMessage {
--- a/include/teaselturn/Types.h
+++ b/include/teaselturn/Types.h
@@ -144,6 +144,8 @@
     inline constexpr std::size_t maxBodyBytes = 8 * 1024 * 1024;
     /// Largest payload of a message between processes of the system, in bytes.
     inline constexpr std::size_t maxMessageBytes = 1024 * 1024;
+    /// Largest message between processes of the system before its payload is compressed, in bytes.
+    inline constexpr std::size_t maxDecodedMessageBytes = 8 * 1024 * 1024;
     /// Largest message that goes as one datagram, in bytes; it fits an Ethernet frame without fragmentation.
     inline constexpr std::size_t maxDatagramBytes = 1'200;
     /// Largest signed bundle, in bytes.
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -459,6 +459,18 @@
     archive(value.node, value.disk);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, MemberProbe& value)
+{
+    archive(value.sequence);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, MemberProbeReply& value)
+{
+    archive(value.sequence);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, HardState& value)
 {
--- /dev/null
+++ b/src/adapters/codec/Compression.cpp
@@ -0,0 +1,36 @@
+#include "adapters/codec/Compression.h"
+
+#include <zstd.h>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Configuration items repeat their field names, so the fastest level shortens them about tenfold.
+    constexpr int compressionLevel = 1;
+
+}
+
+std::vector<std::uint8_t> compress(std::span<const std::uint8_t> bytes)
+{
+    std::vector<std::uint8_t> out(ZSTD_compressBound(bytes.size()));
+    const auto size = ZSTD_compress(out.data(), out.size(), bytes.data(), bytes.size(), compressionLevel);
+    out.resize(ZSTD_isError(size) != 0 || size >= bytes.size() ? 0 : size);
+    return out;
+}
+
+Result<std::vector<std::uint8_t>> decompress(std::span<const std::uint8_t> bytes, std::size_t maxBytes)
+{
+    const auto size = ZSTD_getFrameContentSize(bytes.data(), bytes.size());
+    if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN || size > maxBytes) {
+        return { ResultCode::MessageMalformed, "compressed payload without a usable length" };
+    }
+    std::vector<std::uint8_t> out(size);
+    const auto written = ZSTD_decompress(out.data(), out.size(), bytes.data(), bytes.size());
+    if (ZSTD_isError(written) != 0 || written != out.size()) {
+        return { ResultCode::MessageMalformed, "compressed payload is damaged" };
+    }
+    return out;
+}
+
+}
--- a/src/adapters/peer/Frame.h
+++ b/src/adapters/peer/Frame.h
@@ -15,7 +15,7 @@
 /// | --- | --- |
 /// | 4 | magic "TSLT" |
 /// | 1 | version of the encoding |
-/// | 1 | type: the message's place in PeerMessage |
+/// | 1 | type: the message's place in PeerMessage; the highest bit tells that the payload is compressed |
 /// | 1 | channel: 0 datagram, 1 stream |
 /// | 4, 4 | sender, receiver |
 /// | 8, 8 | sender's boot id, sequence |
--- a/src/adapters/peer/PeerTransport.cpp
+++ b/src/adapters/peer/PeerTransport.cpp
@@ -1,6 +1,7 @@
 #include "adapters/peer/PeerTransport.h"
 
 #include "adapters/codec/Codec.h"
+#include "adapters/codec/Compression.h"
 
 #include <array>
 #include <cerrno>
@@ -16,6 +17,10 @@
     constexpr int maxDatagramsInARow = 64;
     /// How often a port is asked for that is free for both UDP and TCP.
     constexpr int maxPortAttempts = 16;
+    /// Payloads from this length on are compressed; shorter ones gain less than their processor time.
+    constexpr std::size_t compressFrom = 512;
+    /// Bit of a frame's type that tells that its payload is compressed.
+    constexpr std::uint8_t compressedFlag = 0x80;
 
     struct Sockets {
         FileDescriptor datagrams;
@@ -136,8 +141,18 @@
         }
         return;
     }
-    const auto payload = encodeMessage(message);
-    const auto type = static_cast<std::uint8_t>(message.index());
+    auto payload = encodeMessage(message);
+    auto type = static_cast<std::uint8_t>(message.index());
+    if (payload.size() > limits::maxDecodedMessageBytes) {
+        this->drop({ ResultCode::MessageTooLarge, std::to_string(payload.size()) + " bytes to send" });
+        return;
+    }
+    if (payload.size() >= compressFrom) {
+        if (auto shorter = compress(payload); !shorter.empty()) {
+            payload = std::move(shorter);
+            type |= compressedFlag;
+        }
+    }
     if (payload.size() > limits::maxMessageBytes) {
         this->drop({ ResultCode::MessageTooLarge, std::to_string(payload.size()) + " bytes to send" });
     } else if (payload.size() + frameOverheadBytes <= limits::maxDatagramBytes) {
@@ -264,11 +279,21 @@
     if (header.channel != channel || !this->windows[{ header.sender, channel }].accept(header.boot, header.sequence)) {
         return { ResultCode::MessageReplayed, "from " + std::to_string(header.sender.value) };
     }
-    const auto message = decodeMessage(frame->payload);
+    std::vector<std::uint8_t> decompressed;
+    auto payload = frame->payload;
+    if ((header.type & compressedFlag) != 0) {
+        auto content = decompress(payload, limits::maxDecodedMessageBytes);
+        if (!content) {
+            return content.failure();
+        }
+        decompressed = std::move(*content);
+        payload = decompressed;
+    }
+    const auto message = decodeMessage(payload);
     if (!message) {
         return message.failure();
     }
-    if (message->index() != header.type) {
+    if (message->index() != static_cast<std::uint8_t>(header.type & ~compressedFlag)) {
         return { ResultCode::MessageMalformed, "the type does not match" };
     }
     this->settings.handler(header.sender, *message);
--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -4,13 +4,14 @@
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Message.h"
 
+#include <absl/container/btree_map.h>
 #include <optional>
 #include <vector>
 
 namespace teaselturn {
 
-/// An entry VM's copy of the registry: asks members for what was committed, one after the other where one does not
-/// answer. What it has applied it never takes back. It does no I/O. Not thread-safe.
+/// An entry VM's copy of the registry. It asks the nearest member that answers for what was committed, and goes to
+/// another where an answer stays out. What it has applied it never takes back. It does no I/O. Not thread-safe.
 /// @tparam Codec Encoding of snapshots.
 template <RegistryCodec Codec>
 class RegistryReplica {
@@ -22,132 +23,68 @@
     {
     }
 
-    /// @return A request to send now, or nothing while one is out.
-    std::optional<OutboundMessage> nextRequest(Instant now);
+    /// @return Requests and probes to send now.
+    std::vector<OutboundMessage> nextMessages(Instant now);
 
-    /// Takes an answer.
-    /// @return True where the state changed.
+    /// Takes an answer to a probe.
+    void takeProbe(Instant now, NodeId from, const MemberProbeReply& reply);
+
+    /// Takes an answer to a request.
+    /// @return True where the state changed, or SnapshotCorrupt.
     Result<bool> take(Instant now, NodeId from, const FeedReply& reply);
 
     /// Replaces the members to fall back to, after the settings changed.
     void setSeeds(std::vector<NodeId> newSeeds) { this->seeds = std::move(newSeeds); }
 
     const RegistryState& state() const noexcept { return this->registry; }
-    /// @return The member that answers at the moment, or zero.
-    NodeId source() const noexcept { return this->isAnswering ? this->asked : NodeId {}; }
+    /// @return The member that is asked at the moment, or zero.
+    NodeId source() const noexcept { return this->asked; }
     /// @return True once an answer showed that this copy is complete.
     bool isComplete() const noexcept { return this->hasCaughtUp; }
     /// @return Time of the last answer.
     Instant answeredAt() const noexcept { return this->lastAnswer; }
 
-    /// A member holds a request open for 700 ms; a reply that has not come after this is lost.
-    static constexpr std::chrono::milliseconds patience { 1'000 };
-    /// Patience with a member that was not heard yet.
-    static constexpr std::chrono::milliseconds firstPatience { 300 };
+    /// A member holds a request open for 700 ms; an answer that has not come after this is late.
+    static constexpr std::chrono::milliseconds firstPatience { 1'100 };
+    /// Longest patience: a large configuration takes seconds over a link of 2 Mbit/s, and asking again meanwhile would
+    /// only bring it twice.
+    static constexpr std::chrono::milliseconds lastPatience { 6'000 };
+    /// How often members are probed while one answers, and while none does.
+    static constexpr std::chrono::milliseconds probeInterval { 4'000 };
+    static constexpr std::chrono::milliseconds searchInterval { 150 };
+    /// A member that answered no probe for this long is not asked.
+    static constexpr std::chrono::milliseconds probeMemory { 9'000 };
 
 private:
+    struct Contact {
+        Instant heardAt;
+        Duration roundTrip {};
+    };
+
     std::vector<NodeId> candidates() const;
-    void askNext();
+    /// @return The nearest member that answered a probe lately, or zero.
+    NodeId nearest(Instant now, NodeId except) const;
+    void addProbes(Instant now, std::vector<OutboundMessage>& messages);
+    bool takeSnapshotPart(const FeedReply& reply);
 
     std::vector<NodeId> seeds;
     Codec codec;
     RegistryState registry;
+    absl::btree_map<NodeId, Contact> contacts;
     NodeId asked;
-    std::size_t turn {};
     std::uint64_t sequence {};
+    std::uint64_t probeSequence {};
+    std::optional<Instant> probedAt;
     Instant askedAt;
     Instant lastAnswer;
+    Duration patience { firstPatience };
     bool isOut {};
-    bool isAnswering {};
+    bool isSearching { true };
     bool hasCaughtUp {};
     LogIndex snapshotIndex;
     std::vector<std::uint8_t> snapshotBytes;
 };
 
-template <RegistryCodec Codec>
-std::vector<NodeId> RegistryReplica<Codec>::candidates() const
-{
-    std::vector<NodeId> nodes;
-    for (const auto& member : this->registry.members()) {
-        nodes.push_back(member.node);
-    }
-    for (const auto seed : this->seeds) {
-        if (std::ranges::find(nodes, seed) == nodes.end()) {
-            nodes.push_back(seed);
-        }
-    }
-    return nodes;
-}
-
-template <RegistryCodec Codec>
-void RegistryReplica<Codec>::askNext()
-{
-    const auto nodes = this->candidates();
-    if (nodes.empty()) {
-        return;
-    }
-    this->isAnswering = false;
-    this->snapshotIndex = {};
-    this->snapshotBytes.clear();
-    this->asked = nodes[++this->turn % nodes.size()];
-}
-
-template <RegistryCodec Codec>
-std::optional<OutboundMessage> RegistryReplica<Codec>::nextRequest(Instant now)
-{
-    if (this->isOut && now - this->askedAt < (this->isAnswering ? patience : firstPatience)) {
-        return std::nullopt;
-    }
-    if (this->isOut || this->asked == NodeId {}) {
-        this->askNext();
-    }
-    if (this->asked == NodeId {}) {
-        return std::nullopt;
-    }
-    this->isOut = true;
-    this->askedAt = now;
-    return OutboundMessage { this->asked, FeedRequest { ++this->sequence, this->registry.appliedIndex(), this->snapshotIndex, this->snapshotBytes.size() } };
 }
 
-template <RegistryCodec Codec>
-Result<bool> RegistryReplica<Codec>::take(Instant now, NodeId from, const FeedReply& reply)
-{
-    if (from != this->asked || reply.sequence != this->sequence) {
-        return false;
-    }
-    this->isOut = false;
-    this->isAnswering = true;
-    this->lastAnswer = now;
-    const auto before = this->registry.appliedIndex();
-    if (reply.snapshotTotalBytes > 0) {
-        if (reply.snapshotOffset == 0) {
-            this->snapshotBytes.clear();
-        }
-        if (reply.snapshotOffset != this->snapshotBytes.size()) {
-            return false;
-        }
-        this->snapshotIndex = reply.snapshotIndex;
-        this->snapshotBytes.insert(this->snapshotBytes.end(), reply.snapshotBytes.begin(), reply.snapshotBytes.end());
-        if (this->snapshotBytes.size() < reply.snapshotTotalBytes) {
-            return false;
-        }
-        auto decoded = this->codec.decode(this->snapshotBytes);
-        this->snapshotIndex = {};
-        this->snapshotBytes.clear();
-        if (!decoded) {
-            return decoded.failure();
-        }
-        if (decoded->appliedIndex > before) {
-            this->registry.restore(std::move(*decoded));
-        }
-    }
-    for (const auto& entry : reply.entries) {
-        if (entry.index.value == this->registry.appliedIndex().value + 1) {
-            static_cast<void>(this->registry.apply(entry.index, entry.command));
-        }
-    }
-    this->hasCaughtUp = this->hasCaughtUp || this->registry.appliedIndex() >= reply.lastIndex;
-    return this->registry.appliedIndex() != before;
-}
-
-}
+#include "core/registry/RegistryReplicaInlines.h"
--- /dev/null
+++ b/src/core/registry/RegistryReplicaInlines.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/registry/RegistryReplica.h"
+
+#include <algorithm>
+
+namespace teaselturn {
+
+template <RegistryCodec Codec>
+std::vector<NodeId> RegistryReplica<Codec>::candidates() const
+{
+    std::vector<NodeId> nodes { this->seeds };
+    for (const auto& member : this->registry.members()) {
+        if (std::ranges::find(nodes, member.node) == nodes.end()) {
+            nodes.push_back(member.node);
+        }
+    }
+    return nodes;
+}
+
+template <RegistryCodec Codec>
+NodeId RegistryReplica<Codec>::nearest(Instant now, NodeId except) const
+{
+    NodeId best;
+    Duration bestRoundTrip {};
+    for (const auto& [node, contact] : this->contacts) {
+        if (node == except || now - contact.heardAt > probeMemory) {
+            continue;
+        }
+        if (best == NodeId {} || contact.roundTrip < bestRoundTrip) {
+            best = node;
+            bestRoundTrip = contact.roundTrip;
+        }
+    }
+    return best;
+}
+
+template <RegistryCodec Codec>
+void RegistryReplica<Codec>::addProbes(Instant now, std::vector<OutboundMessage>& messages)
+{
+    const auto interval = this->isSearching ? searchInterval : probeInterval;
+    if (this->probedAt && now - *this->probedAt < interval) {
+        return;
+    }
+    this->probedAt = now;
+    ++this->probeSequence;
+    for (const auto node : this->candidates()) {
+        messages.push_back({ node, MemberProbe { this->probeSequence } });
+    }
+}
+
+template <RegistryCodec Codec>
+void RegistryReplica<Codec>::takeProbe(Instant now, NodeId from, const MemberProbeReply& reply)
+{
+    if (reply.sequence == this->probeSequence && this->probedAt) {
+        this->contacts[from] = Contact { now, now - *this->probedAt };
+    }
+}
+
+template <RegistryCodec Codec>
+std::vector<OutboundMessage> RegistryReplica<Codec>::nextMessages(Instant now)
+{
+    std::vector<OutboundMessage> messages;
+    this->addProbes(now, messages);
+    if (this->isOut && now - this->askedAt < this->patience) {
+        return messages;
+    }
+    if (this->isOut) {
+        // The member may be lost, or its answer may still be on a slow link.
+        this->isOut = false;
+        this->isSearching = true;
+        this->patience = std::min<Duration>(this->patience * 2, lastPatience);
+        this->contacts.erase(this->asked);
+        this->asked = this->nearest(now, this->asked);
+        this->snapshotIndex = {};
+        this->snapshotBytes.clear();
+    } else if (this->asked == NodeId {}) {
+        this->asked = this->nearest(now, {});
+    }
+    if (this->asked != NodeId {}) {
+        this->isOut = true;
+        this->askedAt = now;
+        messages.push_back({ this->asked, FeedRequest { ++this->sequence, this->registry.appliedIndex(), this->snapshotIndex, this->snapshotBytes.size() } });
+    }
+    return messages;
+}
+
+template <RegistryCodec Codec>
+bool RegistryReplica<Codec>::takeSnapshotPart(const FeedReply& reply)
+{
+    if (reply.snapshotOffset == 0) {
+        this->snapshotBytes.clear();
+    }
+    if (reply.snapshotOffset != this->snapshotBytes.size()) {
+        return false;
+    }
+    this->snapshotIndex = reply.snapshotIndex;
+    this->snapshotBytes.insert(this->snapshotBytes.end(), reply.snapshotBytes.begin(), reply.snapshotBytes.end());
+    return this->snapshotBytes.size() >= reply.snapshotTotalBytes;
+}
+
+template <RegistryCodec Codec>
+Result<bool> RegistryReplica<Codec>::take(Instant now, NodeId from, const FeedReply& reply)
+{
+    if (from != this->asked || reply.sequence != this->sequence || !this->isOut) {
+        return false;
+    }
+    this->isOut = false;
+    this->isSearching = false;
+    this->patience = firstPatience;
+    this->lastAnswer = now;
+    const auto before = this->registry.appliedIndex();
+    if (reply.snapshotTotalBytes > 0) {
+        if (!this->takeSnapshotPart(reply)) {
+            return false;
+        }
+        auto decoded = this->codec.decode(this->snapshotBytes);
+        this->snapshotIndex = {};
+        this->snapshotBytes.clear();
+        if (!decoded) {
+            return decoded.failure();
+        }
+        if (decoded->appliedIndex > before) {
+            this->registry.restore(std::move(*decoded));
+        }
+    }
+    for (const auto& entry : reply.entries) {
+        if (entry.index.value == this->registry.appliedIndex().value + 1) {
+            static_cast<void>(this->registry.apply(entry.index, entry.command));
+        }
+    }
+    this->hasCaughtUp = this->hasCaughtUp || this->registry.appliedIndex() >= reply.lastIndex;
+    return this->registry.appliedIndex() != before;
+}
+
+}
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -124,7 +124,9 @@
         KeyHeartbeat heartbeat;
     };
     struct WaitingItems {
-        CallId call;
+        ChangeItems change;
+        /// The first call and its repeats.
+        std::vector<CallId> calls;
     };
     struct WaitingDeparture {
         CallId call;
@@ -155,6 +157,7 @@
     CallResult elsewhere() const;
     void answer(CallId call, CallResult result) { this->answers.push_back({ call, std::move(result) }); }
     void reply(NodeId to, PeerMessage message) { this->replies.push_back({ to, std::move(message) }); }
+    bool joinPending(CallId call, const ChangeItems& change);
     bool propose(Instant now, Command command, Waiting waiting);
     void answerHeartbeat(Instant now, CallId call, const KeyHeartbeat& heartbeat);
     void followLeadership(Instant now);
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -55,6 +55,10 @@
         this->takeFeedRequest(now, from, *request);
     } else if (const auto* report = std::get_if<KeyLoadReport>(&message)) {
         this->takeLoadReport(now, from, *report);
+    } else if (const auto* probe = std::get_if<MemberProbe>(&message)) {
+        if (this->isInContact(now)) {
+            this->reply(from, MemberProbeReply { probe->sequence });
+        }
     } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
         this->takeJoinRequest(now, from, *join);
     } else {
@@ -164,11 +168,32 @@
         this->answer(call, ItemsAnswer { static_cast<ResultCode>(checked.error().value()), checked.failure().detail });
         return;
     }
-    if (!this->propose(now, std::move(change), WaitingItems { call })) {
+    if (this->registry.isInForce(change)) {
+        this->answer(call, ItemsAnswer {});
+        return;
+    }
+    if (this->joinPending(call, change)) {
+        return;
+    }
+    if (!this->propose(now, change, WaitingItems { change, { call } })) {
         this->answer(call, CallUnavailable {});
     }
 }
 
+/// @return True where the same change is on its way; the call is then answered with it.
+template <RandomSource Random, RegistryCodec Codec>
+bool RegistryService<Random, Codec>::joinPending(CallId call, const ChangeItems& change)
+{
+    for (auto& [index, entry] : this->pending) {
+        auto* items = std::get_if<WaitingItems>(&entry.waiting);
+        if (items != nullptr && items->change == change) {
+            items->calls.push_back(call);
+            return true;
+        }
+    }
+    return false;
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::followLeadership(Instant now)
 {
@@ -326,7 +351,9 @@
         if (const auto* heartbeat = std::get_if<WaitingHeartbeat>(&entry.waiting)) {
             this->answer(heartbeat->call, CallUnavailable {});
         } else if (const auto* items = std::get_if<WaitingItems>(&entry.waiting)) {
-            this->answer(items->call, CallUnavailable {});
+            for (const auto call : items->calls) {
+                this->answer(call, CallUnavailable {});
+            }
         } else if (const auto* departure = std::get_if<WaitingDeparture>(&entry.waiting)) {
             this->answer(departure->call, CallUnavailable {});
         }
@@ -354,7 +381,9 @@
             this->answer(heartbeat->call, CallUnavailable {});
         }
     } else if (const auto* items = std::get_if<WaitingItems>(&held.waiting)) {
-        this->answer(items->call, isOurs ? CallResult { ItemsAnswer { outcome.code, {} } } : CallResult { CallUnavailable {} });
+        for (const auto call : items->calls) {
+            this->answer(call, isOurs ? CallResult { ItemsAnswer { outcome.code, {} } } : CallResult { CallUnavailable {} });
+        }
     } else if (const auto* departure = std::get_if<WaitingDeparture>(&held.waiting)) {
         this->answer(departure->call, isOurs ? CallResult { DepartureAnswer {} } : CallResult { CallUnavailable {} });
     }
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -93,6 +93,13 @@
     return success();
 }
 
+bool RegistryState::isInForce(const ChangeItems& change) const
+{
+    const auto isHeld = [this](ItemKind kind, std::string_view name, std::uint64_t version) { return !this->takesEffect(kind, name, version); };
+    return std::ranges::all_of(change.upserts, [&](const ConfigItem& item) { return isHeld(item.kind(), item.name, item.version); })
+        && std::ranges::all_of(change.deletions, [&](const ItemDeletion& deletion) { return isHeld(deletion.kind, deletion.name, deletion.version); });
+}
+
 ApplyOutcome RegistryState::run(const ChangeItems& command)
 {
     if (const auto checked = this->check(command); !checked) {
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -26,6 +26,8 @@
 
     /// Checks a change as apply() would, without applying it.
     Status check(const ChangeItems& change) const;
+    /// @return True where a valid change would leave every item as it is.
+    bool isInForce(const ChangeItems& change) const;
 
     LogIndex appliedIndex() const noexcept { return this->index; }
     /// @return Index of the latest command that changed an item.
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -145,6 +145,9 @@
         }
         this->gateway.perform(std::move(work));
         this->followFeed();
+    } else if (const auto* probe = std::get_if<MemberProbeReply>(&message)) {
+        const MutexLock lock { this->mutex };
+        this->replica.takeProbe(this->reactor.now(), from, *probe);
     } else if (const auto* load = std::get_if<KeyLoadReply>(&message)) {
         this->gateway.setEntryCount(load->entryCount);
     }
@@ -153,18 +156,18 @@
 template <CallerDialect Dialect>
 void EntryDaemon<Dialect>::followFeed()
 {
-    std::optional<OutboundMessage> request;
+    std::vector<OutboundMessage> messages;
     {
         const MutexLock lock { this->mutex };
         const auto now = this->reactor.now();
-        request = this->replica.nextRequest(now);
+        messages = this->replica.nextMessages(now);
         const bool isLost = this->replica.isComplete() && now - this->replica.answeredAt() > feedLostAfter;
         if (isLost != std::exchange(this->isFeedLost, isLost)) {
             this->logger.log(isLost ? LogEvent::FeedLost : LogEvent::FeedRegained, "", { { "index", this->replica.state().appliedIndex() } });
         }
     }
-    if (request) {
-        this->transport->send(request->to, request->message);
+    for (const auto& [to, message] : messages) {
+        this->transport->send(to, message);
     }
 }
 
