Hold requests of moving keys, feed only from members that are current

Members now answer only once they have applied what their leader had committed a round ago, and an entry VM serves only a complete copy. Cause 2: each request of a moving key met the former owner once; the first refusal now holds the others.

--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -20,6 +20,8 @@
     /// Requests that all entry VMs together keep at a service without keys, for each of its slots. One that waits at
     /// the upstream keeps the slot busy between two requests; more only fill its queue.
     constexpr double roomPerSlot = 2.0;
+    /// Times that a request may meet an upstream that does not hold its key.
+    constexpr std::uint32_t maxMisdirections = 3;
     /// Largest number of requests waiting at one entry VM.
     constexpr std::size_t maxOpenRequests = 4'096;
 
@@ -103,6 +105,13 @@
             continue;
         }
         service->ranges.assign(ranges.begin(), ranges.end());
+        absl::flat_hash_set<std::uint64_t> stillReleased;
+        for (const auto& range : service->ranges) {
+            if (range.isMoving() && service->releasedRanges.contains(rangeNumber(range))) {
+                stillReleased.insert(rangeNumber(range));
+            }
+        }
+        service->releasedRanges = std::move(stillReleased);
         // Requests queue by owner, so they move to their keys' new owners.
         std::vector<ExchangeId> waiting;
         for (const auto& [owner, queue] : service->queues) {
@@ -321,6 +330,18 @@
     }
 }
 
+bool Dispatcher::isHeld(Instant now, const Exchange& exchange) const
+{
+    const auto* range = this->rangeOf(exchange);
+    if (range == nullptr) {
+        return true;
+    }
+    if (range->isMoving() && exchange.service->releasedRanges.contains(rangeNumber(*range))) {
+        return true;
+    }
+    return exchange.holdUntil && now < *exchange.holdUntil && range->fence == exchange.refusedFence;
+}
+
 void Dispatcher::serveKeys(Instant now, Service& service, DispatchDecisions& decisions)
 {
     std::vector<std::pair<ExchangeId, Upstream*>> ready;
@@ -334,10 +355,7 @@
             if (room <= 0) {
                 break;
             }
-            const auto& exchange = *this->exchanges.at(place.id);
-            const auto* range = this->rangeOf(exchange);
-            const bool isHeld = exchange.holdUntil && now < *exchange.holdUntil && range != nullptr && range->fence == exchange.refusedFence;
-            if (!isHeld) {
+            if (!this->isHeld(now, *this->exchanges.at(place.id))) {
                 ready.emplace_back(place.id, owner);
                 --room;
             }
@@ -457,7 +475,7 @@
     this->serve(now, service, decisions);
 }
 
-bool Dispatcher::mayRepeat(Instant now, const Exchange& exchange, AttemptOutcome outcome)
+bool Dispatcher::mayRepeat(Instant now, Exchange& exchange, AttemptOutcome outcome)
 {
     const auto& route = exchange.request.route->item;
     if (route.kind == RequestKind::AtMostOnce && exchange.runs > 0) {
@@ -470,6 +488,13 @@
         // The upstream saw nothing, so neither the attempts nor the budget are touched.
         return true;
     }
+    if (outcome == AttemptOutcome::Misdirected) {
+        // The upstream did not run it, so it counts as no attempt; it counts for the budget all the same.
+        --exchange.sends;
+        if (++exchange.misdirections > maxMisdirections) {
+            return false;
+        }
+    }
     if (exchange.sends >= route.attempts) {
         return false;
     }
@@ -484,6 +509,9 @@
     }
     if (exchange.service->isSharded) {
         const auto* range = this->rangeOf(exchange);
+        if (outcome == AttemptOutcome::Misdirected && range != nullptr && range->owner == exchange.sentTo && range->isMoving()) {
+            exchange.service->releasedRanges.insert(rangeNumber(*range));
+        }
         exchange.refusedFence = range == nullptr ? Fence {} : range->fence;
         exchange.holdUntil = now + misdirectedHold;
         this->deadlines.emplace(*exchange.holdUntil, exchange.request.id);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -9,6 +9,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -93,6 +94,8 @@
         /// Waiting requests by owner of their key; those without an owner wait under an empty key.
         absl::btree_map<UpstreamKey, Queue> queues;
         int inFlight {};
+        /// Moving ranges, by first key and fence, that their owner no longer holds.
+        absl::flat_hash_set<std::uint64_t> releasedRanges;
         absl::flat_hash_map<KeyNumber, KeyUsage> usage;
     };
 
@@ -115,6 +118,7 @@
         /// A key whose owner refused it waits until the owner changes, or until then.
         std::optional<Instant> holdUntil;
         Fence refusedFence;
+        std::uint32_t misdirections {};
     };
 
     Service& service(std::string_view name);
@@ -124,6 +128,9 @@
     bool isDrained(Instant now, const Upstream& upstream) const noexcept;
     std::string_view chooseService(const CompiledRoute& route);
     const KeyRange* rangeOf(const Exchange& exchange) const;
+    static std::uint64_t rangeNumber(const KeyRange& range) noexcept { return range.fence.value * keyNumberCount + range.first; }
+    /// @return True where a key has to wait for its next owner.
+    bool isHeld(Instant now, const Exchange& exchange) const;
 
     std::optional<ResultCode> admissionRefusal(Instant now, const Exchange& exchange);
     Duration expectedWait(Instant now, const Exchange& exchange);
@@ -140,7 +147,7 @@
     void refuse(Instant now, Exchange& exchange, ResultCode reason, DispatchDecisions& decisions);
     void finish(Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions);
     void tryAgain(Instant now, Exchange& exchange, AttemptOutcome outcome, DispatchDecisions& decisions);
-    bool mayRepeat(Instant now, const Exchange& exchange, AttemptOutcome outcome);
+    bool mayRepeat(Instant now, Exchange& exchange, AttemptOutcome outcome);
     void detach(Instant now, Exchange& exchange, std::optional<AttemptOutcome> outcome);
     void expire(Instant now, Exchange& exchange, DispatchDecisions& decisions);
 
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -21,7 +21,7 @@
 /// Bounds of one round of moves.
 struct BalanceLimits {
     /// Most moves begun in one round. A move keeps its keys from being served for some hundred milliseconds.
-    std::size_t moves { 12 };
+    std::size_t moves { 24 };
     /// An upstream gives keys away once its load is this much above its share.
     double surplusBand { 0.15 };
     /// Ranges of one upstream above which it gets no further ones: its whole list has to fit one answer of 4 KiB.
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -27,12 +27,12 @@
     /// How often keys are balanced.
     Duration balanceInterval { std::chrono::milliseconds { 500 } };
     /// How long a move waits for a moment at which the target's next heartbeat follows soon.
-    Duration movePatience { std::chrono::milliseconds { 1'800 } };
+    Duration movePatience { std::chrono::milliseconds { 900 } };
     /// The target's heartbeat has to be at least this far ahead of the source's: the source answers the omission within
     /// 100 ms, and the assignment has to be committed across regions.
     Duration moveLead { std::chrono::milliseconds { 180 } };
     /// A target whose heartbeat is further ahead than this is not worth starting now.
-    Duration moveReach { std::chrono::milliseconds { 480 } };
+    Duration moveReach { std::chrono::milliseconds { 500 } };
 };
 
 /// Grants leases on numbered keys, moves keys and finds upstreams that fell silent. Used by the leader only; everything
--- a/src/core/registry/KeyLoadTable.h
+++ b/src/core/registry/KeyLoadTable.h
@@ -25,9 +25,9 @@
     /// @return Weight of each key: its requests in about the last fadeTime.
     std::span<const float> weights() const noexcept { return this->requests; }
 
-    /// Time in which load fades to a third. Hot keys change within seconds, and a second of load of one upstream is a
-    /// dozen requests, which is too few to judge by.
-    static constexpr std::chrono::seconds fadeTime { 4 };
+    /// Time in which load fades to a third. Hot keys change within seconds, and half a second of load of one upstream is
+    /// a handful of requests, which is too few to judge by.
+    static constexpr std::chrono::seconds fadeTime { 2 };
 
 private:
     std::vector<float> requests;
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -154,6 +154,9 @@
 
     bool leads(Instant now) const noexcept { return this->coordinatedTerm != Term {} && this->member.hasLeaderLease(now); }
     bool isInContact(Instant now) const noexcept;
+    /// @return True where this member has applied what its leader had committed a round ago.
+    bool isCurrent(Instant now) const noexcept;
+    void noteLeader(Instant now, NodeId from, const PeerMessage& message);
     CallResult elsewhere() const;
     void answer(CallId call, CallResult result) { this->answers.push_back({ call, std::move(result) }); }
     void reply(NodeId to, PeerMessage message) { this->replies.push_back({ to, std::move(message) }); }
@@ -189,6 +192,9 @@
     LogIndex takenThrough;
     bool isSnapshotPending {};
     Instant leaderHeardAt;
+    /// Commit index of the leader as its last two messages named it. Empty before the first.
+    std::optional<LogIndex> leaderCommit;
+    std::optional<LogIndex> earlierLeaderCommit;
     Instant joinAskedAt;
     std::size_t pendingDecisions {};
     std::vector<OutboundMessage> replies;
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -56,17 +56,14 @@
     } else if (const auto* report = std::get_if<KeyLoadReport>(&message)) {
         this->takeLoadReport(now, from, *report);
     } else if (const auto* probe = std::get_if<MemberProbe>(&message)) {
-        if (this->isInContact(now)) {
+        if (this->isCurrent(now)) {
             this->reply(from, MemberProbeReply { probe->sequence });
         }
     } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
         this->takeJoinRequest(now, from, *join);
     } else {
-        const auto isFromLeader = std::holds_alternative<AppendRequest>(message) || std::holds_alternative<SnapshotChunk>(message);
         this->member.receive(now, from, message);
-        if (isFromLeader && this->member.leader() == from) {
-            this->leaderHeardAt = now;
-        }
+        this->noteLeader(now, from, message);
     }
     this->followLeadership(now);
 }
@@ -77,6 +74,31 @@
     return this->leads(now) || (this->member.leader() != NodeId {} && this->member.leader() != this->self && now - this->leaderHeardAt < registry::contactPatience);
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+bool RegistryService<Random, Codec>::isCurrent(Instant now) const noexcept
+{
+    if (this->leads(now)) {
+        return true;
+    }
+    return this->isInContact(now) && this->earlierLeaderCommit && this->registry.appliedIndex() >= *this->earlierLeaderCommit;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::noteLeader(Instant now, NodeId from, const PeerMessage& message)
+{
+    std::optional<LogIndex> commit;
+    if (const auto* append = std::get_if<AppendRequest>(&message)) {
+        commit = append->commitIndex;
+    } else if (const auto* chunk = std::get_if<SnapshotChunk>(&message)) {
+        commit = chunk->lastIndex;
+    }
+    if (!commit || this->member.leader() != from) {
+        return;
+    }
+    this->leaderHeardAt = now;
+    this->earlierLeaderCommit = std::exchange(this->leaderCommit, commit);
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 CallResult RegistryService<Random, Codec>::elsewhere() const
 {
@@ -293,7 +315,7 @@
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::takeFeedRequest(Instant now, NodeId from, const FeedRequest& request)
 {
-    if (!this->isInContact(now)) {
+    if (!this->isCurrent(now)) {
         return;
     }
     if (request.appliedIndex < this->registry.appliedIndex()) {
@@ -307,14 +329,14 @@
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::answerFeeds(Instant now)
 {
-    const bool isCurrent = this->isInContact(now);
+    const bool mayAnswer = this->isCurrent(now);
     for (auto waiter = this->feedWaiters.begin(); waiter != this->feedWaiters.end();) {
         const auto hasNews = waiter->second.request.appliedIndex < this->registry.appliedIndex();
         if (!hasNews && now < waiter->second.answerBy) {
             ++waiter;
             continue;
         }
-        if (isCurrent) {
+        if (mayAnswer) {
             this->reply(waiter->first, this->feedReply(waiter->second.request));
         }
         waiter = this->feedWaiters.erase(waiter);
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -139,7 +139,8 @@
             const auto changed = this->replica.take(this->reactor.now(), from, *reply);
             if (!changed) {
                 this->logger.log(LogEvent::MessageDropped, changed.failure().describe(), { { "from", from } });
-            } else if (*changed) {
+            } else if (*changed && this->replica.isComplete()) {
+                // The first parts of the log show an older configuration, which must not come into force.
                 work = this->gateway.applyState(this->replica.state());
             }
         }
