Test the registry, the dispatcher and the platform's wire format; estimate waits by slots

Cause: the wait of a queue was reckoned with the room at upstreams, which holds waiting requests too, so a burst was taken in three times over. Also found by a test: keys without load left a range of one key.

--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -20,6 +20,8 @@
     /// Requests that all entry VMs together keep at a service without keys, for each of its slots. One that waits at
     /// the upstream keeps the slot busy between two requests; more only fill its queue.
     constexpr double roomPerSlot = 2.0;
+    /// Load is uneven between entry VMs, so each may take this much more than its part.
+    constexpr double unevenness = 1.5;
     /// Times that a request may meet an upstream that does not hold its key.
     constexpr std::uint32_t maxMisdirections = 3;
     /// Largest number of requests waiting at one entry VM.
@@ -240,15 +242,20 @@
     return std::nullopt;
 }
 
-double Dispatcher::roomShare(const Service& service) const
+/// @return Requests that upstreams of a service without keys run at a time for this entry VM.
+double Dispatcher::slotShare(const Service& service) const
 {
     double slots = 0;
     for (const auto& key : service.upstreams) {
         const auto found = this->upstreams.find(key);
         slots += found != this->upstreams.end() && found->second.state == UpstreamState::Ready ? std::max(1U, found->second.announcement.requestSlots) : 0;
     }
-    // Load is uneven between entry VMs, so each may take somewhat more than its part.
-    return std::max(2.0, slots * roomPerSlot / this->entryCount * 1.5);
+    return std::max(1.0, slots / this->entryCount * unevenness);
+}
+
+double Dispatcher::roomShare(const Service& service) const
+{
+    return std::max(2.0, this->slotShare(service) * roomPerSlot);
 }
 
 /// @return Time until the requests ahead have been sent; zero where the request can go at once.
@@ -271,7 +278,9 @@
     if (waiting == 0 && this->chooseUpstream(now, service, exchange) != nullptr) {
         return Duration::zero();
     }
-    return scaled(service.usualLatency, (waiting + 1) / std::max(1.0, this->roomShare(service)));
+    // What is under way beyond the slots waits at the upstreams.
+    const auto parallel = this->slotShare(service);
+    return scaled(service.usualLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
 }
 
 Duration Dispatcher::retryAfter(Instant now, const Exchange& exchange)
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -142,6 +142,7 @@
     void serve(Instant now, Service& service, DispatchDecisions& decisions);
     void serveKeys(Instant now, Service& service, DispatchDecisions& decisions);
     Upstream* chooseUpstream(Instant now, Service& service, const Exchange& exchange);
+    double slotShare(const Service& service) const;
     double roomShare(const Service& service) const;
     void send(Instant now, Exchange& exchange, Upstream& target, DispatchDecisions& decisions);
     void refuse(Instant now, Exchange& exchange, ResultCode reason, DispatchDecisions& decisions);
--- a/src/core/registry/KeyBalance.cpp
+++ b/src/core/registry/KeyBalance.cpp
@@ -263,8 +263,8 @@
             if (to == nullptr) {
                 return {};
             }
-            // The last part of a range goes along where only a sliver of the share would be left for it.
-            const auto amount = std::max(to->deficit(), to->share / 8);
+            // A thousandth above the share keeps rounding from leaving a sliver for a range of its own.
+            const auto amount = std::max(to->deficit() + to->share / 1'000, to->share / 8);
             const auto last = keyWeights.endOfRun(first, range.last, amount).value_or(static_cast<KeyNumber>(first));
             grants.push_back({ static_cast<KeyNumber>(first), last, to->holder->key, {} });
             to->load += keyWeights.of(first, last);
--- /dev/null
+++ b/tests/core/dispatch/DispatcherTest.cpp
@@ -0,0 +1,300 @@
+#include "core/dispatch/DispatchFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+const auto once = DispatchFixture::route("plain", RequestKind::AtMostOnce);
+const auto repeatable = DispatchFixture::route("plain", RequestKind::Idempotent);
+const auto keyed = DispatchFixture::route("keys", RequestKind::Idempotent);
+
+}
+
+TEST_CASE("a request that must not run twice is not sent again once it may have run")
+{
+    DispatchFixture fixture;
+    fixture.add("a", "plain");
+    fixture.add("b", "plain");
+    fixture.sync();
+    const auto id = fixture.submit(once);
+    REQUIRE(fixture.decided<SendRequest>().size() == 1);
+    fixture.forget();
+    SECTION("the answer is lost")
+    {
+        fixture.end(id, AttemptOutcome::Lost);
+        CHECK(fixture.decided<FailRequest>().size() == 1);
+    }
+    SECTION("the upstream failed while it ran")
+    {
+        fixture.end(id, AttemptOutcome::Failed);
+        CHECK(fixture.decided<DeliverAnswer>().size() == 1);
+    }
+    CHECK(fixture.decided<SendRequest>().empty());
+    CHECK(fixture.decided<RefuseRequest>().empty());
+}
+
+TEST_CASE("a request that did not run goes to another upstream")
+{
+    DispatchFixture fixture;
+    fixture.add("a", "plain");
+    fixture.add("b", "plain");
+    fixture.sync();
+    const auto id = fixture.submit(once);
+    const auto first = fixture.decided<SendRequest>().at(0).upstream;
+    fixture.forget();
+    fixture.end(id, AttemptOutcome::Full);
+    REQUIRE(fixture.decided<SendRequest>().size() == 1);
+    CHECK(fixture.decided<SendRequest>()[0].upstream != first);
+}
+
+TEST_CASE("attempts bound how often a request is sent")
+{
+    DispatchFixture fixture;
+    for (const auto* name : { "a", "b", "c" }) {
+        fixture.add(name, "plain");
+    }
+    fixture.sync();
+    const auto id = fixture.submit(once);
+    fixture.end(id, AttemptOutcome::Full);
+    fixture.end(id, AttemptOutcome::Full);
+    CHECK(fixture.decided<SendRequest>().size() == 2);
+    CHECK(fixture.decided<RefuseRequest>().size() == 1);
+}
+
+TEST_CASE("a repeatable request that may have run is never refused as not run")
+{
+    DispatchFixture fixture;
+    fixture.add("a", "plain");
+    fixture.sync();
+    const auto id = fixture.submit(repeatable);
+    fixture.end(id, AttemptOutcome::Lost);
+    fixture.now += milliseconds { 1'001 };
+    fixture.dispatcher.advance(fixture.now, fixture.decisions);
+    CHECK(fixture.decided<RefuseRequest>().empty());
+    CHECK(fixture.decided<FailRequest>().size() == 1);
+}
+
+TEST_CASE("retries of a service stay within the budget of the window")
+{
+    DispatchFixture fixture { { "z1", {}, 1, 200, 10, milliseconds { 10'000 } } };
+    fixture.dispatcher.setEntryCount(10);
+    for (int i = 0; i < 20; ++i) {
+        fixture.add("u" + std::to_string(i), "plain");
+    }
+    fixture.sync();
+    std::size_t retries = 0;
+    for (int i = 0; i < 200; ++i) {
+        fixture.forget();
+        const auto id = fixture.submit(once);
+        if (fixture.decided<SendRequest>().empty()) {
+            continue;
+        }
+        fixture.forget();
+        fixture.end(id, AttemptOutcome::Full);
+        retries += fixture.decided<SendRequest>().size();
+        if (!fixture.decided<SendRequest>().empty()) {
+            fixture.end(id, AttemptOutcome::Answered);
+        }
+    }
+    CHECK(retries <= 200 / 5 + 10 / 10);
+}
+
+TEST_CASE("a request for a key goes to its owner, and one without an owner is refused at once")
+{
+    DispatchFixture fixture;
+    const auto owner = fixture.add("owner", "keys");
+    fixture.add("other", "keys");
+    fixture.apply(AssignKeyRanges { "keys", { { 0, 999, owner.key, "" } } });
+    fixture.sync();
+    fixture.submit(keyed, 500);
+    CHECK(fixture.decided<SendRequest>().at(0).upstream == owner.key);
+    fixture.forget();
+    fixture.submit(keyed, 5'000);
+    CHECK(fixture.decided<RefuseRequest>().at(0).reason == ResultCode::RequestNoOwner);
+}
+
+TEST_CASE("requests of a moving key wait for the next owner without asking the former one again")
+{
+    DispatchFixture fixture;
+    const auto from = fixture.add("from", "keys");
+    const auto to = fixture.add("to", "keys");
+    fixture.apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, from.key, "" } } });
+    fixture.apply(BeginKeyMoves { "keys", { { 0, 99, to.key } } });
+    fixture.sync();
+    const auto first = fixture.submit(keyed, 5);
+    fixture.end(first, AttemptOutcome::Misdirected);
+    fixture.forget();
+    fixture.submit(keyed, 6);
+    fixture.now += milliseconds { 200 };
+    fixture.dispatcher.advance(fixture.now, fixture.decisions);
+    CHECK(fixture.decided<SendRequest>().empty());
+    fixture.apply(AssignKeyRanges { "keys", { { 0, 99, to.key, "token" } } });
+    fixture.sync();
+    REQUIRE(fixture.decided<SendRequest>().size() == 2);
+    CHECK(fixture.decided<SendRequest>()[0].upstream == to.key);
+}
+
+TEST_CASE("an upstream that leaves gets no request after the drain time")
+{
+    DispatchFixture fixture;
+    auto owner = fixture.add("owner", "keys");
+    fixture.apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, owner.key, "" } } });
+    owner.isDraining = true;
+    fixture.apply(owner);
+    fixture.sync();
+    fixture.submit(keyed, 5);
+    CHECK(fixture.decided<SendRequest>().size() == 1);
+    fixture.forget();
+    fixture.now += milliseconds { 2'000 };
+    fixture.submit(keyed, 6);
+    CHECK(fixture.decided<SendRequest>().empty());
+    CHECK(fixture.decided<RefuseRequest>().size() == 1);
+}
+
+TEST_CASE("an upstream without keys that leaves gets no further request")
+{
+    DispatchFixture fixture;
+    auto leaving = fixture.add("leaving", "plain");
+    leaving.isDraining = true;
+    fixture.apply(leaving);
+    fixture.sync();
+    fixture.submit(once);
+    CHECK(fixture.decided<SendRequest>().empty());
+}
+
+TEST_CASE("failures close an upstream, and one request at a time tries it again")
+{
+    DispatchFixture fixture;
+    fixture.add("only", "plain");
+    fixture.sync();
+    for (int i = 0; i < 2; ++i) {
+        fixture.end(fixture.submit(once), AttemptOutcome::Lost);
+    }
+    fixture.forget();
+    fixture.submit(once);
+    CHECK(fixture.decided<RefuseRequest>().at(0).reason == ResultCode::RequestCircuitOpen);
+    fixture.now += milliseconds { 300 };
+    fixture.forget();
+    fixture.submit(once);
+    fixture.submit(once);
+    CHECK(fixture.decided<SendRequest>().size() == 1);
+}
+
+TEST_CASE("a caller that leaves ends the attempt and makes room")
+{
+    DispatchFixture fixture;
+    fixture.add("only", "plain");
+    fixture.sync();
+    const auto first = fixture.submit(once);
+    fixture.submit(once);
+    fixture.submit(once);
+    fixture.forget();
+    fixture.dispatcher.cancel(fixture.now, first, fixture.decisions);
+    CHECK(fixture.decided<AbandonAttempt>().size() == 1);
+    CHECK(fixture.decided<SendRequest>().size() == 1);
+    CHECK(fixture.dispatcher.openRequests() == 2);
+}
+
+TEST_CASE("a request under way at its deadline ends as unknown, a queued one as not run")
+{
+    DispatchFixture fixture;
+    fixture.add("only", "plain");
+    fixture.sync();
+    for (int i = 0; i < 3; ++i) {
+        fixture.submit(DispatchFixture::route("plain", RequestKind::AtMostOnce, milliseconds { 1'000 }));
+    }
+    const auto sent = fixture.decided<SendRequest>().size();
+    REQUIRE(sent == 2);
+    fixture.forget();
+    fixture.now += milliseconds { 1'000 };
+    fixture.dispatcher.advance(fixture.now, fixture.decisions);
+    CHECK(fixture.decided<FailRequest>().size() >= 2);
+    CHECK(fixture.decided<FailRequest>().size() + fixture.decided<RefuseRequest>().size() == 3);
+    CHECK(fixture.dispatcher.openRequests() == 0);
+}
+
+TEST_CASE("a burst beyond what can be answered in time is refused on arrival")
+{
+    // Replays the load pattern of many users at once at a service with few slots.
+    DispatchFixture fixture;
+    fixture.add("a", "plain");
+    fixture.add("b", "plain");
+    fixture.sync();
+    for (int i = 0; i < 200; ++i) {
+        fixture.submit(once);
+    }
+    const auto refused = fixture.decided<RefuseRequest>();
+    CHECK(refused.size() > 150);
+    for (const auto& refusal : refused) {
+        CHECK(refusal.reason == ResultCode::RequestShed);
+        CHECK(refusal.retryAfter > Duration::zero());
+    }
+}
+
+TEST_CASE("refused callers are asked to return at different times")
+{
+    DispatchFixture fixture;
+    fixture.sync();
+    std::set<Duration> times;
+    for (int i = 0; i < 20; ++i) {
+        fixture.submit(once);
+    }
+    for (const auto& refusal : fixture.decided<RefuseRequest>()) {
+        times.insert(refusal.retryAfter);
+    }
+    CHECK(times.size() > 15);
+}
+
+TEST_CASE("entry VMs prefer different upstreams where nothing is measured")
+{
+    std::set<std::string> chosen;
+    for (std::uint64_t spread = 1; spread <= 20; ++spread) {
+        DispatchFixture fixture { { "z1", {}, spread, 200, 100, milliseconds { 10'000 } } };
+        for (int i = 0; i < 10; ++i) {
+            fixture.add("u" + std::to_string(i), "plain");
+        }
+        fixture.sync();
+        fixture.submit(once);
+        chosen.insert(fixture.decided<SendRequest>().at(0).upstream.name);
+    }
+    CHECK(chosen.size() >= 5);
+}
+
+TEST_CASE("upstreams of the own region come first")
+{
+    DispatchFixture fixture { { "z1", { { "z1", "r1" }, { "z9", "r9" } }, 1, 200, 100, milliseconds { 10'000 } } };
+    auto far = announcement("far", "plain");
+    far.zone = "z9";
+    fixture.apply(far);
+    fixture.add("near", "plain");
+    fixture.sync();
+    fixture.submit(once);
+    CHECK(fixture.decided<SendRequest>().at(0).upstream.name == "near");
+}
+
+TEST_CASE("weights of a route are kept exactly")
+{
+    DispatchFixture fixture;
+    fixture.apply(ChangeItems { { serviceItem("second", false) }, {} });
+    fixture.sync();
+    auto item = std::get<RouteItem>(routeItem("r", "plain").content);
+    item.shares = { { "plain", 90'000 }, { "second", 10'000 } };
+    const auto split = std::make_shared<const CompiledRoute>(CompiledRoute { "split", 1, item });
+    fixture.add("a", "plain");
+    fixture.add("b", "second");
+    fixture.sync();
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 100; ++i) {
+        fixture.forget();
+        const auto id = fixture.submit(split);
+        REQUIRE(fixture.decided<SendRequest>().size() == 1);
+        ++counts[fixture.decided<SendRequest>()[0].upstream.name];
+        fixture.end(id, AttemptOutcome::Answered);
+    }
+    CHECK(counts["a"] == 90);
+    CHECK(counts["b"] == 10);
+}
--- /dev/null
+++ b/tests/core/dispatch/RouteIndexTest.cpp
@@ -0,0 +1,35 @@
+#include "core/dispatch/RouteIndex.h"
+
+#include "core/registry/RegistryFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+
+namespace {
+
+ConfigItem routeAt(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    auto item = routeItem(name, "a");
+    std::get<RouteItem>(item.content).host = host;
+    std::get<RouteItem>(item.content).pathPrefix = prefix;
+    return item;
+}
+
+}
+
+TEST_CASE("the longest prefix of the host wins")
+{
+    RegistryState state;
+    REQUIRE(applyNext(state, ChangeItems { { serviceItem("a", false), routeAt("short", "One.example", "/x/"), routeAt("long", "one.example", "/x/y/"), routeAt("other", "two.example", "/") }, {} }) == ResultCode::Ok);
+    const RouteIndex index { state };
+    CHECK(index.size() == 3);
+    CHECK(index.find("one.example", "/x/z")->name == "short");
+    CHECK(index.find("ONE.example", "/x/y/z")->name == "long");
+    CHECK(index.find("one.example", "/x/yz")->name == "short");
+    CHECK(index.find("one.example", "/z") == nullptr);
+    CHECK(index.find("three.example", "/x/") == nullptr);
+    CHECK(index.find("two.example", "/anything/at/all")->name == "other");
+    CHECK(index.find(std::string(300, 'h'), "/") == nullptr);
+}
--- /dev/null
+++ b/tests/core/dispatch/UpstreamLoadTest.cpp
@@ -0,0 +1,69 @@
+#include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/UpstreamLoad.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using std::chrono::milliseconds;
+
+TEST_CASE("the limit grows on usual latency and shrinks where the upstream has no room")
+{
+    UpstreamLoad load { 4 };
+    Instant now { std::chrono::seconds { 10 } };
+    for (int i = 0; i < 30; ++i) {
+        load.sent(now);
+        load.ended(now, AttemptOutcome::Answered, milliseconds { 50 });
+    }
+    CHECK(load.currentLimit() >= 4);
+    load.sent(now);
+    load.ended(now, AttemptOutcome::Full, milliseconds { 1 });
+    CHECK(load.currentLimit() <= 2.5);
+    // A burst of refusals counts once.
+    load.sent(now);
+    load.ended(now, AttemptOutcome::Full, milliseconds { 1 });
+    CHECK(load.currentLimit() >= 2);
+}
+
+TEST_CASE("latency that doubles makes the limit shrink before the upstream refuses")
+{
+    UpstreamLoad load { 4 };
+    Instant now { std::chrono::seconds { 10 } };
+    for (int i = 0; i < 40; ++i) {
+        load.sent(now);
+        load.ended(now, AttemptOutcome::Answered, milliseconds { 50 });
+    }
+    const auto before = load.currentLimit();
+    for (int i = 0; i < 4; ++i) {
+        now += milliseconds { 150 };
+        load.sent(now);
+        load.ended(now, AttemptOutcome::Answered, milliseconds { 250 });
+    }
+    CHECK(load.currentLimit() < before);
+}
+
+TEST_CASE("a silent upstream is expected to be slow before its answers are lost")
+{
+    UpstreamLoad load { 4 };
+    Instant now { std::chrono::seconds { 10 } };
+    load.sent(now);
+    load.ended(now, AttemptOutcome::Answered, milliseconds { 50 });
+    const auto before = load.expectedLatency(now, milliseconds { 50 });
+    load.sent(now);
+    now += milliseconds { 500 };
+    CHECK(load.expectedLatency(now, milliseconds { 50 }) > before * 5);
+}
+
+TEST_CASE("retries of a window do not exceed their share of the requests and the slack")
+{
+    RetryWindow window;
+    const RetryAllowance allowance { 200, 58, milliseconds { 10'000 } };
+    Instant now { std::chrono::seconds { 100 } };
+    std::uint32_t retries = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        window.request(now, allowance);
+        retries += window.tryRetry(now, allowance, 9) ? 1 : 0;
+        now += milliseconds { 5 };
+    }
+    CHECK(retries <= 200 + 58 / 9);
+    CHECK(retries > 100);
+}
--- /dev/null
+++ b/tests/core/registry/KeyBalanceTest.cpp
@@ -0,0 +1,139 @@
+#include "core/registry/KeyBalance.h"
+
+#include "core/registry/KeyRanges.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace teaselturn;
+
+namespace {
+
+std::vector<KeyHolder> equalHolders(int count)
+{
+    std::vector<KeyHolder> holders;
+    for (int i = 0; i < count; ++i) {
+        holders.push_back({ { "u" + std::to_string(i), 1 }, 3, true });
+    }
+    return holders;
+}
+
+std::vector<KeyRange> placeAll(std::span<const KeyHolder> holders, std::span<const float> weights)
+{
+    auto ranges = emptyKeyRanges();
+    const auto grants = placeFreeKeys(
+        ranges, [](const KeyRange& range) { return !range.isOwned(); }, holders, weights);
+    for (const auto& grant : grants) {
+        grantKeys(ranges, grant, Fence { 1 });
+    }
+    joinKeyRanges(ranges);
+    return ranges;
+}
+
+/// Carries moves out at once.
+void carryOut(std::vector<KeyRange>& ranges, std::span<const KeyRangeMove> moves)
+{
+    for (const auto& move : moves) {
+        grantKeys(ranges, { move.first, move.last, move.target, "" }, Fence { 2 });
+    }
+}
+
+std::map<std::string, double> loadByOwner(std::span<const KeyRange> ranges, std::span<const float> weights)
+{
+    std::map<std::string, double> loads;
+    for (const auto& range : ranges) {
+        for (std::uint32_t key = range.first; key <= range.last; ++key) {
+            loads[range.owner.name] += weights[key];
+        }
+    }
+    return loads;
+}
+
+}
+
+TEST_CASE("keys without load are shared out by capacity")
+{
+    const auto holders = equalHolders(17);
+    const auto ranges = placeAll(holders, {});
+    CHECK(ranges.size() == 17);
+    for (const auto& range : ranges) {
+        const auto width = range.last - range.first + 1;
+        CHECK(width > 3'500);
+        CHECK(width < 4'200);
+    }
+}
+
+TEST_CASE("nothing is placed where no holder takes keys")
+{
+    auto holders = equalHolders(1);
+    holders[0].takesKeys = false;
+    const auto ranges = emptyKeyRanges();
+    const auto grants = placeFreeKeys(
+        ranges, [](const KeyRange&) { return true; }, holders, {});
+    CHECK(grants.empty());
+}
+
+TEST_CASE("hot neighbouring keys are split between holders within a few rounds")
+{
+    // Replays the load pattern of a hot range: a third of all requests for 200 keys that lie side by side.
+    const auto holders = equalHolders(17);
+    std::vector<float> weights(keyNumberCount, 300.0F / keyNumberCount);
+    for (std::uint32_t key = 20'000; key < 20'200; ++key) {
+        weights[key] += 150.0F / 200;
+    }
+    auto ranges = placeAll(holders, {});
+    const auto total = 450.0;
+    CHECK(loadByOwner(ranges, weights).begin()->second < total);
+    for (int round = 0; round < 4; ++round) {
+        carryOut(ranges, planKeyMoves(ranges, holders, weights, {}));
+    }
+    for (const auto& [owner, load] : loadByOwner(ranges, weights)) {
+        CHECK(load < total / 17 * 1.4);
+    }
+}
+
+TEST_CASE("a key that is more than a holder's share is left alone with its owner")
+{
+    const auto holders = equalHolders(4);
+    std::vector<float> weights(keyNumberCount, 100.0F / keyNumberCount);
+    weights[30'000] = 100;
+    auto ranges = placeAll(holders, {});
+    for (int round = 0; round < 6; ++round) {
+        carryOut(ranges, planKeyMoves(ranges, holders, weights, {}));
+    }
+    const auto owner = findKeyRange(ranges, 30'000)->owner.name;
+    CHECK(loadByOwner(ranges, weights)[owner] < 100 * 1.3);
+}
+
+TEST_CASE("a holder that leaves gives every key away at once")
+{
+    auto holders = equalHolders(5);
+    const auto ranges = placeAll(holders, {});
+    holders[2].takesKeys = false;
+    auto moved = ranges;
+    const auto moves = planKeyMoves(ranges, holders, {}, {});
+    for (const auto& move : moves) {
+        CHECK(move.target.name != "u2");
+    }
+    carryOut(moved, moves);
+    for (const auto& range : moved) {
+        CHECK(range.owner.name != "u2");
+    }
+}
+
+TEST_CASE("a balanced service is left alone")
+{
+    const auto holders = equalHolders(8);
+    const std::vector<float> weights(keyNumberCount, 0.01F);
+    CHECK(planKeyMoves(placeAll(holders, weights), holders, weights, {}).empty());
+}
+
+TEST_CASE("a new holder gets its share")
+{
+    auto holders = equalHolders(4);
+    const std::vector<float> weights(keyNumberCount, 0.01F);
+    auto ranges = placeAll(holders, weights);
+    holders.push_back({ { "new", 1 }, 3, true });
+    carryOut(ranges, planKeyMoves(ranges, holders, weights, {}));
+    CHECK(loadByOwner(ranges, weights)["new"] > 0.01 * keyNumberCount / 5 * 0.7);
+}
--- /dev/null
+++ b/tests/core/registry/KeyCoordinatorTest.cpp
@@ -0,0 +1,175 @@
+#include "core/registry/KeyCoordinator.h"
+
+#include "core/registry/RegistryFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A coordinator over a state whose entries are applied at once, with two upstreams of a sharded service.
+struct Leader {
+    RegistryState state;
+    KeyCoordinator coordinator;
+    RegisterUpstream from = announcement("from", "k");
+    RegisterUpstream to = announcement("to", "k");
+    Instant now { std::chrono::seconds { 100 } };
+
+    Leader()
+    {
+        this->apply(ChangeItems { { serviceItem("k", true) }, {} });
+        this->apply(this->from);
+        this->apply(this->to);
+        this->apply(AssignKeyRanges { "k", { { 0, keyNumberCount - 1, this->from.key, "" } } });
+        this->coordinator.becameLeader(this->now, this->state);
+    }
+
+    void apply(const Command& command) { REQUIRE(applyNext(this->state, command) == ResultCode::Ok); }
+
+    KeyHeartbeatAnswer beat(const KeyHeartbeat& message)
+    {
+        REQUIRE(this->coordinator.note(this->now, message));
+        return this->coordinator.answer(this->now, message, this->state);
+    }
+
+    std::vector<Command> releases(const KeyHeartbeat& message)
+    {
+        REQUIRE(this->coordinator.note(this->now, message));
+        return this->coordinator.takeReleases(message, this->state);
+    }
+};
+
+bool grants(const KeyHeartbeatAnswer& answer, KeyNumber key)
+{
+    return std::ranges::any_of(answer.grants, [key](const KeyRange& range) { return range.first <= key && key <= range.last; });
+}
+
+const HeldKeys everything { 0, keyNumberCount - 1, Fence { 4 } };
+
+}
+
+TEST_CASE("keys on their way are not granted again before the next owner has them")
+{
+    // Guards against two holders: the heartbeat that shows the release was answered with the released keys.
+    Leader leader;
+    CHECK(grants(leader.beat(heartbeat(leader.from, 1, { everything })), 5));
+    leader.apply(BeginKeyMoves { "k", { { 0, 99, leader.to.key } } });
+    leader.beat(heartbeat(leader.to, 1));
+    leader.now += milliseconds { 1'000 };
+    // The move waits at most movePatience for a good moment.
+    static_cast<void>(leader.beat(heartbeat(leader.from, 2, { everything })));
+    leader.now += milliseconds { 1'000 };
+    const auto omitting = leader.beat(heartbeat(leader.from, 3, { everything }));
+    REQUIRE(!grants(omitting, 5));
+    CHECK(grants(omitting, 500));
+    leader.now += milliseconds { 100 };
+    const auto showing = heartbeat(leader.from, 4, { { 100, keyNumberCount - 1, Fence { 4 } } }, { { 0, 99, "token" } });
+    const auto commands = leader.releases(showing);
+    REQUIRE(commands.size() == 1);
+    CHECK(std::get<AssignKeyRanges>(commands[0]).grants.at(0) == KeyRangeGrant { 0, 99, leader.to.key, "token" });
+    // The assignment is not applied yet.
+    CHECK(!grants(leader.coordinator.answer(leader.now, showing, leader.state), 5));
+    leader.apply(commands[0]);
+    CHECK(!grants(leader.beat(heartbeat(leader.from, 5, { { 100, keyNumberCount - 1, Fence { 4 } } })), 5));
+    CHECK(grants(leader.beat(heartbeat(leader.to, 2)), 5));
+}
+
+TEST_CASE("keys that their owner still works on are not passed on")
+{
+    Leader leader;
+    leader.apply(BeginKeyMoves { "k", { { 0, 99, leader.to.key } } });
+    leader.beat(heartbeat(leader.to, 1));
+    static_cast<void>(leader.beat(heartbeat(leader.from, 1, { everything })));
+    leader.now += milliseconds { 2'000 };
+    REQUIRE(!grants(leader.beat(heartbeat(leader.from, 2, { everything })), 5));
+    leader.now += milliseconds { 100 };
+    CHECK(leader.releases(heartbeat(leader.from, 3, { everything })).empty());
+}
+
+TEST_CASE("a heartbeat that a later one overtook renews nothing")
+{
+    Leader leader;
+    REQUIRE(leader.coordinator.note(leader.now, heartbeat(leader.from, 5)));
+    CHECK(!leader.coordinator.note(leader.now, heartbeat(leader.from, 4)));
+    CHECK(!leader.coordinator.note(leader.now, heartbeat(leader.from, 5)));
+}
+
+TEST_CASE("keys of a silent upstream wait for the end of its lease")
+{
+    Leader leader;
+    static_cast<void>(leader.beat(heartbeat(leader.from, 1, { everything })));
+    const KeyLeaseTiming timing;
+    const auto leaseEnd = leader.now + timing.lease + timing.lease / timing.driftDivisor;
+    leader.apply(RemoveUpstream { leader.from.key, false });
+    leader.beat(heartbeat(leader.to, 1));
+    leader.now = leaseEnd - milliseconds { 10 };
+    for (const auto& command : leader.coordinator.decide(leader.now, leader.state)) {
+        CHECK(!std::holds_alternative<AssignKeyRanges>(command));
+    }
+    leader.now = leaseEnd + milliseconds { 1 };
+    const auto commands = leader.coordinator.decide(leader.now, leader.state);
+    CHECK(std::ranges::any_of(commands, [](const Command& command) { return std::holds_alternative<AssignKeyRanges>(command); }));
+}
+
+TEST_CASE("a new leader assumes that every lease was granted just before it began")
+{
+    Leader leader;
+    leader.apply(RemoveUpstream { leader.from.key, false });
+    leader.beat(heartbeat(leader.to, 1));
+    leader.now += milliseconds { 3'900 };
+    for (const auto& command : leader.coordinator.decide(leader.now, leader.state)) {
+        CHECK(!std::holds_alternative<AssignKeyRanges>(command));
+    }
+}
+
+TEST_CASE("a restart frees the keys of the former start at once")
+{
+    Leader leader;
+    static_cast<void>(leader.beat(heartbeat(leader.from, 1, { everything })));
+    auto restarted = leader.from;
+    restarted.key.incarnation = 2;
+    leader.apply(restarted);
+    leader.beat(heartbeat(restarted, 1));
+    const auto commands = leader.coordinator.decide(leader.now + milliseconds { 1 }, leader.state);
+    CHECK(std::ranges::any_of(commands, [](const Command& command) { return std::holds_alternative<AssignKeyRanges>(command); }));
+}
+
+TEST_CASE("an upstream that leaves is asked for its keys at once")
+{
+    Leader leader;
+    static_cast<void>(leader.beat(heartbeat(leader.from, 1, { everything })));
+    leader.beat(heartbeat(leader.to, 1));
+    auto leaving = leader.from;
+    leaving.isDraining = true;
+    leader.apply(leaving);
+    const auto commands = leader.coordinator.decide(leader.now + milliseconds { 25 }, leader.state);
+    REQUIRE(commands.size() == 1);
+    leader.apply(commands[0]);
+    leader.now += milliseconds { 50 };
+    CHECK(leader.beat(heartbeat(leaving, 2, { everything })).grants.empty());
+}
+
+TEST_CASE("a silent upstream is reported once its lease has ended")
+{
+    Leader leader;
+    leader.beat(heartbeat(leader.to, 1));
+    leader.now += milliseconds { 3'000 };
+    leader.beat(heartbeat(leader.to, 2));
+    leader.now += milliseconds { 1'500 };
+    const auto commands = leader.coordinator.decide(leader.now, leader.state);
+    CHECK(std::ranges::any_of(commands, [&](const Command& command) { return command == Command { RemoveUpstream { leader.from.key, false } }; }));
+    CHECK(std::ranges::none_of(commands, [&](const Command& command) { return command == Command { RemoveUpstream { leader.to.key, false } }; }));
+}
+
+TEST_CASE("a late announcement does not undo the departure")
+{
+    Leader leader;
+    auto leaving = leader.from;
+    leaving.isDraining = true;
+    leader.apply(leaving);
+    CHECK(!leader.coordinator.registration(heartbeat(leader.from, 9), leader.state));
+    CHECK(leader.coordinator.registration(heartbeat(announcement("new", "k"), 1), leader.state));
+}
--- /dev/null
+++ b/tests/platform/PlatformWireTest.cpp
@@ -0,0 +1,195 @@
+#include "platform/CallerHeaders.h"
+#include "platform/ControlApi.h"
+#include "platform/HeartbeatWire.h"
+#include "platform/ItemsJson.h"
+#include "platform/PlatformSettings.h"
+
+#include "core/registry/RegistryFixture.h"
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::platform;
+using namespace teaselturn::support;
+using nlohmann::json;
+
+namespace {
+
+const json routeJson = json::parse(R"({"host":"h.example","path_prefix":"/p/","kind":"safe","timeout_s":1.2,"target_latency_s":0.3,
+    "priority":2,"traffic_split":[{"service":"a","weight":90},{"service":"b","weight":10}],"attempts":2,"version":"0000000c"})");
+const json serviceJson = json::parse(R"({"health_check_path":"/healthz","max_connections":110,"sharded":true,"warm_s":5.0,"version":"00000007"})");
+
+std::string firstCall()
+{
+    return json { { "upsert", { { "routes", { { "r", routeJson } } }, { "services", { { "a", serviceJson }, { "b", serviceJson } } }, { "limits", { { "max_header_bytes", 100 }, { "idle_timeout_s", 15 }, { "version", "00000007" } } } } }, { "delete", { { "routes", json::array({ { { "name", "old" }, { "version", "00000010" } } }) } } } }.dump();
+}
+
+ReceivedRequest request(std::string method, std::string target, std::vector<HttpHeader> headers = {}, std::string body = {})
+{
+    return { std::move(method), std::move(target), std::move(headers), std::move(body), true };
+}
+
+ReceivedResponse response(unsigned status, std::vector<HttpHeader> headers)
+{
+    return { status, std::move(headers), "body", true };
+}
+
+const CallerFacts facts { "id-1", "h.example", std::chrono::seconds { 1 }, std::nullopt };
+
+}
+
+TEST_CASE("items are read with their versions, units and shares")
+{
+    const auto change = readItems(firstCall());
+    REQUIRE(change);
+    REQUIRE(change->upserts.size() == 4);
+    const auto& item = change->upserts[0];
+    const auto& route = std::get<RouteItem>(item.content);
+    CHECK(item.version == 12);
+    CHECK(route.kind == RequestKind::Idempotent);
+    CHECK(route.timeout == std::chrono::milliseconds { 1'200 });
+    CHECK(route.shares == std::vector<TrafficShare> { { "a", 90'000 }, { "b", 10'000 } });
+    CHECK(std::get<ServiceItem>(change->upserts[1].content).isSharded);
+    CHECK(std::get<CallerLimits>(change->upserts[3].content).maxHeaderBytes == 100);
+    CHECK(change->deletions == std::vector<ItemDeletion> { { ItemKind::Route, "old", 16 } });
+}
+
+TEST_CASE("calls that cannot be read in full are refused")
+{
+    CHECK(!readItems("{\"upsert\":{\"routes\":{"));
+    CHECK(!readItems("[]"));
+    auto bad = routeJson;
+    SECTION("unknown kind") { bad["kind"] = "sometimes"; }
+    SECTION("no version") { bad.erase("version"); }
+    SECTION("version not hexadecimal") { bad["version"] = "xyz"; }
+    SECTION("negative timeout") { bad["timeout_s"] = -1; }
+    SECTION("neither service nor split") { bad.erase("traffic_split"); }
+    CHECK(!readItems(json { { "upsert", { { "routes", { { "r", bad } } } } } }.dump()));
+}
+
+TEST_CASE("items are read back as they were written")
+{
+    RegistryState state;
+    REQUIRE(applyNext(state, *readItems(firstCall())) == ResultCode::Ok);
+    const auto back = json::parse(writeItems(state));
+    CHECK(back["routes"]["r"] == routeJson);
+    CHECK(back["services"]["a"] == serviceJson);
+    CHECK(back["limits"]["version"] == "00000007");
+}
+
+TEST_CASE("a check-in is read whole or not at all")
+{
+    const std::string body = R"({"service":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,"state":"draining","warmup_left_s":0,"sequence":4,"born":1700000000000,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})";
+    const auto beat = readHeartbeat("i-1", body);
+    REQUIRE(beat);
+    CHECK(beat->announcement.key == UpstreamKey { "i-1", 1'700'000'000'000 });
+    CHECK(beat->announcement.endpoint == Endpoint { "10.128.0.9", 8'080 });
+    CHECK(beat->announcement.isDraining);
+    CHECK(beat->held == std::vector<HeldKeys> { { 0, 4'095, Fence { 7 } } });
+    CHECK(beat->released == std::vector<ReleasedKeys> { { 4'096, 8'191, "5c0e" } });
+    for (const auto* field : { "service", "address", "zone", "slots", "state", "sequence" }) {
+        auto document = json::parse(body);
+        document.erase(field);
+        CHECK(!readHeartbeat("i-1", document.dump()));
+        document[field] = json::array();
+        CHECK(!readHeartbeat("i-1", document.dump()));
+    }
+    auto document = json::parse(body);
+    document["state"] = "resting";
+    CHECK(!readHeartbeat("i-1", document.dump()));
+    CHECK(!readHeartbeat("i-1", "\xff\xfe"));
+}
+
+TEST_CASE("an answer without grants renews nothing")
+{
+    const Endpoint control { "10.0.0.4", 8'080 };
+    CHECK(!json::parse(writeHeartbeatAnswer({}, control)).contains("holds"));
+    const KeyHeartbeatAnswer answer { true, { { 0, 9, { "i-1", 1 }, Fence { 12 }, "token", {} } }, std::chrono::seconds { 4 } };
+    const auto document = json::parse(writeHeartbeatAnswer(answer, control));
+    CHECK(document["holds"] == json::parse(R"([[0,9,12,"token"]])"));
+    CHECK(document["hold_s"] == 4.0);
+}
+
+TEST_CASE("the largest list of grants fits one answer of 4 KiB")
+{
+    // Upstreams take longer answers for no answer, and their leases then end.
+    KeyHeartbeatAnswer answer { true, {}, std::chrono::seconds { 4 } };
+    for (std::size_t i = 0; i < BalanceLimits {}.rangesPerHolder; ++i) {
+        answer.grants.push_back({ 60'000, 65'535, { "i-0123456789", 1'700'000'000'000 }, Fence { 1'000'000 }, "7a21d94b36f85c0e", {} });
+    }
+    CHECK(writeHeartbeatAnswer(answer, { "10.100.200.250", 65'000 }).size() < 4'096);
+}
+
+TEST_CASE("headers of callers are decoded, and damaged ones refused")
+{
+    const auto read = CallerHeaders::readRequest(request("GET", "/p/", { { "Host", "h.example:80" }, { "Request-Id", "x" }, { "Deadline-Ms", "1200" }, { "Shard-Key", "65535" } }));
+    REQUIRE(read);
+    CHECK(read->host == "h.example");
+    CHECK(read->timeLeft == std::chrono::milliseconds { 1'200 });
+    CHECK(read->key == KeyNumber { 65'535 });
+    CHECK(CallerHeaders::readRequest(request("GET", "/")).error() == ResultCode::RequestIdInvalid);
+    CHECK(CallerHeaders::readRequest(request("GET", "/", { { "Request-Id", "x" }, { "Deadline-Ms", "soon" } })).error() == ResultCode::RequestDeadlineInvalid);
+    CHECK(CallerHeaders::readRequest(request("GET", "/", { { "Request-Id", "x" }, { "Shard-Key", "65536" } })).error() == ResultCode::KeyOutOfRange);
+}
+
+TEST_CASE("only proper answers to this request count")
+{
+    const HttpHeader id { "Request-Id", "id-1" };
+    const HttpHeader signature { "Upstream-Signature", "s" };
+    CHECK(CallerHeaders::judge(response(200, { id, signature }), facts) == AttemptOutcome::Answered);
+    CHECK(CallerHeaders::judge(response(200, { id }), facts) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::judge(response(200, { signature }), facts) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::judge(response(200, { { "Request-Id", "id-0" }, signature }), facts) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::judge(response(200, { id, signature, { "Content-Encoding", "gzip" } }), facts) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::judge(response(500, { id, signature }), facts) == AttemptOutcome::Failed);
+    CHECK(CallerHeaders::judge(response(503, { id, { "Not-Executed", "1" } }), facts) == AttemptOutcome::Full);
+    CHECK(CallerHeaders::judge(response(421, {}), facts) == AttemptOutcome::Misdirected);
+    CHECK(CallerHeaders::judge(response(503, { { "Request-Id", "id-0" }, { "Not-Executed", "1" } }), facts) == AttemptOutcome::Lost);
+}
+
+TEST_CASE("statuses promise only what is true")
+{
+    CHECK(CallerHeaders::refusal(facts, ResultCode::RequestShed, std::chrono::milliseconds { 250 }).status == 503);
+    CHECK(CallerHeaders::refusal(facts, ResultCode::RequestShed, std::chrono::milliseconds { 250 }).headerLines.find("Retry-After: 0.250") != std::string::npos);
+    CHECK(CallerHeaders::unknownOutcome(facts, ResultCode::RequestOutcomeUnknown).status == 502);
+    CHECK(CallerHeaders::unknownOutcome(facts, ResultCode::RequestDeadlineExceeded).status == 504);
+    CHECK(CallerHeaders::rejection(facts, ResultCode::RequestServiceUnknown).status == 404);
+}
+
+TEST_CASE("control calls are told apart")
+{
+    CHECK(std::holds_alternative<ReadItems>(ControlApi::readCall(request("GET", "/config"))));
+    CHECK(std::get<UnreadableCall>(ControlApi::readCall(request("GET", "/other"))).status == 404);
+    CHECK(std::get<UnreadableCall>(ControlApi::readCall(request("PATCH", "/config", {}, "{"))).status == 400);
+    CHECK(std::get<UnreadableCall>(ControlApi::readCall(request("PUT", "/instances/i-1", {}, "{}"))).status == 400);
+    const auto departure = std::get<Departure>(ControlApi::readCall(request("DELETE", "/instances/i-1", {}, R"({"born":5})")));
+    CHECK(departure.name == "i-1");
+    CHECK(departure.incarnation == 5U);
+    CHECK(!std::get<Departure>(ControlApi::readCall(request("DELETE", "/instances/i-1"))).incarnation);
+    const auto elsewhere = ControlApi::encodeResult(CallElsewhere { NodeId { 1 } }, { "10.0.0.4", 8'080 }, "/config");
+    CHECK(elsewhere.status == 307);
+    CHECK(elsewhere.headerLines == "Location: http://10.0.0.4:8080/config\r\n");
+    CHECK(ControlApi::encodeResult(ItemsAnswer { ResultCode::ItemConflict, {} }, {}, "").status == 409);
+    CHECK(ControlApi::encodeResult(ItemsAnswer { ResultCode::ItemsInvalid, {} }, {}, "").status == 400);
+    CHECK(ControlApi::encodeResult(CallUnavailable {}, {}, "").status == 503);
+}
+
+TEST_CASE("the platform's settings are read, and unknown fields are ignored")
+{
+    const auto settings = readPlatformSettings(R"({"node_name":"n","serves":["control_plane"],"ip":"10.1.0.37","zone":"z","zones":{"z":"r"},
+        "listen":{"control":"10.1.0.37:8544"},"internal_port_range":[7540,7555],"seeds":["10.1.0.37:8544","10.2.0.36:8544"],"bootstrap":true,
+        "limits":{"cpu_cores":2},"data_dir":"/data/x","fault_tolerance":{"machines":2},"bounds":["drain_s=2.5","hold_max_s=10","retry_budget_ratio=0.2","budget_slack=58"],"later":[1]})");
+    REQUIRE(settings);
+    CHECK(settings->servesControl);
+    CHECK(!settings->servesCallers);
+    CHECK(settings->control == Endpoint { "10.1.0.37", 8'544 });
+    CHECK(settings->seeds.size() == 2);
+    CHECK(settings->cores == 2);
+    CHECK(settings->tolerableLosses == 2);
+    CHECK(settings->drain == std::chrono::milliseconds { 2'500 });
+    CHECK(settings->retryRatioPerMille == 200);
+    CHECK(settings->retrySlack == 58);
+    CHECK(readPlatformSettings("{").error() == ResultCode::SettingsSyntax);
+    CHECK(readPlatformSettings("{}").error() == ResultCode::SettingsMissingMember);
+}
