Send feeds in datagrams, a few entries each

Cause: a feed that fell behind came over a stream, and one lost packet stalled the stream and all behind it for 2 to 3 s.

--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -44,15 +44,15 @@
     /// @return Time of the last answer.
     Instant answeredAt() const noexcept { return this->lastAnswer; }
 
-    /// A member holds a request open for 700 ms; an answer that has not come after this is late. The request is then
+    /// A member holds a request open for 300 ms; an answer that has not come after this is late. The request is then
     /// repeated, to the same member where it still answers probes: members do not repeat a long answer while it may be
     /// under way.
-    static constexpr std::chrono::milliseconds patience { 1'000 };
+    static constexpr std::chrono::milliseconds patience { 500 };
     /// How often members are probed while one answers, and while none does.
     static constexpr std::chrono::milliseconds probeInterval { 4'000 };
-    static constexpr std::chrono::milliseconds searchInterval { 150 };
+    static constexpr std::chrono::milliseconds searchInterval { 100 };
     /// Members are probed for their whereabouts once an answer is out this long.
-    static constexpr std::chrono::milliseconds lateAfter { 750 };
+    static constexpr std::chrono::milliseconds lateAfter { 400 };
     /// A member that answered no probe for this long is not asked.
     static constexpr std::chrono::milliseconds probeMemory { 9'000 };
 
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -8,7 +8,7 @@
 
 namespace registry {
     /// How long a member holds a feed request open when it has nothing new.
-    inline constexpr std::chrono::milliseconds feedHold { 700 };
+    inline constexpr std::chrono::milliseconds feedHold { 300 };
     /// A member that heard nothing of a leader for this long does not answer feeds and calls: what it has may be old.
     inline constexpr std::chrono::milliseconds contactPatience { 1'000 };
     /// How often a process asks to become a member.
@@ -19,6 +19,11 @@
     inline constexpr std::size_t slowestBytesPerMs = 5 * 125;
     /// Entries in one feed answer, in bytes.
     inline constexpr std::size_t feedBytes = 48 * 1024;
+    /// Entry VMs that are up to this many entries behind get them in datagrams, a few entries each: a stream that loses a
+    /// packet stalls for seconds, and everything behind it.
+    inline constexpr std::uint64_t datagramFeedEntries = 96;
+    /// Entries in one datagram, in bytes as estimated; compressed they fit.
+    inline constexpr std::size_t datagramFeedBytes = 2'000;
     /// Part of a snapshot in one feed answer, in bytes.
     inline constexpr std::size_t feedSnapshotPartBytes = 256 * 1024;
 }
@@ -365,7 +370,8 @@
 {
     const auto applied = this->registry.appliedIndex();
     if (request.snapshotIndex == LogIndex {} || request.snapshotIndex != this->feedSnapshotIndex) {
-        auto entries = this->member.committedAfter(request.appliedIndex, registry::feedBytes);
+        const bool isNear = applied.value - request.appliedIndex.value <= registry::datagramFeedEntries;
+        auto entries = this->member.committedAfter(request.appliedIndex, isNear ? registry::datagramFeedBytes : registry::feedBytes);
         if (entries) {
             std::erase_if(*entries, [applied](const LogEntry& entry) { return entry.index > applied; });
             return FeedReply { request.sequence, applied, std::move(*entries), 0, 0, {}, {} };
