--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -69,7 +69,7 @@
     return found == this->upstreams.end() ? nullptr : &found->second;
 }
 
-void Dispatcher::sync(Instant now, const RegistryState& state, DispatchDecisions& decisions)
+void Dispatcher::syncUpstreams(Instant now, const RegistryState& state)
 {
     for (auto& [key, known] : this->upstreams) {
         known.isListed = false;
@@ -96,34 +96,51 @@
         this->service(announcement.service).upstreams.push_back(announcement.key);
     }
     absl::erase_if(this->upstreams, [](const auto& item) { return !item.second.isListed && item.second.load.inFlight() == 0; });
-    state.forEachItem([this](const ConfigItem& item) {
-        if (const auto* content = std::get_if<ServiceItem>(&item.content)) {
-            this->service(item.name).isSharded = content->isSharded;
-        }
-    });
-    for (auto& [name, service] : this->services) {
-        const auto ranges = state.keyRanges(name);
-        if (!service->isSharded || std::ranges::equal(ranges, service->ranges)) {
-            continue;
+}
+
+void Dispatcher::syncKeys(const RegistryState& state, Service& service)
+{
+    const auto ranges = state.keyRanges(service.name);
+    service.ranges.assign(ranges.begin(), ranges.end());
+    absl::flat_hash_map<std::uint64_t, Instant> stillUnheld;
+    for (const auto& range : service.ranges) {
+        const auto known = service.unheldRanges.find(rangeNumber(range));
+        if (known != service.unheldRanges.end()) {
+            stillUnheld.insert(*known);
         }
-        service->ranges.assign(ranges.begin(), ranges.end());
-        absl::flat_hash_map<std::uint64_t, Instant> stillUnheld;
-        for (const auto& range : service->ranges) {
-            const auto known = service->unheldRanges.find(rangeNumber(range));
-            if (known != service->unheldRanges.end()) {
-                stillUnheld.insert(*known);
+    }
+    service.unheldRanges = std::move(stillUnheld);
+    // Requests queue by owner, so they move to their keys' new owners.
+    std::vector<ExchangeId> waiting;
+    for (const auto& [owner, queue] : service.queues) {
+        std::ranges::transform(queue, std::back_inserter(waiting), &QueuePlace::id);
+    }
+    for (const auto id : waiting) {
+        auto& exchange = *this->exchanges.at(id);
+        this->dequeue(exchange);
+        this->enqueue(exchange);
+    }
+}
+
+void Dispatcher::sync(Instant now, const RegistryState& state, DispatchDecisions& decisions)
+{
+    if (this->upstreamsIndex != state.upstreamsChangedAt()) {
+        this->upstreamsIndex = state.upstreamsChangedAt();
+        this->syncUpstreams(now, state);
+    }
+    if (this->itemsIndex != state.itemsChangedAt()) {
+        this->itemsIndex = state.itemsChangedAt();
+        state.forEachItem([this](const ConfigItem& item) {
+            if (const auto* content = std::get_if<ServiceItem>(&item.content)) {
+                this->service(item.name).isSharded = content->isSharded;
             }
-        }
-        service->unheldRanges = std::move(stillUnheld);
-        // Requests queue by owner, so they move to their keys' new owners.
-        std::vector<ExchangeId> waiting;
-        for (const auto& [owner, queue] : service->queues) {
-            std::ranges::transform(queue, std::back_inserter(waiting), &QueuePlace::id);
-        }
-        for (const auto id : waiting) {
-            auto& exchange = *this->exchanges.at(id);
-            this->dequeue(exchange);
-            this->enqueue(exchange);
+        });
+    }
+    for (auto& [name, service] : this->services) {
+        const auto changedAt = state.keysChangedAt(name);
+        if (service->isSharded && service->rangesIndex != changedAt) {
+            service->rangesIndex = changedAt;
+            this->syncKeys(state, *service);
         }
     }
     for (auto& [name, service] : this->services) {
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -84,6 +84,7 @@
         std::string name;
         bool isSharded {};
         std::vector<KeyRange> ranges;
+        LogIndex rangesIndex;
         std::vector<UpstreamKey> upstreams;
         RetryWindow retries;
         /// Mean time at an upstream.
@@ -119,6 +120,8 @@
     };
 
     Service& service(std::string_view name);
+    void syncUpstreams(Instant now, const RegistryState& state);
+    void syncKeys(const RegistryState& state, Service& service);
     Upstream* upstream(const UpstreamKey& key);
     Duration distanceTo(std::string_view zone) const;
     Duration expectedLatency(Instant now, const Service& service, const Upstream& upstream) const;
@@ -156,6 +159,8 @@
     DispatchOptions options;
     std::uint32_t entryCount { 1 };
     std::uint64_t lastNumber {};
+    LogIndex itemsIndex;
+    LogIndex upstreamsIndex;
     absl::flat_hash_map<UpstreamKey, Upstream> upstreams;
     absl::btree_map<std::string, std::unique_ptr<Service>, std::less<>> services;
     absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges;
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/KeyBalance.h"
+#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/KeyLoadTable.h"
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Command.h"
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "core/ledger/Member.h"
-#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/JoinPlan.h"
 #include "core/registry/KeyCoordinator.h"
+#include "core/registry/KeyHeartbeat.h"
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Message.h"
 #include "teaselturn/Ports.h"
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -178,6 +178,7 @@
     }
     const auto state = command.isDraining ? UpstreamState::Draining : UpstreamState::Ready;
     this->registered[command.key.name] = RegisteredUpstream { command, state, this->index };
+    this->upstreamsIndex = this->index;
     return {};
 }
 
@@ -195,6 +196,7 @@
 {
     upstream.state = state;
     upstream.changedAt = this->index;
+    this->upstreamsIndex = this->index;
     this->clearMovesTo(upstream.announcement.key);
     if (state != UpstreamState::Gone) {
         return;
@@ -211,19 +213,21 @@
 
 void RegistryState::clearMovesTo(const UpstreamKey& target)
 {
-    for (auto& [service, ranges] : this->keys) {
-        for (auto& range : ranges) {
+    for (auto& [service, held] : this->keys) {
+        for (auto& range : held.ranges) {
             if (range.target == target) {
                 range.target = {};
+                held.changedAt = this->index;
             }
         }
-        joinKeyRanges(ranges);
+        joinKeyRanges(held.ranges);
     }
 }
 
 ApplyOutcome RegistryState::run(const AssignKeyRanges& command)
 {
-    auto& ranges = this->keys[command.service];
+    auto& [ranges, changedAt] = this->keys[command.service];
+    changedAt = this->index;
     for (const auto& grant : command.grants) {
         grantKeys(ranges, grant, Fence { this->index.value });
     }
@@ -233,7 +237,8 @@
 
 ApplyOutcome RegistryState::run(const BeginKeyMoves& command)
 {
-    auto& ranges = this->keys[command.service];
+    auto& [ranges, changedAt] = this->keys[command.service];
+    changedAt = this->index;
     for (const auto& move : command.moves) {
         if (this->isAlive(move.target)) {
             markMove(ranges, move);
@@ -246,7 +251,13 @@
 std::span<const KeyRange> RegistryState::keyRanges(std::string_view service) const
 {
     const auto found = this->keys.find(service);
-    return found == this->keys.end() ? std::span<const KeyRange> {} : std::span<const KeyRange> { found->second };
+    return found == this->keys.end() ? std::span<const KeyRange> {} : std::span<const KeyRange> { found->second.ranges };
+}
+
+LogIndex RegistryState::keysChangedAt(std::string_view service) const
+{
+    const auto found = this->keys.find(service);
+    return found == this->keys.end() ? LogIndex {} : found->second.changedAt;
 }
 
 const KeyRange* RegistryState::findRange(std::string_view service, KeyNumber key) const
@@ -263,8 +274,8 @@
     for (const auto& [name, upstream] : this->registered) {
         result.upstreams.push_back(upstream);
     }
-    for (const auto& [service, ranges] : this->keys) {
-        result.keys.push_back({ service, ranges });
+    for (const auto& [service, held] : this->keys) {
+        result.keys.push_back({ service, held.ranges });
     }
     return result;
 }
@@ -273,6 +284,7 @@
 {
     this->index = snapshot.appliedIndex;
     this->itemsIndex = snapshot.itemsChangedAt;
+    this->upstreamsIndex = this->index;
     this->memberSpecs = std::move(snapshot.members);
     this->items.clear();
     for (auto& record : snapshot.items) {
@@ -290,7 +302,7 @@
     std::ranges::sort(this->departed, {}, [this](const std::string& name) { return this->registered.at(name).changedAt; });
     this->keys.clear();
     for (auto& service : snapshot.keys) {
-        this->keys.emplace(std::move(service.service), std::move(service.ranges));
+        this->keys.emplace(std::move(service.service), Keys { std::move(service.ranges), this->index });
     }
 }
 
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -33,6 +33,11 @@
     /// @return Index of the latest command that changed an item.
     LogIndex itemsChangedAt() const noexcept { return this->itemsIndex; }
 
+    /// @return Index of the latest command that changed an upstream.
+    LogIndex upstreamsChangedAt() const noexcept { return this->upstreamsIndex; }
+    /// @return Index of the latest command that changed key ranges of the service; zero where none did.
+    LogIndex keysChangedAt(std::string_view service) const;
+
     /// Calls visit(const ConfigItem&) for each item that is not dropped, by kind and name.
     template <typename Visit>
     void forEachItem(Visit visit) const
@@ -95,11 +100,16 @@
 
     LogIndex index;
     LogIndex itemsIndex;
+    LogIndex upstreamsIndex;
     absl::btree_map<ItemKey, ItemRecord> items;
     absl::btree_map<std::string, RegisteredUpstream, std::less<>> registered;
     /// Names of upstreams that are gone, oldest first.
     std::deque<std::string> departed;
-    absl::btree_map<std::string, std::vector<KeyRange>, std::less<>> keys;
+    struct Keys {
+        std::vector<KeyRange> ranges;
+        LogIndex changedAt;
+    };
+    absl::btree_map<std::string, Keys, std::less<>> keys;
     std::vector<MemberSpec> memberSpecs;
 };
 
--- a/src/node/LedgerRole.h
+++ b/src/node/LedgerRole.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "core/ledger/FirstDisk.h"
 #include "adapters/clock/SteadyClock.h"
 #include "adapters/disk/DataFolder.h"
 #include "adapters/peer/PeerTransport.h"
 #include "adapters/settings/Settings.h"
+#include "core/ledger/FirstDisk.h"
 #include "node/LedgerNode.h"
 #include "node/ProposalClient.h"
 
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -123,6 +123,7 @@
     Dispatcher dispatcher ABSL_GUARDED_BY(mutex);
     std::shared_ptr<const RouteIndex> routes ABSL_GUARDED_BY(mutex);
     LogIndex routesIndex ABSL_GUARDED_BY(mutex);
+    LogIndex upstreamsIndex ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<ExchangeId, Exchange> exchanges ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<LinkId, Link> links ABSL_GUARDED_BY(mutex);
     LinkPool pool ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -58,10 +58,13 @@
         this->routesIndex = state.itemsChangedAt();
         this->listener.setLimits(state.callerLimits());
     }
-    this->knownUpstreams.clear();
-    for (const auto& [name, upstream] : state.upstreams()) {
-        if (upstream.state != UpstreamState::Gone) {
-            this->knownUpstreams.insert(upstream.announcement.key);
+    if (state.upstreamsChangedAt() != this->upstreamsIndex) {
+        this->upstreamsIndex = state.upstreamsChangedAt();
+        this->knownUpstreams.clear();
+        for (const auto& [name, upstream] : state.upstreams()) {
+            if (upstream.state != UpstreamState::Gone) {
+                this->knownUpstreams.insert(upstream.announcement.key);
+            }
         }
     }
     Work work;
--- /dev/null
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -0,0 +1,89 @@
+#include "adapters/http/MessageReader.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+
+namespace {
+
+MessageReader<ReceivedRequest> requests() { return MessageReader<ReceivedRequest> { ReadLimits { 1'024, 64 } }; }
+MessageReader<ReceivedResponse> responses() { return MessageReader<ReceivedResponse> { ReadLimits { 1'024, 64 } }; }
+
+}
+
+TEST_CASE("requests that arrive together are read one after the other")
+{
+    auto reader = requests();
+    std::string buffer = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    REQUIRE(reader.read(buffer) == ReadProgress::Complete);
+    const auto first = reader.take();
+    CHECK(first.method == "POST");
+    CHECK(first.body == "abc");
+    REQUIRE(reader.read(buffer) == ReadProgress::Complete);
+    CHECK(reader.take().target == "/b");
+    CHECK(buffer.empty());
+}
+
+TEST_CASE("a request may arrive byte by byte, its body in chunks")
+{
+    auto reader = requests();
+    const std::string bytes = "PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+    std::string buffer;
+    auto progress = ReadProgress::Incomplete;
+    for (const auto byte : bytes) {
+        REQUIRE(progress == ReadProgress::Incomplete);
+        buffer += byte;
+        progress = reader.read(buffer);
+    }
+    REQUIRE(progress == ReadProgress::Complete);
+    CHECK(reader.take().body == "abc");
+}
+
+TEST_CASE("requests that could be read in two ways are refused")
+{
+    // Guards against a request that is hidden inside another one.
+    auto reader = requests();
+    std::string buffer = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n";
+    CHECK(reader.read(buffer) == ReadProgress::Malformed);
+}
+
+TEST_CASE("heads and bodies beyond the limits are told apart")
+{
+    auto reader = requests();
+    std::string head = "GET / HTTP/1.1\r\nX: " + std::string(2'000, 'x') + "\r\n\r\n";
+    CHECK(reader.read(head) == ReadProgress::HeadTooLarge);
+    reader = requests();
+    std::string body = "POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n";
+    CHECK(reader.read(body) == ReadProgress::BodyTooLarge);
+}
+
+TEST_CASE("an answer without length is complete only where its connection ends in good order")
+{
+    auto reader = responses();
+    std::string buffer = "HTTP/1.1 200 OK\r\n\r\npart";
+    CHECK(reader.read(buffer) == ReadProgress::Incomplete);
+    CHECK(reader.readEnd() == ReadProgress::Complete);
+    CHECK(reader.take().body == "part");
+    buffer = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart";
+    CHECK(reader.read(buffer) == ReadProgress::Incomplete);
+    CHECK(reader.readEnd() == ReadProgress::Malformed);
+}
+
+TEST_CASE("interim answers are passed over, and answers to HEAD have no body")
+{
+    auto reader = responses();
+    std::string buffer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+    REQUIRE(reader.read(buffer) == ReadProgress::Complete);
+    CHECK(reader.take().status == 204);
+    reader.expectNoBody();
+    buffer = "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n";
+    REQUIRE(reader.read(buffer) == ReadProgress::Complete);
+    CHECK(reader.take().body.empty());
+}
+
+TEST_CASE("bytes that are no message are malformed")
+{
+    auto reader = responses();
+    std::string buffer = "\x01\x02garbage\r\n\r\n";
+    CHECK(reader.read(buffer) == ReadProgress::Malformed);
+}
--- a/tests/adapters/peer/PeerTransportTest.cpp
+++ b/tests/adapters/peer/PeerTransportTest.cpp
@@ -2,7 +2,9 @@
 
 #include "adapters/codec/Codec.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <random>
 
 #include <chrono>
 #include <deque>
@@ -74,10 +76,13 @@
     }
 };
 
+/// A message that compression does not shorten, so that its length decides how it travels.
 FeedReply longMessage(std::size_t bytes)
 {
     FeedReply message;
-    message.snapshotBytes.assign(bytes, 0x5a);
+    std::mt19937 random { 7 };
+    message.snapshotBytes.resize(bytes);
+    std::ranges::generate(message.snapshotBytes, [&random] { return static_cast<std::uint8_t>(random()); });
     return message;
 }
 
@@ -204,6 +209,18 @@
     REQUIRE(received.has_value());
 }
 
+TEST_CASE("a long message that compresses well travels as one datagram")
+{
+    Pair pair;
+    FeedReply message;
+    message.snapshotBytes.assign(100'000, 0x5a);
+    pair.first->send(NodeId { 2 }, message);
+    const auto received = pair.inboxes[1].next();
+    REQUIRE(received.has_value());
+    CHECK((received->second == PeerMessage { message }));
+    CHECK(pair.first->counters().sentBytes < limits::maxDatagramBytes);
+}
+
 TEST_CASE("sending to a peer that is down or not listed does not wait")
 {
     Pair pair;
--- a/tests/core/dispatch/UpstreamLoadTest.cpp
+++ b/tests/core/dispatch/UpstreamLoadTest.cpp
@@ -1,5 +1,5 @@
-#include "core/dispatch/RetryWindow.h"
 #include "core/dispatch/UpstreamLoad.h"
+#include "core/dispatch/RetryWindow.h"
 
 #include <catch2/catch.hpp>
 
--- /dev/null
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -0,0 +1,216 @@
+#include "core/registry/RegistryService.h"
+#include "core/registry/RegistryReplica.h"
+
+#include "adapters/codec/RegistryCodec.h"
+#include "core/registry/RegistryFixture.h"
+#include "core/support/SeededRandom.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+using Service = RegistryService<SeededRandom, BinaryRegistryCodec>;
+using Replica = RegistryReplica<BinaryRegistryCodec>;
+
+/// A registry of one member, whose writes the test makes durable.
+struct SingleMember {
+    Instant now { std::chrono::seconds { 50 } };
+    Service service;
+    std::vector<CallAnswer> answers;
+    std::vector<OutboundMessage> sent;
+    bool hasDisk { true };
+
+    explicit SingleMember(std::vector<MemberSpec> members = { { NodeId { 1 }, DiskId { 1 }, true } })
+        : service(state(std::move(members)), { NodeId { 1 }, NodeId { 2 } }, SeededRandom { 7 }, {}, now)
+    {
+    }
+
+    static MemberState state(std::vector<MemberSpec> members)
+    {
+        MemberState result;
+        result.node = NodeId { 1 };
+        result.disk = DiskId { 1 };
+        result.initialMembers = std::move(members);
+        return result;
+    }
+
+    void drive()
+    {
+        for (int i = 0; i < 4; ++i) {
+            auto effects = this->service.takeEffects(this->now);
+            this->answers.insert(this->answers.end(), effects.answers.begin(), effects.answers.end());
+            this->sent.insert(this->sent.end(), effects.immediate.begin(), effects.immediate.end());
+            if (effects.storage.needsWrite() && this->hasDisk) {
+                this->service.persisted(this->now);
+            }
+            this->sent.insert(this->sent.end(), effects.afterPersist.begin(), effects.afterPersist.end());
+        }
+    }
+
+    void pass(milliseconds time)
+    {
+        for (auto end = this->now + time; this->now < end;) {
+            this->now += milliseconds { 25 };
+            this->service.tick(this->now);
+            this->drive();
+        }
+    }
+
+    template <typename Result>
+    const Result* answerTo(std::uint64_t call) const
+    {
+        const auto found = std::ranges::find(this->answers, CallId { call }, &CallAnswer::call);
+        return found == this->answers.end() ? nullptr : std::get_if<Result>(&found->result);
+    }
+};
+
+ChangeItems firstItems() { return { { serviceItem("k", true), routeItem("r", "k") }, {} }; }
+
+}
+
+TEST_CASE("a change is acknowledged only once it is durable")
+{
+    SingleMember member;
+    member.pass(milliseconds { 2'000 });
+    member.hasDisk = false;
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.drive();
+    CHECK(member.answers.empty());
+    member.hasDisk = true;
+    member.service.persisted(member.now);
+    member.drive();
+    REQUIRE(member.answerTo<ItemsAnswer>(1) != nullptr);
+    CHECK(member.answerTo<ItemsAnswer>(1)->code == ResultCode::Ok);
+}
+
+TEST_CASE("repeats of a change are acknowledged again without another log entry")
+{
+    SingleMember member;
+    member.pass(milliseconds { 2'000 });
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.service.changeItems(member.now, CallId { 2 }, firstItems());
+    member.drive();
+    const auto applied = member.service.state().appliedIndex();
+    member.service.changeItems(member.now, CallId { 3 }, firstItems());
+    member.drive();
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        REQUIRE(member.answerTo<ItemsAnswer>(call) != nullptr);
+        CHECK(member.answerTo<ItemsAnswer>(call)->code == ResultCode::Ok);
+    }
+    CHECK(member.service.state().appliedIndex() == applied);
+}
+
+TEST_CASE("of two changes with one version and other content the second is refused")
+{
+    SingleMember member;
+    member.pass(milliseconds { 2'000 });
+    auto other = firstItems();
+    other.upserts[1] = routeItem("r", "other");
+    other.upserts.push_back(serviceItem("other", false));
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.service.changeItems(member.now, CallId { 2 }, other);
+    member.drive();
+    CHECK(member.answerTo<ItemsAnswer>(1)->code == ResultCode::Ok);
+    CHECK(member.answerTo<ItemsAnswer>(2)->code == ResultCode::ItemConflict);
+}
+
+TEST_CASE("a member without a quorum answers nothing as if it led")
+{
+    SingleMember member { { { NodeId { 1 }, DiskId { 1 }, true }, { NodeId { 2 }, DiskId { 2 }, true }, { NodeId { 3 }, DiskId { 3 }, true } } };
+    member.pass(milliseconds { 3'000 });
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.service.heartbeat(member.now, CallId { 2 }, heartbeat(announcement("u", "k"), 1));
+    member.service.depart(member.now, CallId { 3 }, "u", std::nullopt);
+    member.drive();
+    for (std::uint64_t call = 1; call <= 3; ++call) {
+        CHECK(member.answerTo<CallUnavailable>(call) != nullptr);
+    }
+    CHECK(member.service.readRefusal(member.now));
+    member.sent.clear();
+    member.service.receive(member.now, NodeId { 9 }, FeedRequest { 1, {}, {}, 0 });
+    member.service.receive(member.now, NodeId { 9 }, MemberProbe { 1 });
+    member.pass(milliseconds { 1'000 });
+    CHECK(std::ranges::none_of(member.sent, [](const OutboundMessage& message) { return message.to == NodeId { 9 }; }));
+}
+
+TEST_CASE("a process that is no member asks to join")
+{
+    SingleMember member { { { NodeId { 2 }, DiskId { 2 }, true } } };
+    member.pass(milliseconds { 400 });
+    CHECK(std::ranges::any_of(member.sent, [](const OutboundMessage& message) { return message == OutboundMessage { NodeId { 2 }, JoinRequest { NodeId { 1 }, DiskId { 1 } } }; }));
+}
+
+TEST_CASE("keys are placed once upstreams are there, and granted with their heartbeats")
+{
+    SingleMember member;
+    member.pass(milliseconds { 2'000 });
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.drive();
+    std::uint64_t call = 10;
+    const auto upstream = announcement("u", "k");
+    for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+        member.service.heartbeat(member.now, CallId { ++call }, heartbeat(upstream, sequence));
+        member.drive();
+        member.pass(milliseconds { 800 });
+    }
+    const auto* answer = member.answerTo<KeyHeartbeatAnswer>(call);
+    REQUIRE(answer != nullptr);
+    REQUIRE(answer->hasGrants);
+    REQUIRE(answer->grants.size() == 1);
+    CHECK(answer->grants[0].first == 0);
+    CHECK(answer->grants[0].last == keyNumberCount - 1);
+}
+
+TEST_CASE("a copy is complete only with everything that its member had applied")
+{
+    // Guards against an entry VM that takes the first part of the log for the whole configuration.
+    SingleMember member;
+    member.pass(milliseconds { 2'000 });
+    member.service.changeItems(member.now, CallId { 1 }, firstItems());
+    member.drive();
+    for (int i = 0; i < 80; ++i) {
+        member.service.heartbeat(member.now, CallId { 100 + static_cast<std::uint64_t>(i) }, heartbeat(announcement("u" + std::to_string(i), "k"), 1));
+    }
+    member.drive();
+    Replica replica { { NodeId { 1 } }, {} };
+    Instant now { std::chrono::seconds { 1 } };
+    auto messages = replica.nextMessages(now);
+    REQUIRE(messages.size() == 1);
+    replica.takeProbe(now, NodeId { 1 }, { std::get<MemberProbe>(messages[0].message).sequence });
+    int rounds = 0;
+    while (!replica.isComplete() && ++rounds < 50) {
+        now += milliseconds { 10 };
+        for (const auto& message : replica.nextMessages(now)) {
+            member.sent.clear();
+            member.service.receive(member.now, NodeId { 9 }, message.message);
+            member.drive();
+            for (const auto& answer : member.sent) {
+                if (const auto* reply = std::get_if<FeedReply>(&answer.message)) {
+                    REQUIRE(replica.take(now, NodeId { 1 }, *reply));
+                    CHECK((replica.isComplete() || replica.state().appliedIndex() < member.service.state().appliedIndex()));
+                }
+            }
+        }
+    }
+    CHECK(rounds > 2);
+    CHECK(replica.state().snapshot() == member.service.state().snapshot());
+}
+
+TEST_CASE("a request without an answer goes to another member that answers probes")
+{
+    Replica replica { { NodeId { 1 }, NodeId { 2 } }, {} };
+    Instant now { std::chrono::seconds { 1 } };
+    const auto probe = std::get<MemberProbe>(replica.nextMessages(now)[0].message).sequence;
+    replica.takeProbe(now + milliseconds { 1 }, NodeId { 1 }, { probe });
+    replica.takeProbe(now + milliseconds { 2 }, NodeId { 2 }, { probe });
+    now += milliseconds { 50 };
+    static_cast<void>(replica.nextMessages(now));
+    CHECK(replica.source() == NodeId { 1 });
+    now += Replica::patience + milliseconds { 1 };
+    static_cast<void>(replica.nextMessages(now));
+    CHECK(replica.source() == NodeId { 2 });
+}
