--- a/include/teaselturn/Registry.h
+++ b/include/teaselturn/Registry.h
@@ -115,7 +115,7 @@
     /// Start of the process, in milliseconds of wall-clock time. A later start has a larger number.
     std::uint64_t incarnation {};
 
-    friend auto operator<=>(const UpstreamKey&, const UpstreamKey&) = default;
+    friend auto operator<=>(const UpstreamKey&, const UpstreamKey&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
 
     template <typename H>
     friend H AbslHashValue(H h, const UpstreamKey& key)
--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/HttpListener.h"
 
+#include <algorithm>
 #include <sys/epoll.h>
 
 namespace teaselturn {
@@ -124,7 +125,7 @@
             this->close(*connection, found);
         }
     }
-    this->hand(std::move(found));
+    this->hand(found);
 }
 
 HttpCallId HttpListener::nextCall(const ConnectionPointer& connection)
@@ -214,7 +215,7 @@
     this->connections.erase(&connection);
 }
 
-void HttpListener::hand(Found found)
+void HttpListener::hand(Found& found)
 {
     if (!found.left.empty()) {
         const MutexLock lock { this->mutex };
@@ -250,17 +251,16 @@
         if (connection->isClosed) {
             return;
         }
-        for (auto& waiting : connection->calls) {
-            if (waiting.id == call) {
-                waiting.reply = std::move(reply);
-            }
+        const auto waiting = std::ranges::find(connection->calls, call, &Call::id);
+        if (waiting != connection->calls.end()) {
+            waiting->reply = std::move(reply);
         }
         this->writeReplies(*connection, found);
         if (!connection->isClosed) {
             this->readRequests(connection, found);
         }
     }
-    this->hand(std::move(found));
+    this->hand(found);
 }
 
 void HttpListener::expire(Instant now)
@@ -280,7 +280,7 @@
                 this->close(*connection, found);
             }
         }
-        this->hand(std::move(found));
+        this->hand(found);
     }
 }
 
@@ -294,7 +294,7 @@
                 this->close(*connection, found);
             }
         }
-        this->hand(std::move(found));
+        this->hand(found);
     }
 }
 
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -110,7 +110,7 @@
     void refuse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeReplies(Connection& connection, Found& found) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void close(Connection& connection, Found& found) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
-    void hand(Found found);
+    void hand(Found& found);
     void expire(Instant now);
     std::vector<ConnectionPointer> allConnections();
     HttpCallId nextCall(const ConnectionPointer& connection);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -71,7 +71,7 @@
         std::uint64_t number {};
         ExchangeId id;
 
-        friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+        friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
     };
     using Queue = absl::btree_set<QueuePlace>;
 
--- a/src/core/registry/KeyBalance.cpp
+++ b/src/core/registry/KeyBalance.cpp
@@ -155,9 +155,8 @@
     /// Moves of a round, applied to a copy of the ranges so that later choices see the earlier ones.
     class MovePlan {
     public:
-        MovePlan(std::span<const KeyRange> ranges, HolderLoads& loads, const KeyWeights& weights)
+        MovePlan(std::span<const KeyRange> ranges, const KeyWeights& weights)
             : ranges(ranges.begin(), ranges.end())
-            , loads(loads)
             , weights(weights)
         {
         }
@@ -203,7 +202,6 @@
         }
 
         std::vector<KeyRange> ranges;
-        HolderLoads& loads;
         const KeyWeights& weights;
         std::vector<KeyRangeMove> moves;
     };
@@ -280,7 +278,7 @@
     const KeyWeights keyWeights { weights };
     HolderLoads loads { holders, keyWeights.total() };
     addOwned(loads, ranges, keyWeights, [](const KeyRange&) { return true; });
-    MovePlan plan { ranges, loads, keyWeights };
+    MovePlan plan { ranges, keyWeights };
     for (auto& load : loads.all()) {
         if (!load.holder->takesKeys && load.load > 0) {
             emptyHolder(plan, load, loads, bounds);
--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -6,6 +6,7 @@
 
 #include <absl/container/btree_map.h>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace teaselturn {
@@ -34,7 +35,7 @@
     Result<bool> take(Instant now, NodeId from, const FeedReply& reply);
 
     /// Replaces the members to fall back to, after the settings changed.
-    void setSeeds(std::vector<NodeId> newSeeds) { this->seeds = std::move(newSeeds); }
+    void setSeeds(std::span<const NodeId> newSeeds) { this->seeds.assign(newSeeds.begin(), newSeeds.end()); }
 
     const RegistryState& state() const noexcept { return this->registry; }
     /// @return The member that is asked at the moment, or zero.
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -286,8 +286,7 @@
     std::vector<NodeId> asked { this->seeds };
     std::ranges::transform(members, std::back_inserter(asked), &MemberSpec::node);
     std::ranges::sort(asked);
-    const auto repeated = std::ranges::unique(asked);
-    asked.erase(repeated.begin(), repeated.end());
+    asked.erase(std::unique(asked.begin(), asked.end()), asked.end());
     for (const auto node : asked) {
         if (node != this->self) {
             this->reply(node, JoinRequest { this->self, this->disk });
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -76,7 +76,7 @@
         ItemKind kind {};
         std::string name;
 
-        friend auto operator<=>(const ItemKey&, const ItemKey&) = default;
+        friend auto operator<=>(const ItemKey&, const ItemKey&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
     };
 
     /// Commands of the other state do not concern the registry.
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -48,7 +48,7 @@
     void beginStop();
 
     /// Takes over seeds that changed in the settings.
-    void setSeeds(std::vector<NodeId> seeds);
+    void setSeeds(std::span<const NodeId> seeds);
 
 private:
     /// The balancer takes a VM out after two misses of its check, one a second.
@@ -111,10 +111,10 @@
 }
 
 template <CallerDialect Dialect>
-void EntryDaemon<Dialect>::setSeeds(std::vector<NodeId> seeds)
+void EntryDaemon<Dialect>::setSeeds(std::span<const NodeId> seeds)
 {
     const MutexLock lock { this->mutex };
-    this->replica.setSeeds(std::move(seeds));
+    this->replica.setSeeds(seeds);
 }
 
 template <CallerDialect Dialect>
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -111,7 +111,7 @@
     void scheduleAdvance(Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::string upstreamRequest(const Exchange& exchange, const UpstreamKey& upstream, Duration timeLeft) const;
     static HttpReply relay(ReceivedResponse answer);
-    void logOutcome(LogEvent event, const Exchange& exchange, ResultCode code, Instant now);
+    void logOutcome(LogEvent event, const Exchange& exchange, ResultCode code, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     Reactor& reactor;
     Logger& logger;
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -2,7 +2,9 @@
 
 #include "node/gateway/Gateway.h"
 
+#include <array>
 #include <charconv>
+#include <span>
 
 namespace teaselturn {
 
@@ -351,7 +353,7 @@
     std::vector<std::shared_ptr<UpstreamLink>> expired;
     {
         const MutexLock lock { this->mutex };
-        expired = this->pool.takeExpired(this->reactor.now(), [this](const UpstreamKey& key) { return this->knownUpstreams.contains(key); });
+        expired = this->pool.takeExpired(this->reactor.now(), [this](const UpstreamKey& key) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { return this->knownUpstreams.contains(key); });
         for (const auto& link : expired) {
             this->links.erase(link->number());
         }
@@ -416,8 +418,20 @@
         return;
     }
     const auto link = this->links.find(exchange.link);
+    const std::string_view upstream = link == this->links.end() ? std::string_view { "-" } : link->second.upstream.name;
     const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - exchange.arrivedAt).count();
-    this->logger.log(event, "", { { "request", exchange.facts.requestId }, { "route", exchange.route->name }, { "version", exchange.route->version }, { "code", static_cast<unsigned>(code) }, { "reason", resultCodeName(code) }, { "waitedMs", waitedMs }, { "sends", exchange.sends }, { "upstream", link == this->links.end() ? std::string_view { "-" } : std::string_view { link->second.upstream.name } }, { "skippedLines", this->logAllowance.takeSkipped() } });
+    const std::array<LogField, 9> fields { {
+        { "request", exchange.facts.requestId },
+        { "route", exchange.route->name },
+        { "version", exchange.route->version },
+        { "code", static_cast<unsigned>(code) },
+        { "reason", resultCodeName(code) },
+        { "waitedMs", waitedMs },
+        { "sends", exchange.sends },
+        { "upstream", upstream },
+        { "skippedLines", this->logAllowance.takeSkipped() },
+    } };
+    this->logger.log(event, "", std::span<const LogField> { fields });
 }
 
 }
--- a/tests/core/registry/KeyBalanceTest.cpp
+++ b/tests/core/registry/KeyBalanceTest.cpp
@@ -12,6 +12,7 @@
 std::vector<KeyHolder> equalHolders(int count)
 {
     std::vector<KeyHolder> holders;
+    holders.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
         holders.push_back({ { "u" + std::to_string(i), 1 }, 3, true });
     }
