--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -209,8 +209,8 @@
     exchange.request = std::move(request);
     this->exchanges.emplace(id, std::move(made));
     this->deadlines.emplace(exchange.giveUpAt, id);
-    const RetryAllowance allowance { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
-    exchange.service->retries.request(now, allowance);
+    const RetryBounds bounds { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
+    exchange.service->retries.request(now, bounds);
     if (exchange.service->isSharded && exchange.request.key) {
         ++exchange.service->usage[*exchange.request.key].requests;
     }
@@ -561,8 +561,8 @@
     if (exchange.sends >= route.attempts) {
         return false;
     }
-    const RetryAllowance allowance { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
-    return exchange.service->retries.tryRetry(now, allowance, this->entryCount);
+    const RetryBounds bounds { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
+    return exchange.service->retries.tryRetry(now, bounds, this->entryCount);
 }
 
 void Dispatcher::tryAgain(Instant now, Exchange& exchange, AttemptOutcome outcome, DispatchDecisions& decisions)
--- a/src/core/dispatch/RetryWindow.h
+++ b/src/core/dispatch/RetryWindow.h
@@ -9,7 +9,7 @@
 namespace teaselturn {
 
 /// Bounds of the retries of one service over all entry VMs in a sliding window.
-struct RetryAllowance {
+struct RetryBounds {
     /// Retries for each request, in thousandths.
     std::uint32_t ratioPerMille { 200 };
     /// Retries in a window beyond the ratio, shared by all entry VMs.
@@ -22,14 +22,14 @@
 class RetryWindow {
 public:
     /// Counts a request of a caller.
-    void request(Instant now, const RetryAllowance& allowance) noexcept { ++this->bucket(now, allowance).requests; }
+    void request(Instant now, const RetryBounds& bounds) noexcept { ++this->bucket(now, bounds).requests; }
 
     /// Takes a retry.
     /// @param entryCount Entry VMs that share the slack.
     /// @return False where the window has no retry left.
-    bool tryRetry(Instant now, const RetryAllowance& allowance, std::uint32_t entryCount) noexcept
+    bool tryRetry(Instant now, const RetryBounds& bounds, std::uint32_t entryCount) noexcept
     {
-        auto& current = this->bucket(now, allowance);
+        auto& current = this->bucket(now, bounds);
         std::uint64_t requests = 0;
         std::uint64_t retries = 0;
         for (const auto& bucket : this->buckets) {
@@ -38,8 +38,8 @@
                 retries += bucket.retries;
             }
         }
-        // Upstreams count an arrival when it reaches them, up to a round trip later; part of the allowance covers that.
-        const auto allowed = (requests * allowance.ratioPerMille / 1'000 + allowance.slack / std::max(1U, entryCount)) * usablePercent / 100;
+        // Upstreams count an arrival when it reaches them, up to a round trip later; a part is kept back for that.
+        const auto allowed = (requests * bounds.ratioPerMille / 1'000 + bounds.slack / std::max(1U, entryCount)) * usablePercent / 100;
         if (retries >= allowed) {
             return false;
         }
@@ -57,9 +57,9 @@
         std::uint32_t retries {};
     };
 
-    Bucket& bucket(Instant now, const RetryAllowance& allowance) noexcept
+    Bucket& bucket(Instant now, const RetryBounds& bounds) noexcept
     {
-        const auto length = std::max<Duration>(Duration { allowance.window } / bucketCount, std::chrono::milliseconds { 1 });
+        const auto length = std::max<Duration>(Duration { bounds.window } / bucketCount, std::chrono::milliseconds { 1 });
         const auto number = static_cast<std::uint64_t>(now.time_since_epoch() / length) + bucketCount;
         auto& bucket = this->buckets[number % bucketCount];
         if (bucket.number != number) {
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -9,7 +9,7 @@
 #include "node/gateway/CallerDialect.h"
 #include "node/gateway/GatewayCounters.h"
 #include "node/gateway/LinkPool.h"
-#include "node/gateway/LogAllowance.h"
+#include "node/gateway/LogLineBudget.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -119,7 +119,7 @@
     UpstreamLink::Handlers linkHandlers;
 
     Mutex mutex;
-    LogAllowance logAllowance ABSL_GUARDED_BY(mutex);
+    LogLineBudget logBudget ABSL_GUARDED_BY(mutex);
     Dispatcher dispatcher ABSL_GUARDED_BY(mutex);
     std::shared_ptr<const RouteIndex> routes ABSL_GUARDED_BY(mutex);
     LogIndex routesIndex ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -414,7 +414,7 @@
 template <CallerDialect Dialect>
 void Gateway<Dialect>::logOutcome(LogEvent event, const Exchange& exchange, ResultCode code, Instant now)
 {
-    if (!this->logger.isEnabled(event) || !this->logAllowance.take(now)) {
+    if (!this->logger.isEnabled(event) || !this->logBudget.take(now)) {
         return;
     }
     const auto link = this->links.find(exchange.link);
@@ -429,7 +429,7 @@
         { "waitedMs", waitedMs },
         { "sends", exchange.sends },
         { "upstream", upstream },
-        { "skippedLines", this->logAllowance.takeSkipped() },
+        { "skippedLines", this->logBudget.takeSkipped() },
     } };
     this->logger.log(event, "", std::span<const LogField> { fields });
 }
--- a/src/node/gateway/LogAllowance.h
+++ b/src/node/gateway/LogLineBudget.h
@@ -9,7 +9,7 @@
 
 /// Bounds the lines that requests may cause: so many a second, and the number of those left out is reported with the
 /// next one. Not thread-safe.
-class LogAllowance {
+class LogLineBudget {
 public:
     /// Lines a second. At 200 bytes a line this is a tenth of a 0.1 core's time at most.
     static constexpr std::uint32_t linesPerSecond = 40;
--- a/tests/core/dispatch/UpstreamLoadTest.cpp
+++ b/tests/core/dispatch/UpstreamLoadTest.cpp
@@ -58,12 +58,12 @@
 TEST_CASE("retries of a window do not exceed their share of the requests and the slack")
 {
     RetryWindow window;
-    const RetryAllowance allowance { 200, 58, milliseconds { 10'000 } };
+    const RetryBounds bounds { 200, 58, milliseconds { 10'000 } };
     Instant now { std::chrono::seconds { 100 } };
     std::uint32_t retries = 0;
     for (int i = 0; i < 1'000; ++i) {
-        window.request(now, allowance);
-        retries += window.tryRetry(now, allowance, 9) ? 1 : 0;
+        window.request(now, bounds);
+        retries += window.tryRetry(now, bounds, 9) ? 1 : 0;
         now += milliseconds { 5 };
     }
     CHECK(retries <= 200 + 58 / 9);
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -78,7 +78,7 @@
     CHECK(back["limits"]["version"] == "00000007");
 }
 
-TEST_CASE("a check-in is read whole or not at all")
+TEST_CASE("a heartbeat is read whole or not at all")
 {
     const std::string body = R"({"service":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,"state":"draining","warmup_left_s":0,"sequence":4,"born":1700000000000,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})";
     const auto beat = readHeartbeat("i-1", body);
