Send a request elsewhere where its connection closed before it was written

Cause: a connection that closed between the decision to use it and the sending reported itself as idle, and the request stayed with it until its deadline (504). Ruled out: the connect timeout (the refusal came at once).

--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -337,14 +337,23 @@
 template <CallerDialect Dialect>
 void Gateway<Dialect>::closedIdle(LinkId id)
 {
-    std::shared_ptr<UpstreamLink> closed;
-    const MutexLock lock { this->mutex };
-    const auto link = this->links.find(id);
-    if (link != this->links.end()) {
+    Work work;
+    {
+        const MutexLock lock { this->mutex };
+        const auto link = this->links.find(id);
+        if (link == this->links.end()) {
+            return;
+        }
+        const auto exchange = link->second.exchange;
         this->pool.remove(link->second.upstream, id);
-        closed = std::move(link->second.link);
+        work.closings.push_back(std::move(link->second.link));
         this->links.erase(link);
+        if (exchange != ExchangeId {}) {
+            // The link closed between the decision to use it and the sending, so no byte of the request left.
+            this->endAttempt(this->reactor.now(), exchange, AttemptOutcome::NotSent, work);
+        }
     }
+    this->perform(std::move(work));
 }
 
 template <CallerDialect Dialect>
