--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -84,6 +84,8 @@
         Instant arrivedAt;
         LinkId link;
         std::uint32_t sends {};
+        /// Name of the upstream that it was last sent to.
+        std::string upstream { "-" };
         std::optional<ReceivedResponse> answer;
     };
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -117,7 +117,7 @@
         } else if (auto route = this->routes->find(facts->host, gateway::pathOf(request.target))) {
             const ExchangeId id { call.value };
             DispatchRequest dispatch { id, route, facts->key, now, now + facts->timeLeft };
-            this->exchanges.emplace(id, Exchange { call, std::move(request), std::move(*facts), std::move(route), now, {}, 0, std::nullopt });
+            this->exchanges.emplace(id, Exchange { call, std::move(request), std::move(*facts), std::move(route), now, {}, 0, "-", std::nullopt });
             DispatchDecisions decisions;
             this->dispatcher.submit(now, std::move(dispatch), decisions);
             this->carryOut(now, decisions, work);
@@ -223,6 +223,7 @@
     }
     auto& exchange = found->second;
     this->counters.attempts.add();
+    exchange.upstream = decision.upstream.name;
     if (exchange.sends++ > 0) {
         this->logOutcome(LogEvent::RequestRetried, exchange, ResultCode::Ok, now);
     }
@@ -426,8 +427,6 @@
     if (!this->logger.isEnabled(event) || !this->logBudget.take(now)) {
         return;
     }
-    const auto link = this->links.find(exchange.link);
-    const std::string_view upstream = link == this->links.end() ? std::string_view { "-" } : link->second.upstream.name;
     const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - exchange.arrivedAt).count();
     const std::array<LogField, 9> fields { {
         { "request", exchange.facts.requestId },
@@ -437,7 +436,7 @@
         { "reason", resultCodeName(code) },
         { "waitedMs", waitedMs },
         { "sends", exchange.sends },
-        { "upstream", upstream },
+        { "upstream", exchange.upstream },
         { "skippedLines", this->logBudget.takeSkipped() },
     } };
     this->logger.log(event, "", std::span<const LogField> { fields });
