--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -50,6 +50,9 @@
     std::vector<ServiceKeyLoad> takeKeyLoads(std::size_t maxKeys);
 
 private:
+    /// Waits for a key whose owner refused it: long enough for a new owner to be announced, short against deadlines.
+    static constexpr std::chrono::milliseconds misdirectedHold { 120 };
+
     struct Upstream {
         RegisterUpstream announcement;
         UpstreamState state { UpstreamState::Ready };
