Tell entry VMs when the owner of assigned keys hears of them

Cause: 70% of the arrivals that an upstream refused for a key it does not hold met the next owner, which hears of its keys with its next heartbeat only. A balance round also moved keys for differences that chance explains. Ruled out: stale owners at entry VMs (2% of those arrivals).

--- a/include/teaselturn/Registry.h
+++ b/include/teaselturn/Registry.h
@@ -157,6 +157,8 @@
     UpstreamKey owner;
     /// What the last owner handed over for the next one. Empty where it handed over nothing.
     std::string handover;
+    /// When the leader expects the owner to hear of the grant, counted from the proposal. Zero where it cannot tell.
+    Duration expectedIn {};
 
     friend bool operator==(const KeyRangeGrant&, const KeyRangeGrant&) = default;
 };
@@ -195,6 +197,8 @@
     std::string handover;
     /// Empty name unless a move is pending.
     UpstreamKey target;
+    /// As in KeyRangeGrant. Zero in ranges that come from a snapshot: by then the owner has heard of them.
+    Duration expectedIn {};
 
     bool isOwned() const noexcept { return !this->owner.name.empty(); }
     bool isMoving() const noexcept { return !this->target.name.empty(); }
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -252,7 +252,7 @@
 template <typename Archive>
 void serialize(Archive& archive, KeyRangeGrant& value)
 {
-    archive(value.first, value.last, value.owner, value.handover);
+    archive(value.first, value.last, value.owner, value.handover, value.expectedIn);
 }
 
 template <typename Archive>
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -181,7 +181,7 @@
     if (exchange.service->isSharded) {
         const auto* range = this->rangeOf(exchange);
         if (outcome == AttemptOutcome::Misdirected && range != nullptr && range->owner == exchange.sentTo) {
-            this->noteUnheld(now, exchange, now + misdirectedHold);
+            this->noteMisdirected(now, exchange);
         }
         auto* owner = range == nullptr ? nullptr : this->upstream(range->owner);
         if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isClosed(now))) {
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -51,7 +51,9 @@
 
 private:
     /// Waits for a key whose owner refused it: long enough for a new owner to be announced, short against deadlines.
+    /// Each further refusal doubles the wait.
     static constexpr std::chrono::milliseconds misdirectedHold { 120 };
+    static constexpr std::uint32_t maxHoldDoublings { 3 };
 
     struct Upstream {
         RegisterUpstream announcement;
@@ -83,6 +85,13 @@
         double busyMs {};
     };
 
+    /// A range whose owner has let go of it, or has not heard of it yet.
+    struct UnheldRange {
+        /// When a single request finds out whether the owner holds the range by now.
+        Instant tryAt;
+        std::uint32_t refusals {};
+    };
+
     struct Service {
         std::string name;
         bool isSharded {};
@@ -97,9 +106,8 @@
         /// Waiting requests by owner of their key; those without an owner wait under an empty key.
         absl::btree_map<UpstreamKey, Queue> queues;
         int inFlight {};
-        /// Ranges, by first key and fence, that their owner does not hold: it has let go of a moving one, or has not heard
-        /// of a new one yet. One request at a time tries again.
-        absl::flat_hash_map<std::uint64_t, Instant> unheldRanges;
+        /// Ranges, by first key and fence, that their owner does not hold.
+        absl::flat_hash_map<std::uint64_t, UnheldRange> unheldRanges;
         absl::flat_hash_map<KeyNumber, KeyUsage> usage;
     };
 
@@ -124,7 +132,7 @@
 
     Service& service(std::string_view name);
     void syncUpstreams(Instant now, const RegistryState& state);
-    void syncKeys(const RegistryState& state, Service& service);
+    void syncKeys(Instant now, const RegistryState& state, Service& service);
     Upstream* upstream(const UpstreamKey& key);
     Duration distanceTo(std::string_view zone) const;
     Duration expectedLatency(Instant now, const Service& service, const Upstream& upstream) const;
@@ -132,9 +140,10 @@
     std::string_view chooseService(const CompiledRoute& route);
     const KeyRange* rangeOf(const Exchange& exchange) const;
     static std::uint64_t rangeNumber(const KeyRange& range) noexcept { return range.fence.value * keyNumberCount + range.first; }
-    /// @return True where a key has to wait for its owner.
+    /// @return Until when a request waits for the owner of its key; nothing where it does not wait.
+    std::optional<Instant> heldUntil(const Exchange& exchange) const;
     bool isHeld(Instant now, const Exchange& exchange) const;
-    void noteUnheld(Instant now, const Exchange& exchange, Instant tryAgainAt);
+    void noteMisdirected(Instant now, const Exchange& exchange);
     bool isInTime(Instant now, const Exchange& exchange, Duration latency) const;
     /// @return Requests of a queue that may be sent, those that can still be answered in time first.
     std::vector<ExchangeId> sendable(Instant now, const Queue& queue, Duration latency) const;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -18,6 +18,9 @@
     constexpr double roomPerSlot = 2.0;
     /// Load is uneven between entry VMs, so each may take this much more than its part.
     constexpr double unevenness = 1.5;
+    /// How long keys on their way to another owner are usually served by nobody: the release, a commit across regions
+    /// and the next owner's heartbeat.
+    constexpr std::chrono::milliseconds movePause { 400 };
     /// Largest number of requests waiting at one entry VM.
     constexpr std::size_t maxOpenRequests = 4'096;
 
@@ -36,6 +39,9 @@
     }
     this->queueOf(exchange).insert({ exchange.request.route->item.priority, exchange.number, exchange.request.id });
     exchange.isQueued = true;
+    if (const auto until = this->heldUntil(exchange); until && *until > exchange.request.arrivedAt && *until < exchange.giveUpAt) {
+        this->deadlines.emplace(*until, exchange.request.id);
+    }
 }
 
 void Dispatcher::dequeue(Exchange& exchange)
@@ -72,23 +78,32 @@
 }
 
 bool Dispatcher::isHeld(Instant now, const Exchange& exchange) const
+{
+    const auto until = this->heldUntil(exchange);
+    return until && now < *until;
+}
+
+std::optional<Instant> Dispatcher::heldUntil(const Exchange& exchange) const
 {
     if (!exchange.service->isSharded) {
-        return false;
+        return std::nullopt;
     }
     const auto* range = this->rangeOf(exchange);
     if (range == nullptr) {
-        return true;
+        return Instant::max();
     }
     const auto unheld = exchange.service->unheldRanges.find(rangeNumber(*range));
-    return unheld != exchange.service->unheldRanges.end() && (range->isMoving() || now < unheld->second);
+    return unheld == exchange.service->unheldRanges.end() ? std::nullopt : std::optional { unheld->second.tryAt };
 }
 
-void Dispatcher::noteUnheld(Instant now, const Exchange& exchange, Instant tryAgainAt)
+void Dispatcher::noteMisdirected(Instant now, const Exchange& exchange)
 {
     if (const auto* range = this->rangeOf(exchange)) {
-        exchange.service->unheldRanges[rangeNumber(*range)] = tryAgainAt;
-        this->deadlines.emplace(std::max(now, tryAgainAt), exchange.request.id);
+        auto& unheld = exchange.service->unheldRanges[rangeNumber(*range)];
+        const auto hold = range->isMoving() && unheld.refusals == 0 ? movePause : misdirectedHold * (1 << std::min(unheld.refusals, maxHoldDoublings));
+        ++unheld.refusals;
+        unheld.tryAt = now + hold;
+        this->deadlines.emplace(unheld.tryAt, exchange.request.id);
     }
 }
 
@@ -176,9 +191,12 @@
     exchange.isSent = true;
     exchange.sentTo = target.announcement.key;
     exchange.sentAt = now;
-    if (const auto* range = this->rangeOf(exchange); range != nullptr && exchange.service->unheldRanges.contains(rangeNumber(*range))) {
-        // Others wait for what this one finds.
-        exchange.service->unheldRanges[rangeNumber(*range)] = now + misdirectedHold * 2;
+    if (const auto* range = this->rangeOf(exchange)) {
+        const auto unheld = exchange.service->unheldRanges.find(rangeNumber(*range));
+        if (unheld != exchange.service->unheldRanges.end()) {
+            // Others wait for what this one finds.
+            unheld->second.tryAt = now + misdirectedHold * 2;
+        }
     }
     const auto left = std::max<Duration>(exchange.giveUpAt - now - answerMargin, answerMargin);
     decisions.push_back(SendRequest { exchange.request.id, target.announcement.key, target.announcement.endpoint, left });
@@ -249,10 +267,11 @@
         auto* owner = this->upstream(range->owner);
         const auto queue = service.queues.find(range->owner);
         const auto waiting = queue == service.queues.end() ? 0.0 : ahead(queue->second);
+        const auto held = std::max<Duration>(this->heldUntil(exchange).value_or(now) - now, Duration::zero());
         if (owner->load.hasRoom(now) && waiting == 0) {
-            return Duration::zero();
+            return held;
         }
-        return scaled(owner->load.expectedLatency(now, service.usualLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+        return held + scaled(owner->load.expectedLatency(now, service.usualLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
     }
     const auto waiting = ahead(service.queue);
     if (waiting == 0 && this->chooseUpstream(now, service, exchange) != nullptr) {
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -14,6 +14,8 @@
     constexpr std::chrono::milliseconds regionDistance { 60 };
     /// Largest share of the usual latency by which an entry VM prefers one upstream to another of the same speed.
     constexpr double largestAversion = 0.3;
+    /// Time from a proposal to its arrival here, less that of the answer to a heartbeat: the commit across regions.
+    constexpr std::chrono::milliseconds feedDelay { 50 };
 
     /// @return The same number in [0, largestAversion) for the same pair in every process.
     double aversionTo(const UpstreamKey& key, std::uint64_t spread)
@@ -91,17 +93,21 @@
     absl::erase_if(this->upstreams, [](const auto& item) { return !item.second.isListed && item.second.load.inFlight() == 0; });
 }
 
-void Dispatcher::syncKeys(const RegistryState& state, Service& service)
+void Dispatcher::syncKeys(Instant now, const RegistryState& state, Service& service)
 {
     const auto ranges = state.keyRanges(service.name);
     service.ranges.assign(ranges.begin(), ranges.end());
-    absl::flat_hash_map<std::uint64_t, Instant> stillUnheld;
+    absl::flat_hash_map<std::uint64_t, UnheldRange> stillUnheld;
     for (const auto& range : service.ranges) {
         const auto known = service.unheldRanges.find(rangeNumber(range));
         if (known != service.unheldRanges.end()) {
             stillUnheld.insert(*known);
+        } else if (range.fence.value > service.rangesIndex.value && range.expectedIn > feedDelay) {
+            // The owner does not know of its new keys before its next heartbeat.
+            stillUnheld.emplace(rangeNumber(range), UnheldRange { now + range.expectedIn - feedDelay, 0 });
         }
     }
+    service.rangesIndex = state.keysChangedAt(service.name);
     service.unheldRanges = std::move(stillUnheld);
     // Requests queue by owner, so they move to their keys' new owners.
     std::vector<ExchangeId> waiting;
@@ -132,8 +138,7 @@
     for (auto& [name, service] : this->services) {
         const auto changedAt = state.keysChangedAt(name);
         if (service->isSharded && service->rangesIndex != changedAt) {
-            service->rangesIndex = changedAt;
-            this->syncKeys(state, *service);
+            this->syncKeys(now, state, *service);
         }
     }
     for (auto& [name, service] : this->services) {
--- a/src/core/registry/KeyBalance.cpp
+++ b/src/core/registry/KeyBalance.cpp
@@ -1,6 +1,7 @@
 #include "core/registry/KeyBalance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <optional>
 
@@ -228,7 +229,10 @@
 
     void relieveHolder(MovePlan& plan, HolderLoad& from, HolderLoads& loads, const BalanceLimits& bounds)
     {
-        while (plan.size() < bounds.moves && from.load > from.share * (1 + bounds.surplusBand)) {
+        // A share of n requests differs from one period to the next by about the square root of n with no change of load.
+        const auto chance = bounds.deviations / std::sqrt(std::max(1.0, from.share));
+        const auto band = std::max(bounds.surplusBand, chance);
+        while (plan.size() < bounds.moves && from.load > from.share * (1 + band)) {
             auto* to = loads.neediest(bounds.rangesPerHolder);
             if (to == nullptr || to == &from) {
                 return;
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -24,6 +24,8 @@
     std::size_t moves { 24 };
     /// An upstream gives keys away once its load is this much above its share.
     double surplusBand { 0.15 };
+    /// Standard deviations of a count of requests that a surplus has to exceed, so that chance moves no keys.
+    double deviations { 2 };
     /// Ranges of one upstream above which it gets no further ones: its whole list has to fit one answer of 4 KiB.
     std::size_t rangesPerHolder { 40 };
 };
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -124,7 +124,7 @@
             auto& assignment = assignments[omission.service];
             assignment.service = omission.service;
             // A later move may have been joined to the range; its keys were not released.
-            assignment.grants.push_back({ omission.first, std::min(range->last, omission.last), range->target, omission.handover });
+            assignment.grants.push_back({ omission.first, std::min(range->last, omission.last), range->target, omission.handover, this->timeToHeartbeat(now, range->target) });
         }
         return false;
     });
@@ -157,6 +157,12 @@
     return false;
 }
 
+Duration KeyCoordinator::timeToHeartbeat(Instant now, const UpstreamKey& key) const
+{
+    const auto* heard = this->contact(key);
+    return heard == nullptr ? Duration::zero() : std::max<Duration>(heard->nextExpected - now, Duration::zero());
+}
+
 void KeyCoordinator::omit(std::string_view service, const KeyRange& range, std::uint64_t sequence)
 {
     const auto isSame = [&range](const Omission& omission) { return omission.owner == range.owner && omission.first == range.first && omission.fence == range.fence; };
@@ -296,6 +302,9 @@
     const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
     auto grants = placeFreeKeys(
         ranges, [&](const KeyRange& range) { return this->isFree(now, range, state); }, available, weights);
+    for (auto& grant : grants) {
+        grant.expectedIn = this->timeToHeartbeat(now, grant.owner);
+    }
     if (!grants.empty()) {
         commands.push_back(AssignKeyRanges { std::string { service }, std::move(grants) });
     }
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -102,6 +102,8 @@
     bool isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state);
     /// @return Assignments of released keys that are due.
     std::vector<Command> assignReleased(Instant now, const RegistryState& state);
+    /// @return Time until the upstream's next heartbeat as far as it can be foreseen, or zero.
+    Duration timeToHeartbeat(Instant now, const UpstreamKey& key) const;
     void omit(std::string_view service, const KeyRange& range, std::uint64_t sequence);
     std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
     void findSilent(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -275,7 +275,10 @@
         result.upstreams.push_back(upstream);
     }
     for (const auto& [service, held] : this->keys) {
-        result.keys.push_back({ service, held.ranges });
+        auto& copy = result.keys.emplace_back(ServiceKeys { service, held.ranges });
+        for (auto& range : copy.ranges) {
+            range.expectedIn = {};
+        }
     }
     return result;
 }
