Estimate the service time of upstreams from their answers

Cause: the speed of an owner of keys was its time for each request, with refused requests counted as served in no time, so an overloaded owner passed for the fastest and kept or got more keys; the way to other regions and waiting counted as work. Conclusion: min(latency, slots x time / answers) bounds the service time from above, idle or saturated.

--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -170,8 +170,10 @@
 struct KeyLoad {
     KeyNumber first {};
     KeyNumber last {};
+    /// Requests of callers, those that were refused included.
     std::uint32_t requests {};
-    /// Time that these requests spent at their upstreams, in milliseconds.
+    std::uint32_t answered {};
+    /// Time that the answered requests spent at their upstreams, less the way there and back, in milliseconds.
     std::uint32_t busyMs {};
 
     friend bool operator==(const KeyLoad&, const KeyLoad&) = default;
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -432,7 +432,7 @@
 template <typename Archive>
 void serialize(Archive& archive, KeyLoad& value)
 {
-    archive(value.first, value.last, value.requests, value.busyMs);
+    archive(value.first, value.last, value.requests, value.answered, value.busyMs);
 }
 
 template <typename Archive>
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -76,7 +76,8 @@
     auto& service = *exchange.service;
     service.inFlight = std::max(0, service.inFlight - 1);
     const auto latency = now - exchange.sentAt;
-    if (auto* target = this->upstream(exchange.sentTo)) {
+    auto* const target = this->upstream(exchange.sentTo);
+    if (target != nullptr) {
         if (outcome) {
             target->load.ended(now, *outcome, latency);
         } else {
@@ -91,7 +92,10 @@
     if (outcome == AttemptOutcome::Answered) {
         service.usualLatency += scaled(latency - service.usualLatency, latencyWeight);
         if (service.isSharded && exchange.request.key) {
-            service.usage[*exchange.request.key].busyMs += std::chrono::duration<double, std::milli> { latency }.count();
+            auto& usage = service.usage[*exchange.request.key];
+            const auto distance = target == nullptr ? Duration::zero() : target->distance;
+            ++usage.answered;
+            usage.busyMs += std::chrono::duration<double, std::milli> { std::max<Duration>(latency - distance, Duration::zero()) }.count();
         }
     }
 }
@@ -286,7 +290,7 @@
         }
         ServiceKeyLoad load { name, {} };
         for (const auto& [key, usage] : service->usage) {
-            load.loads.push_back({ key, key, usage.requests, static_cast<std::uint32_t>(std::lround(usage.busyMs)) });
+            load.loads.push_back({ key, key, usage.requests, usage.answered, static_cast<std::uint32_t>(std::lround(usage.busyMs)) });
         }
         if (load.loads.size() > maxKeys) {
             std::ranges::nth_element(load.loads, load.loads.begin() + static_cast<std::ptrdiff_t>(maxKeys), std::ranges::greater {}, &KeyLoad::requests);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -82,6 +82,7 @@
 
     struct KeyUsage {
         std::uint32_t requests {};
+        std::uint32_t answered {};
         double busyMs {};
     };
 
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -8,10 +8,10 @@
 
     /// How long an entry VM counts after its last report.
     constexpr std::chrono::seconds entryMemory { 5 };
-    /// Weight of a new measurement in the typical latency of an upstream.
-    constexpr double latencyWeight = 0.3;
-    /// Requests below which an upstream's latency says too little.
-    constexpr double minimumSamples = 3;
+    /// Weight of a new measurement in the service time of an upstream.
+    constexpr double serviceTimeWeight = 0.3;
+    /// Answers below which an upstream's service time is not estimated anew.
+    constexpr double minimumAnswers = 8;
     /// Bounds of the speed of an upstream relative to the others.
     constexpr double lowestSpeed = 0.25;
     constexpr double highestSpeed = 2.5;
@@ -198,32 +198,43 @@
     this->entries[report.entry] = now;
     for (const auto& service : report.services) {
         this->loads[service.service].add(service.loads);
-        this->learnLatency(service, state);
+        this->countAnswers(now, service, state);
     }
 }
 
-void KeyCoordinator::learnLatency(const ServiceKeyLoad& load, const RegistryState& state)
+void KeyCoordinator::countAnswers(Instant now, const ServiceKeyLoad& load, const RegistryState& state)
 {
-    struct Sum {
-        double requests {};
-        double busyMs {};
-    };
-    absl::flat_hash_map<UpstreamKey, Sum> sums;
     for (const auto& keys : load.loads) {
-        const auto* range = state.findRange(load.service, keys.first);
-        if (range != nullptr && range->isOwned() && keys.busyMs > 0) {
-            auto& sum = sums[range->owner];
-            sum.requests += keys.requests;
-            sum.busyMs += keys.busyMs;
+        const auto* range = keys.answered == 0 ? nullptr : state.findRange(load.service, keys.first);
+        if (range == nullptr || !range->isOwned()) {
+            continue;
         }
+        auto& sum = this->answers.try_emplace(range->owner, Answers { now, 0, 0 }).first->second;
+        sum.count += keys.answered;
+        sum.busyMs += keys.busyMs;
     }
-    for (const auto& [owner, sum] : sums) {
-        if (sum.requests >= minimumSamples) {
-            auto& typical = this->typicalLatency[owner];
-            const auto mean = sum.busyMs / sum.requests;
-            typical = typical == 0 ? mean : typical + (mean - typical) * latencyWeight;
+}
+
+void KeyCoordinator::learnServiceTimes(Instant now, const RegistryState& state)
+{
+    absl::erase_if(this->answers, [&](const auto& item) {
+        const auto& [key, sum] = item;
+        const auto* upstream = state.findUpstream(key.name);
+        if (upstream == nullptr || upstream->announcement.key != key) {
+            this->serviceTimes.erase(key);
+            return true;
         }
-    }
+        if (sum.count < minimumAnswers) {
+            return false;
+        }
+        // Both are at least the service time: the latency equals it where nothing waits, the time of the slots for each
+        // answer where the upstream is never idle.
+        const auto elapsedMs = std::chrono::duration<double, std::milli> { now - sum.since }.count();
+        const auto bound = std::min(sum.busyMs / sum.count, elapsedMs * std::max(1U, upstream->announcement.requestSlots) / sum.count);
+        auto& known = this->serviceTimes.try_emplace(key, bound).first->second;
+        known += (bound - known) * serviceTimeWeight;
+        return true;
+    });
 }
 
 std::uint32_t KeyCoordinator::entryCount(Instant now) const
@@ -266,20 +277,20 @@
 
 std::vector<KeyHolder> KeyCoordinator::holders(std::string_view service, const RegistryState& state) const
 {
-    std::vector<double> latencies;
-    for (const auto& [key, latency] : this->typicalLatency) {
-        latencies.push_back(latency);
+    std::vector<double> times;
+    for (const auto& [key, time] : this->serviceTimes) {
+        times.push_back(time);
     }
-    const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
-    std::ranges::nth_element(latencies, middle);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
     std::vector<KeyHolder> result;
     for (const auto& [name, upstream] : state.upstreams()) {
         const auto& announcement = upstream.announcement;
         if (announcement.service != service || !state.isAlive(announcement.key)) {
             continue;
         }
-        const auto known = this->typicalLatency.find(announcement.key);
-        const auto speed = known == this->typicalLatency.end() || known->second <= 0 ? 1.0 : std::clamp(*middle / known->second, lowestSpeed, highestSpeed);
+        const auto known = this->serviceTimes.find(announcement.key);
+        const auto speed = known == this->serviceTimes.end() || known->second <= 0 ? 1.0 : std::clamp(*middle / known->second, lowestSpeed, highestSpeed);
         result.push_back({ announcement.key, std::max(1U, announcement.requestSlots) * speed, upstream.isUsable() });
     }
     return result;
@@ -340,6 +351,7 @@
         for (auto& [service, load] : this->loads) {
             load.fade(elapsed);
         }
+        this->learnServiceTimes(now, state);
         for (const auto& service : sharded) {
             this->balance(service, state, commands);
         }
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -109,7 +109,8 @@
     void findSilent(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
     void place(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
     void balance(std::string_view service, const RegistryState& state, std::vector<Command>& commands);
-    void learnLatency(const ServiceKeyLoad& load, const RegistryState& state);
+    void countAnswers(Instant now, const ServiceKeyLoad& load, const RegistryState& state);
+    void learnServiceTimes(Instant now, const RegistryState& state);
 
     KeyLeaseTiming timing;
     Instant leaderSince;
@@ -117,8 +118,16 @@
     absl::flat_hash_map<std::string, Contact> contacts;
     std::vector<Omission> omissions;
     absl::btree_map<std::string, KeyLoadTable, std::less<>> loads;
-    /// Mean time of a request at an upstream, in milliseconds.
-    absl::flat_hash_map<UpstreamKey, double> typicalLatency;
+    /// Answers of an upstream since its service time was last estimated.
+    struct Answers {
+        Instant since;
+        double count {};
+        double busyMs {};
+    };
+
+    absl::flat_hash_map<UpstreamKey, Answers> answers;
+    /// Estimated time that an upstream works on a request, without waiting, in milliseconds.
+    absl::flat_hash_map<UpstreamKey, double> serviceTimes;
     absl::flat_hash_map<NodeId, Instant> entries;
     /// When a move was first seen, by service and first key.
     absl::flat_hash_map<std::uint64_t, Instant> moveSeenAt;
