Move a key that is too hot for its owner to the fastest upstream

Cause: a single key with more load than its owner can serve stayed where it was, since no upstream lacked that much.

--- a/src/core/registry/KeyBalance.cpp
+++ b/src/core/registry/KeyBalance.cpp
@@ -176,6 +176,24 @@
             return choosePiece(this->ranges, from.holder->key, amount, this->weights);
         }
 
+        /// @return The key with the most load, or nothing where the holder has no key that rests.
+        std::optional<Piece> heaviestKey(const HolderLoad& from) const
+        {
+            std::optional<Piece> best;
+            for (const auto& range : this->ranges) {
+                if (range.owner != from.holder->key || range.isMoving()) {
+                    continue;
+                }
+                for (std::uint32_t key = range.first; key <= range.last; ++key) {
+                    const auto weight = this->weights.of(key, key);
+                    if (!best || weight > best->weight) {
+                        best = Piece { static_cast<KeyNumber>(key), static_cast<KeyNumber>(key), weight };
+                    }
+                }
+            }
+            return best;
+        }
+
         std::size_t size() const noexcept { return this->moves.size(); }
         std::vector<KeyRangeMove> take() { return std::move(this->moves); }
 
@@ -227,12 +245,37 @@
         }
     }
 
+    /// Moves a key that is too much for its owner alone to the fastest upstream. That one's other keys follow the next
+    /// rounds to where there is room.
+    void moveHotKey(MovePlan& plan, HolderLoad& from, HolderLoads& loads, const BalanceLimits& bounds)
+    {
+        if (from.holder->mostLoad <= 0 || from.load < from.holder->mostLoad) {
+            return;
+        }
+        const auto hottest = plan.heaviestKey(from);
+        if (!hottest || hottest->weight < from.holder->mostLoad) {
+            return;
+        }
+        HolderLoad* fastest = nullptr;
+        for (auto& load : loads.all()) {
+            // An upstream that has such a key itself is as full.
+            const bool isUsable = load.holder->takesKeys && load.ranges < bounds.rangesPerHolder && load.load < load.holder->mostLoad;
+            if (isUsable && (fastest == nullptr || load.holder->mostLoad > fastest->holder->mostLoad)) {
+                fastest = &load;
+            }
+        }
+        if (fastest != nullptr && fastest->holder->mostLoad > from.holder->mostLoad * bounds.fasterBy) {
+            plan.move(*hottest, from, *fastest);
+        }
+    }
+
     void relieveHolder(MovePlan& plan, HolderLoad& from, HolderLoads& loads, const BalanceLimits& bounds)
     {
         // A share of n requests differs from one period to the next by about the square root of n with no change of load.
         const auto chance = bounds.deviations / std::sqrt(std::max(1.0, from.share));
         const auto band = std::max(bounds.surplusBand, chance);
-        while (plan.size() < bounds.moves && from.load > from.share * (1 + band)) {
+        const auto kept = std::max(from.share * (1 + band), from.holder->mostLoad * bounds.idlePart);
+        while (plan.size() < bounds.moves && from.load > kept) {
             auto* to = loads.neediest(bounds.rangesPerHolder);
             if (to == nullptr || to == &from) {
                 return;
@@ -296,6 +339,7 @@
     }
     std::ranges::sort(busiest, std::ranges::greater {}, [](const HolderLoad* load) { return load->load / load->share; });
     for (auto* load : busiest) {
+        moveHotKey(plan, *load, loads, bounds);
         relieveHolder(plan, *load, loads, bounds);
     }
     return plan.take();
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -14,6 +14,8 @@
     UpstreamKey key;
     /// Requests that it can serve at a time, corrected by the speed seen.
     double capacity { 1 };
+    /// Most load that it can serve, in the unit of the weights of keys. Zero where it is not known.
+    double mostLoad {};
     /// False where the upstream is leaving: it gives its keys away and gets none.
     bool takesKeys { true };
 };
@@ -24,6 +26,10 @@
     std::size_t moves { 24 };
     /// An upstream gives keys away once its load is this much above its share.
     double surplusBand { 0.15 };
+    /// Part of its largest load below which an upstream keeps its keys whatever its share is: its requests hardly wait.
+    double idlePart { 0.5 };
+    /// A key that is too much for its owner goes to an upstream that serves this many times as much.
+    double fasterBy { 1.25 };
     /// Standard deviations of a count of requests that a surplus has to exceed, so that chance moves no keys.
     double deviations { 2 };
     /// Ranges of one upstream above which it gets no further ones: its whole list has to fit one answer of 4 KiB.
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -291,7 +291,10 @@
         }
         const auto known = this->serviceTimes.find(announcement.key);
         const auto speed = known == this->serviceTimes.end() || known->second <= 0 ? 1.0 : std::clamp(*middle / known->second, lowestSpeed, highestSpeed);
-        result.push_back({ announcement.key, std::max(1U, announcement.requestSlots) * speed, upstream.isUsable() });
+        const auto slots = std::max(1U, announcement.requestSlots);
+        const auto time = known == this->serviceTimes.end() ? 0.0 : std::max(1.0, known->second);
+        const auto mostLoad = time == 0 ? 0.0 : slots * std::chrono::duration<double, std::milli> { KeyLoadTable::fadeTime }.count() / time;
+        result.push_back({ announcement.key, slots * speed, mostLoad, upstream.isUsable() });
     }
     return result;
 }
