Refuse requests that the network link of an entry VM cannot carry

Cause: callers are spread unevenly, so some entry VMs of 2.5 Mbit/s got more than their link carries for seconds. Every answer then waited, and the datagrams of the registry's feed were lost: entry VMs fell 3 s behind (FeedLost), used old routes (CONFIG) and upstreams that had left (DRAIN). Ruled out: processor time, slow members, long feed replies (no reply took over 600 ms; they were lost).

--- a/include/teaselturn/ResultCode.h
+++ b/include/teaselturn/ResultCode.h
@@ -51,6 +51,7 @@
     RequestBalanceExhausted = 3109,
     RequestCircuitOpen = 3110,
     RequestRetryBudgetExhausted = 3111,
+    RequestLinkFull = 3112,
     RequestOutcomeUnknown = 3201,
     RequestAnswerIncomplete = 3202,
     RequestAnswerMismatched = 3203,
@@ -110,7 +111,7 @@
 };
 
 /// Every result code with its name and message, in order of number.
-extern const std::array<ResultCodeRow, 77> resultCodeTable;
+extern const std::array<ResultCodeRow, 78> resultCodeTable;
 
 /// @return The category of teaselturn's error codes.
 const std::error_category& resultCategory() noexcept;
--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -29,6 +29,8 @@
     Instant arrivedAt;
     /// When the caller stops waiting.
     Instant deadline;
+    /// Size with headers.
+    std::size_t bytes {};
 };
 
 /// Send the request to an upstream.
@@ -81,6 +83,8 @@
     std::chrono::milliseconds retryWindow { 10'000 };
     /// An upstream that leaves gets no request later than this after this entry VM heard of it.
     std::chrono::milliseconds drainTime { 2'000 };
+    /// Speed of this entry VM's network link in each direction. Zero where it sets no bound.
+    std::size_t linkBytesPerSecond {};
 };
 
 }
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -17,6 +17,7 @@
 
 Dispatcher::Dispatcher(DispatchOptions options)
     : options(std::move(options))
+    , link(this->options.linkBytesPerSecond)
 {
 }
 
@@ -63,6 +64,12 @@
         this->refuse(now, exchange, *refusal, decisions);
         return;
     }
+    if (this->isLinkFull(now, exchange)) {
+        this->refuse(now, exchange, ResultCode::RequestLinkFull, decisions);
+        return;
+    }
+    exchange.linkBytes = this->link.expectedBytes(exchange.request.route->name, exchange.request.bytes);
+    this->link.take(now, exchange.linkBytes);
     this->enqueue(exchange);
     this->serve(now, *exchange.service, decisions);
 }
@@ -111,14 +118,14 @@
     this->detach(now, exchange, outcome);
     switch (outcome) {
     case AttemptOutcome::Answered:
-        this->finish(exchange, DeliverAnswer { id }, decisions);
+        this->finish(now, exchange, DeliverAnswer { id }, decisions);
         break;
     case AttemptOutcome::Failed:
         ++exchange.runs;
         if (this->mayRepeat(now, exchange, outcome)) {
             this->tryAgain(now, exchange, outcome, decisions);
         } else {
-            this->finish(exchange, DeliverAnswer { id }, decisions);
+            this->finish(now, exchange, DeliverAnswer { id }, decisions);
         }
         break;
     case AttemptOutcome::Lost:
@@ -126,7 +133,7 @@
         if (this->mayRepeat(now, exchange, outcome)) {
             this->tryAgain(now, exchange, outcome, decisions);
         } else {
-            this->finish(exchange, FailRequest { id, ResultCode::RequestOutcomeUnknown }, decisions);
+            this->finish(now, exchange, FailRequest { id, ResultCode::RequestOutcomeUnknown }, decisions);
         }
         break;
     case AttemptOutcome::Full:
@@ -209,21 +216,43 @@
     // A refusal promises that nothing ran. An idempotent request that may have run before can still be refused only as
     // unknown.
     if (exchange.runs > 0) {
-        this->finish(exchange, FailRequest { id, ResultCode::RequestOutcomeUnknown }, decisions);
+        this->finish(now, exchange, FailRequest { id, ResultCode::RequestOutcomeUnknown }, decisions);
     } else {
-        this->finish(exchange, RefuseRequest { id, reason, this->retryAfter(now, exchange) }, decisions);
+        this->finish(now, exchange, RefuseRequest { id, reason, this->retryAfter(now, exchange, reason) }, decisions);
     }
 }
 
-void Dispatcher::finish(Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions)
+void Dispatcher::finish(Instant now, Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions)
 {
     const auto id = exchange.request.id;
+    this->settleLink(now, exchange);
     this->dequeue(exchange);
     this->deadlines.erase({ exchange.giveUpAt, id });
     decisions.push_back(std::move(decision));
     this->exchanges.erase(id);
 }
 
+void Dispatcher::answerArrived(ExchangeId id, std::size_t bytes)
+{
+    const auto found = this->exchanges.find(id);
+    if (found != this->exchanges.end()) {
+        found->second->answerBytes = bytes;
+    }
+}
+
+void Dispatcher::settleLink(Instant now, const Exchange& exchange)
+{
+    if (exchange.answerBytes > 0) {
+        this->link.learnAnswer(exchange.request.route->name, exchange.answerBytes);
+    }
+    const auto used = static_cast<double>(exchange.request.bytes + exchange.answerBytes);
+    if (exchange.linkBytes > used) {
+        this->link.giveBack(now, exchange.linkBytes - used);
+    } else if (exchange.linkBytes > 0) {
+        this->link.take(now, used - exchange.linkBytes);
+    }
+}
+
 void Dispatcher::cancel(Instant now, ExchangeId id, DispatchDecisions& decisions)
 {
     const auto found = this->exchanges.find(id);
@@ -231,6 +260,7 @@
         return;
     }
     auto& exchange = *found->second;
+    this->settleLink(now, exchange);
     auto& service = *exchange.service;
     const bool wasSent = exchange.isSent;
     this->detach(now, exchange, std::nullopt);
@@ -251,7 +281,7 @@
         this->detach(now, exchange, AttemptOutcome::Lost);
         ++exchange.runs;
         decisions.push_back(AbandonAttempt { id });
-        this->finish(exchange, FailRequest { id, ResultCode::RequestDeadlineExceeded }, decisions);
+        this->finish(now, exchange, FailRequest { id, ResultCode::RequestDeadlineExceeded }, decisions);
     } else {
         this->refuse(now, exchange, ResultCode::RequestDeadlineExceeded, decisions);
     }
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/DispatchTypes.h"
+#include "core/dispatch/LinkBudget.h"
 #include "core/dispatch/RetryWindow.h"
 #include "core/dispatch/UpstreamLoad.h"
 #include "core/registry/RegistryState.h"
@@ -34,6 +35,8 @@
     void setEntryCount(std::uint32_t count) noexcept { this->entryCount = std::max(1U, count); }
 
     void submit(Instant now, DispatchRequest request, DispatchDecisions& decisions);
+    /// Reports the size of an answer, before attemptEnded() says what it is worth.
+    void answerArrived(ExchangeId id, std::size_t bytes);
     /// Reports how an attempt ended. The request's next step is among the decisions, which is exactly one for this request.
     void attemptEnded(Instant now, ExchangeId id, AttemptOutcome outcome, DispatchDecisions& decisions);
     /// The caller left.
@@ -127,6 +130,9 @@
         bool isSent {};
         Instant sentAt;
         Instant giveUpAt;
+        /// Bytes taken from the link's budget.
+        double linkBytes {};
+        std::size_t answerBytes {};
         std::vector<UpstreamKey> avoided;
         std::uint32_t misdirections {};
     };
@@ -151,7 +157,9 @@
 
     std::optional<ResultCode> admissionRefusal(Instant now, const Exchange& exchange);
     Duration expectedWait(Instant now, const Exchange& exchange);
-    Duration retryAfter(Instant now, const Exchange& exchange);
+    Duration retryAfter(Instant now, const Exchange& exchange, ResultCode reason);
+    /// @return True where the link cannot carry the request in time.
+    bool isLinkFull(Instant now, const Exchange& exchange);
 
     void enqueue(Exchange& exchange);
     void dequeue(Exchange& exchange);
@@ -163,7 +171,8 @@
     double roomShare(const Service& service) const;
     void send(Instant now, Exchange& exchange, Upstream& target, DispatchDecisions& decisions);
     void refuse(Instant now, Exchange& exchange, ResultCode reason, DispatchDecisions& decisions);
-    void finish(Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions);
+    void settleLink(Instant now, const Exchange& exchange);
+    void finish(Instant now, Exchange& exchange, DispatchDecision decision, DispatchDecisions& decisions);
     void tryAgain(Instant now, Exchange& exchange, AttemptOutcome outcome, DispatchDecisions& decisions);
     /// @return True where an upstream is left that has not failed the request yet.
     bool hasOtherUpstream(const Exchange& exchange);
@@ -172,6 +181,7 @@
     void expire(Instant now, Exchange& exchange, DispatchDecisions& decisions);
 
     DispatchOptions options;
+    LinkBudget link;
     std::uint32_t entryCount { 1 };
     std::uint64_t lastNumber {};
     LogIndex itemsIndex;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -2,6 +2,7 @@
 #include "core/dispatch/ScaledDuration.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace teaselturn {
@@ -21,6 +22,9 @@
     /// How long keys on their way to another owner are usually served by nobody: the release, a commit across regions
     /// and the next owner's heartbeat.
     constexpr std::chrono::milliseconds movePause { 400 };
+    /// Part of the target latency for which a request may wait for the link, by priority. Those of a high priority wait
+    /// behind what the others were refused for.
+    constexpr std::array linkPatience { 0.5, 0.35, 0.2 };
     /// Largest number of requests waiting at one entry VM.
     constexpr std::size_t maxOpenRequests = 4'096;
 
@@ -282,13 +286,24 @@
     return scaled(service.usualLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
 }
 
-Duration Dispatcher::retryAfter(Instant now, const Exchange& exchange)
+bool Dispatcher::isLinkFull(Instant now, const Exchange& exchange)
+{
+    const auto& route = exchange.request.route->item;
+    const auto patience = linkPatience[std::min<std::size_t>(route.priority, linkPatience.size() - 1)];
+    return this->link.wait(now) > scaled(route.targetLatency, patience);
+}
+
+Duration Dispatcher::retryAfter(Instant now, const Exchange& exchange, ResultCode reason)
 {
     // Callers that were refused together must not return together.
     this->spreadState ^= this->spreadState << 13;
     this->spreadState ^= this->spreadState >> 7;
     this->spreadState ^= this->spreadState << 17;
     const auto spread = 0.5 + static_cast<double>(this->spreadState % 1'000) / 1'000;
+    if (reason == ResultCode::RequestLinkFull) {
+        // Callers return to another entry VM, whose link has room as a rule.
+        return scaled(shortestReturn, 2 * spread);
+    }
     const auto left = std::max<Duration>(Duration::zero(), exchange.giveUpAt - now);
     return std::clamp<Duration>(scaled(left, 0.25 * spread), shortestReturn, longestReturn);
 }
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -3,6 +3,7 @@
 #include "core/registry/KeyRanges.h"
 #include "core/routing/RouteTable.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <algorithm>
 
 namespace teaselturn {
@@ -134,6 +135,13 @@
                 this->service(item.name).isSharded = content->isSharded;
             }
         });
+        absl::flat_hash_set<std::string> routes;
+        state.forEachItem([&routes](const ConfigItem& item) {
+            if (item.kind() == ItemKind::Route) {
+                routes.insert(item.name);
+            }
+        });
+        this->link.keepRoutes([&routes](const std::string& name) { return routes.contains(name); });
     }
     for (auto& [name, service] : this->services) {
         const auto changedAt = state.keysChangedAt(name);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <numeric>
 #include <span>
 
 namespace teaselturn {
@@ -29,6 +30,13 @@
         return std::chrono::seconds { seconds };
     }
 
+    /// @return Size of a message on the wire, without its first line.
+    inline std::size_t messageBytes(std::span<const HttpHeader> headers, std::string_view body)
+    {
+        constexpr std::size_t separators = 4;
+        return std::accumulate(headers.begin(), headers.end(), body.size(), [](std::size_t sum, const HttpHeader& header) { return sum + header.name.size() + header.value.size() + separators; });
+    }
+
     inline std::string_view pathOf(std::string_view target)
     {
         return target.substr(0, target.find('?'));
@@ -116,7 +124,7 @@
             rejection = Dialect::refusal(*facts, ResultCode::RequestTableStale, std::chrono::milliseconds { 500 });
         } else if (auto route = this->routes->find(facts->host, gateway::pathOf(request.target))) {
             const ExchangeId id { call.value };
-            DispatchRequest dispatch { id, route, facts->key, now, now + facts->timeLeft };
+            DispatchRequest dispatch { id, route, facts->key, now, now + facts->timeLeft, gateway::messageBytes(request.headers, request.body) };
             this->exchanges.emplace(id, Exchange { call, std::move(request), std::move(*facts), std::move(route), now, {}, 0, "-", std::nullopt });
             DispatchDecisions decisions;
             this->dispatcher.submit(now, std::move(dispatch), decisions);
@@ -309,6 +317,7 @@
             this->links.erase(link);
         }
         if (exchange != this->exchanges.end()) {
+            this->dispatcher.answerArrived(exchangeId, gateway::messageBytes(response.headers, response.body));
             exchange->second.answer = std::move(response);
             this->endAttempt(now, exchangeId, outcome, work);
         }
