--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -315,9 +315,54 @@
     Current current;
 };
 
+namespace {
+
+    /// A connection on which one request has arrived and whose answer nobody reads.
+    class CannedStream : public httplib::Stream {
+    public:
+        bool is_readable() const override { return true; }
+        bool is_writable() const override { return true; }
+        void get_remote_ip_and_port(std::string&, int&) const override { }
+        void get_local_ip_and_port(std::string&, int&) const override { }
+        socket_t socket() const override { return 0; }
+
+        ssize_t read(char* target, std::size_t size) override
+        {
+            const auto count = this->input.copy(target, size);
+            this->input.remove_prefix(count);
+            return static_cast<ssize_t>(count);
+        }
+
+        ssize_t write(const char*, std::size_t size) override { return static_cast<ssize_t>(size); }
+
+    private:
+        std::string_view input { "GET / HTTP/1.1\r\nHost: localhost\r\nAccept: */*\r\n\r\n" };
+    };
+
+    class CannedServer : public httplib::Server {
+    public:
+        bool run()
+        {
+            CannedStream stream;
+            bool isClosed = false;
+            return this->process_request(stream, true, isClosed, {});
+        }
+    };
+
+    /// Has the library initialize its function-local statics on one thread. It is built without ThreadSanitizer, which
+    /// then sees their later use on other threads as unordered.
+    void initializeLibrary()
+    {
+        static const bool isDone = CannedServer {}.run();
+        static_cast<void>(isDone);
+    }
+
+}
+
 ServerCodec::ServerCodec(MessageLimits limits, std::function<bool()> isDraining)
     : implementation(std::make_unique<Implementation>(limits, std::move(isDraining)))
 {
+    initializeLibrary();
 }
 
 ServerCodec::~ServerCodec() = default;
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -91,6 +91,8 @@
 
     /// A range whose owner has let go of it, or has not heard of it yet.
     struct UnheldRange {
+        /// When an owner is expected to hold the range.
+        Instant expectedAt;
         /// When a single request finds out whether the owner holds the range by now.
         Instant tryAt;
         std::uint32_t refusals {};
@@ -147,6 +149,8 @@
     std::string_view chooseService(const CompiledRoute& route);
     const KeyRange* rangeOf(const Exchange& exchange) const;
     static std::uint64_t rangeNumber(const KeyRange& range) noexcept { return range.fence.value * keyNumberCount + range.first; }
+    /// @return What is known of the request's range where its owner does not hold it; null where it does.
+    static const UnheldRange* unheldRange(const Service& service, const KeyRange* range);
     /// @return Until when a request waits for the owner of its key; nothing where it does not wait.
     std::optional<Instant> heldUntil(const Exchange& exchange) const;
     bool isHeld(Instant now, const Exchange& exchange) const;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -19,9 +19,11 @@
     constexpr double roomPerSlot = 2.0;
     /// Load is uneven between entry VMs, so each may take this much more than its part.
     constexpr double unevenness = 1.5;
-    /// How long keys on their way to another owner are usually served by nobody: the release, a commit across regions
-    /// and the next owner's heartbeat.
-    constexpr std::chrono::milliseconds movePause { 400 };
+    /// How long keys on their way to another owner are usually served by nobody once an entry VM finds out: a commit
+    /// across regions and the next owner's heartbeat.
+    constexpr std::chrono::milliseconds movePause { 200 };
+    /// A move that takes longer than this has stopped, and the former owner may hold the keys again.
+    constexpr std::chrono::milliseconds stuckMoveTime { 1'200 };
     /// Part of the target latency for which a request may wait for the link, by priority. Those of a high priority wait
     /// behind what the others were refused for.
     constexpr std::array linkPatience { 0.5, 0.35, 0.2 };
@@ -96,17 +98,25 @@
     if (range == nullptr) {
         return Instant::max();
     }
-    const auto unheld = exchange.service->unheldRanges.find(rangeNumber(*range));
-    return unheld == exchange.service->unheldRanges.end() ? std::nullopt : std::optional { unheld->second.tryAt };
+    const auto* unheld = unheldRange(*exchange.service, range);
+    return unheld == nullptr ? std::nullopt : std::optional { unheld->tryAt };
+}
+
+const Dispatcher::UnheldRange* Dispatcher::unheldRange(const Service& service, const KeyRange* range)
+{
+    const auto found = range == nullptr ? service.unheldRanges.end() : service.unheldRanges.find(rangeNumber(*range));
+    return found == service.unheldRanges.end() ? nullptr : &found->second;
 }
 
 void Dispatcher::noteMisdirected(Instant now, const Exchange& exchange)
 {
     if (const auto* range = this->rangeOf(exchange)) {
         auto& unheld = exchange.service->unheldRanges[rangeNumber(*range)];
-        const auto hold = range->isMoving() && unheld.refusals == 0 ? movePause : misdirectedHold * (1 << std::min(unheld.refusals, maxHoldDoublings));
+        const auto hold = misdirectedHold * (1 << std::min(unheld.refusals, maxHoldDoublings));
+        const bool isReleased = range->isMoving() && unheld.refusals == 0;
+        unheld.expectedAt = now + (isReleased ? movePause : hold);
+        unheld.tryAt = now + (isReleased ? stuckMoveTime : hold);
         ++unheld.refusals;
-        unheld.tryAt = now + hold;
         this->deadlines.emplace(unheld.tryAt, exchange.request.id);
     }
 }
@@ -200,6 +210,7 @@
         if (unheld != exchange.service->unheldRanges.end()) {
             // Others wait for what this one finds.
             unheld->second.tryAt = now + misdirectedHold * 2;
+            unheld->second.expectedAt = unheld->second.tryAt;
         }
     }
     const auto left = std::max<Duration>(exchange.giveUpAt - now - answerMargin, answerMargin);
@@ -271,7 +282,8 @@
         auto* owner = this->upstream(range->owner);
         const auto queue = service.queues.find(range->owner);
         const auto waiting = queue == service.queues.end() ? 0.0 : ahead(queue->second);
-        const auto held = std::max<Duration>(this->heldUntil(exchange).value_or(now) - now, Duration::zero());
+        const auto* unheld = unheldRange(service, range);
+        const auto held = unheld == nullptr ? Duration::zero() : std::max<Duration>(unheld->expectedAt - now, Duration::zero());
         if (owner->load.hasRoom(now) && waiting == 0) {
             return held;
         }
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -105,7 +105,7 @@
             stillUnheld.insert(*known);
         } else if (range.fence.value > service.rangesIndex.value && range.expectedIn > feedDelay) {
             // The owner does not know of its new keys before its next heartbeat.
-            stillUnheld.emplace(rangeNumber(range), UnheldRange { now + range.expectedIn - feedDelay, 0 });
+            stillUnheld.emplace(rangeNumber(range), UnheldRange { now + range.expectedIn - feedDelay, now + range.expectedIn - feedDelay, 0 });
         }
     }
     service.rangesIndex = state.keysChangedAt(service.name);
--- a/src/node/gateway/LinkPool.cpp
+++ b/src/node/gateway/LinkPool.cpp
@@ -1,5 +1,7 @@
 #include "node/gateway/LinkPool.h"
 
+#include "core/dispatch/ScaledDuration.h"
+
 #include <algorithm>
 
 namespace teaselturn {
@@ -18,8 +20,8 @@
 void LinkPool::put(const UpstreamKey& upstream, std::shared_ptr<UpstreamLink> link, Instant now, Duration idleTime)
 {
     auto& links = this->idle[upstream];
-    const auto usable = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { idleTime } * usableShare);
-    links.push_back({ std::move(link), now + usable });
+    const auto margin = std::min<Duration>(closeMargin, scaled(idleTime, largestMarginShare));
+    links.push_back({ std::move(link), now + idleTime - margin });
 }
 
 void LinkPool::remove(const UpstreamKey& upstream, LinkId link)
--- a/src/node/gateway/LinkPool.h
+++ b/src/node/gateway/LinkPool.h
@@ -15,8 +15,10 @@
 /// Not thread-safe.
 class LinkPool {
 public:
-    /// Connections are not used again after this share of the time after which the upstream closes them.
-    static constexpr double usableShare = 0.7;
+    /// Connections are not used again this long before the upstream closes them: a request must not cross the close. Of a
+    /// short idle time a share is kept back.
+    static constexpr std::chrono::milliseconds closeMargin { 700 };
+    static constexpr double largestMarginShare = 0.3;
     /// Idle time assumed where the upstream does not state one.
     static constexpr std::chrono::milliseconds assumedIdleTime { 5'000 };
     /// Idle connections kept for one upstream.
--- a/tests/adapters/clock/ThreadTimerServiceTest.cpp
+++ b/tests/adapters/clock/ThreadTimerServiceTest.cpp
@@ -1,8 +1,8 @@
 #include "adapters/clock/ThreadTimerService.h"
 
-#include <absl/synchronization/notification.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <latch>
 
 using namespace teaselturn;
 using namespace std::chrono_literals;
@@ -10,14 +10,14 @@
 TEST_CASE("timers call back in order of their due time", "[threads]")
 {
     ThreadTimerService timers;
-    absl::Notification finished;
+    std::latch finished { 1 };
     std::vector<int> order;
     timers.after(40ms, [&](Instant) {
         order.push_back(2);
-        finished.Notify();
+        finished.count_down();
     });
     timers.after(5ms, [&](Instant) { order.push_back(1); });
-    finished.WaitForNotification();
+    finished.wait();
     CHECK(order == std::vector<int> { 1, 2 });
 }
 
@@ -27,15 +27,15 @@
     ThreadTimerService timers;
     std::atomic<int> calls { 0 };
     TimerId id;
-    absl::Notification idKnown;
-    absl::Notification later;
+    std::latch idKnown { 1 };
+    std::latch later { 1 };
     id = timers.every(1ms, [&](Instant) {
-        idKnown.WaitForNotification();
+        idKnown.wait();
         calls.fetch_add(1);
         timers.cancel(id);
     });
-    idKnown.Notify();
-    timers.after(50ms, [&](Instant) { later.Notify(); });
-    later.WaitForNotification();
+    idKnown.count_down();
+    timers.after(50ms, [&](Instant) { later.count_down(); });
+    later.wait();
     CHECK(calls.load() == 1);
 }
--- a/tests/adapters/http/HttpServerTest.cpp
+++ b/tests/adapters/http/HttpServerTest.cpp
@@ -3,9 +3,9 @@
 #include "RawUpstream.h"
 #include "adapters/http/HttpClient.h"
 
-#include <absl/synchronization/notification.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <latch>
 #include <thread>
 
 using namespace teaselturn;
@@ -128,12 +128,12 @@
 {
     // Guards against cutting a request during a graceful shutdown.
     WorkerPool workers { 4, 64 };
-    absl::Notification started;
-    absl::Notification release;
+    std::latch started { 1 };
+    std::latch release { 1 };
     auto server = serve(workers, [&](const HttpRequest& request) {
         if (request.target == "/slow") {
-            started.Notify();
-            release.WaitForNotification();
+            started.count_down();
+            release.wait();
         }
         return echo(request);
     });
@@ -145,9 +145,9 @@
         HttpClient client { endpoint };
         answer = client.call({ "GET", "/slow", {}, {}, {} }, 30s);
     } };
-    started.WaitForNotification();
+    started.wait();
     CHECK_FALSE(server->drain(1ms));
-    release.Notify();
+    release.count_down();
     CHECK(server->drain(30s));
     slow.join();
     REQUIRE(answer);
@@ -168,7 +168,7 @@
     const Endpoint endpoint { "127.0.0.1", server->port() };
     std::atomic<std::uint64_t> answered { 0 };
     std::atomic<std::uint64_t> cut { 0 };
-    absl::Notification isLoaded;
+    std::latch isLoaded { 1 };
     std::vector<std::thread> clients;
     clients.reserve(8);
     for (int i = 0; i < 8; ++i) {
@@ -181,12 +181,12 @@
                     return;
                 }
                 if (++answered == 500) {
-                    isLoaded.Notify();
+                    isLoaded.count_down();
                 }
             }
         });
     }
-    isLoaded.WaitForNotification();
+    isLoaded.wait();
     CHECK(server->drain(30s));
     for (auto& client : clients) {
         client.join();
--- a/tests/adapters/threads/WorkerPoolTest.cpp
+++ b/tests/adapters/threads/WorkerPoolTest.cpp
@@ -1,8 +1,8 @@
 #include "adapters/threads/WorkerPool.h"
 
-#include <absl/synchronization/notification.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <latch>
 
 using teaselturn::WorkerPool;
 
@@ -22,16 +22,16 @@
 TEST_CASE("worker pool refuses tasks beyond its queue limit", "[threads]")
 {
     // Guards against unbounded memory under overload.
-    absl::Notification started;
-    absl::Notification release;
+    std::latch started { 1 };
+    std::latch release { 1 };
     WorkerPool pool { 1, 2 };
     REQUIRE(pool.submit([&] {
-        started.Notify();
-        release.WaitForNotification();
+        started.count_down();
+        release.wait();
     }));
-    started.WaitForNotification();
+    started.wait();
     CHECK(pool.submit([] {}));
     CHECK(pool.submit([] {}));
     CHECK_FALSE(pool.submit([] {}));
-    release.Notify();
+    release.count_down();
 }
