--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -21,7 +21,7 @@
     constexpr double unevenness = 1.5;
     /// How long keys on their way to another owner are usually served by nobody once an entry VM finds out: a commit
     /// across regions and the next owner's heartbeat.
-    constexpr std::chrono::milliseconds movePause { 200 };
+    constexpr std::chrono::milliseconds movePause { 150 };
     /// A move that takes longer than this has stopped, and the former owner may hold the keys again.
     constexpr std::chrono::milliseconds stuckMoveTime { 1'200 };
     /// Part of the target latency for which a request may wait for the link, by priority. Those of a high priority wait
--- a/tests/core/dispatch/DispatcherTest.cpp
+++ b/tests/core/dispatch/DispatcherTest.cpp
@@ -310,3 +310,99 @@
     CHECK(counts["a"] == 90);
     CHECK(counts["b"] == 10);
 }
+
+TEST_CASE("requests beyond what the link carries are refused at once, the least urgent first")
+{
+    // Replays the load pattern of callers that crowd at one entry VM with a slow link: without the bound every answer
+    // waits, and the registry's feed is lost.
+    DispatchOptions options { "z1", {}, 1, 200, 100, milliseconds { 10'000 } };
+    options.linkBytesPerSecond = 100'000;
+    DispatchFixture fixture { options };
+    for (int i = 0; i < 40; ++i) {
+        fixture.add("u" + std::to_string(i), "plain");
+    }
+    fixture.sync();
+    auto urgent = std::get<RouteItem>(routeItem("urgent", "plain", 1, RequestKind::AtMostOnce).content);
+    urgent.targetLatency = milliseconds { 300 };
+    auto bulk = urgent;
+    urgent.priority = 0;
+    bulk.priority = 2;
+    const auto urgentRoute = std::make_shared<const CompiledRoute>(CompiledRoute { "urgent", 1, urgent });
+    const auto bulkRoute = std::make_shared<const CompiledRoute>(CompiledRoute { "bulk", 1, bulk });
+    const auto serve = [&fixture](const std::shared_ptr<const CompiledRoute>& route, std::size_t bytes) {
+        const auto id = fixture.submit(route);
+        const bool isSent = !fixture.decided<SendRequest>().empty();
+        fixture.dispatcher.answerArrived(id, bytes);
+        fixture.end(id, AttemptOutcome::Answered);
+        return isSent;
+    };
+    int served = 0;
+    for (int i = 0; i < 100; ++i) {
+        fixture.forget();
+        served += serve(bulkRoute, 5'000) ? 1 : 0;
+        fixture.now += milliseconds { 10 };
+    }
+    // The second carries 88,000 bytes, and a fifth of the target latency may be taken in advance.
+    CHECK(served >= 17);
+    CHECK(served <= 20);
+    fixture.forget();
+    fixture.submit(bulkRoute);
+    REQUIRE(fixture.decided<RefuseRequest>().size() == 1);
+    CHECK(fixture.decided<RefuseRequest>()[0].reason == ResultCode::RequestLinkFull);
+    CHECK(fixture.decided<RefuseRequest>()[0].retryAfter <= milliseconds { 200 });
+    fixture.forget();
+    CHECK(serve(urgentRoute, 400));
+    fixture.now += milliseconds { 1'000 };
+    fixture.forget();
+    CHECK(serve(bulkRoute, 5'000));
+}
+
+TEST_CASE("requests wait until the owner of assigned keys is expected to hear of them")
+{
+    // Guards against sends that the next owner refuses because its heartbeat is still to come.
+    DispatchFixture fixture;
+    const auto owner = fixture.add("owner", "keys");
+    fixture.sync();
+    fixture.apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, owner.key, "", milliseconds { 150 } } } });
+    fixture.sync();
+    fixture.submit(keyed, 5);
+    CHECK(fixture.decided<SendRequest>().empty());
+    CHECK(fixture.decided<RefuseRequest>().empty());
+    fixture.now += milliseconds { 100 };
+    fixture.dispatcher.advance(fixture.now, fixture.decisions);
+    CHECK(fixture.decided<SendRequest>().size() == 1);
+}
+
+TEST_CASE("a request for keys that nobody holds in time is refused at once")
+{
+    DispatchFixture fixture;
+    const auto owner = fixture.add("owner", "keys");
+    fixture.sync();
+    fixture.apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, owner.key, "", milliseconds { 800 } } } });
+    fixture.sync();
+    fixture.submit(keyed, 5);
+    REQUIRE(fixture.decided<RefuseRequest>().size() == 1);
+    CHECK(fixture.decided<RefuseRequest>()[0].reason == ResultCode::RequestShed);
+}
+
+TEST_CASE("each further refusal of an owner that lost its keys doubles the wait")
+{
+    // Guards against arrivals in vain while an owner is cut off from the registry and its lease has ended.
+    DispatchFixture fixture;
+    const auto owner = fixture.add("owner", "keys");
+    fixture.apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, owner.key, "" } } });
+    fixture.sync();
+    std::size_t sends = 0;
+    for (int step = 0; step < 200; ++step) {
+        fixture.forget();
+        fixture.submit(keyed, 5);
+        fixture.now += milliseconds { 10 };
+        fixture.dispatcher.advance(fixture.now, fixture.decisions);
+        for (const auto& send : fixture.decided<SendRequest>()) {
+            ++sends;
+            fixture.end(send.id, AttemptOutcome::Misdirected);
+        }
+    }
+    CHECK(sends >= 2);
+    CHECK(sends <= 8);
+}
--- a/tests/core/registry/KeyBalanceTest.cpp
+++ b/tests/core/registry/KeyBalanceTest.cpp
@@ -14,7 +14,7 @@
     std::vector<KeyHolder> holders;
     holders.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i) {
-        holders.push_back({ { "u" + std::to_string(i), 1 }, 3, true });
+        holders.push_back({ { "u" + std::to_string(i), 1 }, 3, 0, true });
     }
     return holders;
 }
@@ -138,3 +138,50 @@
     carryOut(ranges, planKeyMoves(ranges, holders, weights, {}));
     CHECK(loadByOwner(ranges, weights)["new"] > 0.01 * keyNumberCount / 5 * 0.7);
 }
+
+TEST_CASE("a key that is too much for its owner goes to a faster upstream")
+{
+    // Replays the load pattern of one hot key: no upstream lacks that much, so the rule of shares alone leaves it.
+    auto holders = equalHolders(4);
+    for (auto& holder : holders) {
+        holder.mostLoad = 100;
+    }
+    holders[2].capacity = 4.2;
+    holders[2].mostLoad = 140;
+    std::vector<float> weights(keyNumberCount, 100.0F / keyNumberCount);
+    const auto ranges = placeAll(holders, {});
+    const KeyNumber hot = 100;
+    weights[hot] = 200;
+    REQUIRE(findKeyRange(ranges, hot)->owner.name == "u0");
+    const auto moves = planKeyMoves(ranges, holders, weights, {});
+    const auto isHotMoved = [](const KeyRangeMove& move) { return move.first <= hot && hot <= move.last && move.target.name == "u2"; };
+    CHECK(std::ranges::any_of(moves, isHotMoved));
+}
+
+TEST_CASE("differences that chance explains move no keys")
+{
+    // Every move keeps its keys from being served for a while.
+    const auto holders = equalHolders(10);
+    const auto ranges = placeAll(holders, {});
+    std::vector<float> weights(keyNumberCount);
+    for (const auto& range : ranges) {
+        // 16 requests each, 22 for one.
+        weights[range.first] += range.owner.name == "u3" ? 22 : 16;
+    }
+    CHECK(planKeyMoves(ranges, holders, weights, {}).empty());
+}
+
+TEST_CASE("an owner with room keeps its keys whatever its share is")
+{
+    auto holders = equalHolders(2);
+    holders[0].mostLoad = 1'000;
+    holders[1].mostLoad = 1'000;
+    const auto ranges = placeAll(holders, {});
+    std::vector<float> weights(keyNumberCount, 0.0F);
+    for (std::uint32_t key = 0; key < 1'000; ++key) {
+        weights[key] = 0.4F;
+    }
+    CHECK(planKeyMoves(ranges, holders, weights, {}).empty());
+    holders[0].mostLoad = 500;
+    CHECK(!planKeyMoves(ranges, holders, weights, {}).empty());
+}
--- a/tests/core/registry/KeyCoordinatorTest.cpp
+++ b/tests/core/registry/KeyCoordinatorTest.cpp
@@ -213,3 +213,54 @@
     CHECK(!leader.coordinator.registration(heartbeat(leader.from, 9), leader.state));
     CHECK(leader.coordinator.registration(heartbeat(announcement("new", "k"), 1), leader.state));
 }
+
+TEST_CASE("an owner that refuses most of its requests does not pass for a fast one")
+{
+    // Guards against more keys for an overloaded owner: refused requests took no time at all.
+    Leader leader;
+    leader.apply(AssignKeyRanges { "k", { { 0, 32'767, leader.from.key, "" }, { 32'768, keyNumberCount - 1, leader.to.key, "" } } });
+    leader.beat(heartbeat(leader.from, 1));
+    leader.beat(heartbeat(leader.to, 1));
+    std::size_t movedFrom = 0;
+    std::size_t movedTo = 0;
+    for (std::uint64_t round = 2; round < 12; ++round) {
+        // "from" gets three times the load, serves a third of it and takes as long as "to" for what it serves.
+        const ServiceKeyLoad load { "k", { { 0, 32'767, 90, 30, 30 * 60 }, { 32'768, keyNumberCount - 1, 30, 30, 30 * 60 } } };
+        leader.coordinator.addLoad(leader.now, KeyLoadReport { NodeId { 9 }, { load } }, leader.state);
+        leader.now += milliseconds { 600 };
+        leader.beat(heartbeat(leader.from, round));
+        leader.beat(heartbeat(leader.to, round));
+        for (const auto& command : leader.coordinator.decide(leader.now, leader.state)) {
+            if (const auto* begun = std::get_if<BeginKeyMoves>(&command)) {
+                for (const auto& move : begun->moves) {
+                    ++(move.target == leader.to.key ? movedFrom : movedTo);
+                }
+            }
+        }
+    }
+    CHECK(movedFrom > 0);
+    CHECK(movedTo == 0);
+}
+
+TEST_CASE("an assignment tells when its owner hears of it")
+{
+    Leader leader;
+    for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+        leader.beat(heartbeat(leader.to, sequence));
+        leader.now += milliseconds { 900 };
+    }
+    // The next heartbeat of "to" is due now and 900 ms later.
+    leader.beat(heartbeat(leader.to, 4));
+    leader.apply(RemoveUpstream { leader.from.key, true });
+    leader.now += milliseconds { 100 };
+    std::vector<Command> commands;
+    for (int step = 0; step < 100 && assignments(commands) == 0; ++step) {
+        leader.now += milliseconds { 50 };
+        commands = leader.coordinator.decide(leader.now, leader.state);
+    }
+    REQUIRE(assignments(commands) == 1);
+    const auto& grant = std::get<AssignKeyRanges>(commands.back()).grants.at(0);
+    CHECK(grant.owner == leader.to.key);
+    CHECK(grant.expectedIn >= Duration::zero());
+    CHECK(grant.expectedIn <= milliseconds { 900 });
+}
