--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -65,6 +65,7 @@
         return;
     }
     if (this->isLinkFull(now, exchange)) {
+        this->link.take(now, static_cast<double>(exchange.request.bytes));
         this->refuse(now, exchange, ResultCode::RequestLinkFull, decisions);
         return;
     }
--- a/src/core/dispatch/LinkBudget.h
+++ b/src/core/dispatch/LinkBudget.h
@@ -69,7 +69,7 @@
 
 private:
     /// The rest carries the feed of the registry, reports of load, and the overhead of TCP.
-    static constexpr double usableShare = 0.88;
+    static constexpr double usableShare = 0.85;
     /// Weight of one answer in the expected size of a route's answers.
     static constexpr double answerWeight = 0.05;
 
--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -30,7 +30,7 @@
     /// Takes an answer to a probe.
     void takeProbe(Instant now, NodeId from, const MemberProbeReply& reply);
 
-    /// Takes an answer to a request.
+    /// Takes an answer to a request, also to one that was repeated meanwhile.
     /// @return True where the state changed, or SnapshotCorrupt.
     Result<bool> take(Instant now, NodeId from, const FeedReply& reply);
 
--- a/src/core/registry/RegistryReplicaInlines.h
+++ b/src/core/registry/RegistryReplicaInlines.h
@@ -106,14 +106,20 @@
 template <RegistryCodec Codec>
 Result<bool> RegistryReplica<Codec>::take(Instant now, NodeId from, const FeedReply& reply)
 {
-    if (from != this->asked || reply.sequence != this->sequence || !this->isOut) {
+    if (reply.sequence > this->sequence) {
         return false;
     }
-    this->isOut = false;
-    this->isSearching = false;
+    const bool isAwaited = from == this->asked && reply.sequence == this->sequence && this->isOut;
+    if (isAwaited) {
+        this->isOut = false;
+        this->isSearching = false;
+    }
     this->lastAnswer = now;
     const auto before = this->registry.appliedIndex();
     if (reply.snapshotTotalBytes > 0) {
+        if (!isAwaited) {
+            return false;
+        }
         if (!this->takeSnapshotPart(reply)) {
             return false;
         }
@@ -127,6 +133,7 @@
             this->registry.restore(std::move(*decoded));
         }
     }
+    // Entries of an answer that comes after its request was repeated are as good: on a full link all come late.
     for (const auto& entry : reply.entries) {
         if (entry.index.value == this->registry.appliedIndex().value + 1) {
             static_cast<void>(this->registry.apply(entry.index, entry.command));
