--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -138,6 +138,14 @@
 
 void HttpListener::readRequests(const ConnectionPointer& connection, Found& found)
 {
+    if (this->isDraining && !connection->calls.empty()) {
+        // A caller that always has another request under way would keep the connection past the end of the process.
+        connection->isLast = true;
+    }
+    if (connection->isLast) {
+        // What comes behind the last request is not read; the caller sends it again elsewhere.
+        connection->input.clear();
+    }
     while (!connection->isLast && !connection->input.empty() && connection->calls.size() < maxPipelinedCalls) {
         connection->reader.setLimits(this->readLimits());
         const auto progress = connection->reader.read(connection->input);
@@ -151,7 +159,7 @@
         }
         auto request = connection->reader.take();
         connection->activeAt = this->reactor.now();
-        connection->isLast = !request.keepsAlive;
+        connection->isLast = !request.keepsAlive || this->isDraining;
         const auto id = this->nextCall(connection);
         connection->calls.push_back({ id, std::nullopt });
         found.requests.emplace_back(id, std::move(request));
