--- a/tests/node/gateway/GatewayTest.cpp
+++ b/tests/node/gateway/GatewayTest.cpp
@@ -190,3 +190,15 @@
     fixture.gateway.perform(fixture.gateway.applyState(fixture.state));
     CHECK(fixture.exchange(callerRequest("one"), 1).starts_with("HTTP/1.1 503"));
 }
+
+TEST_CASE("a draining connection ends with the requests under way")
+{
+    // Guards against a caller that keeps its connection past the end of the process by always having another request
+    // under way: its last one was cut.
+    GatewayFixture fixture { [](const ReceivedRequest& request) { return FakeUpstream::proper(request, "[" + std::string { request.header("Request-Id") } + "]"); }, RequestKind::Idempotent };
+    fixture.gateway.beginDrain();
+    const auto received = fixture.exchange(callerRequest("one") + callerRequest("two"), 2);
+    CHECK(received.find("[one]") != std::string::npos);
+    CHECK(received.find("Connection: close") != std::string::npos);
+    CHECK(received.find("[two]") == std::string::npos);
+}
