Answer heartbeats when there is news

Cause: a move of keys waited for the next heartbeat of its source and then of its target, up to 2.7 s with the wait for a good moment between them; meanwhile the overloaded owner kept the keys, and the next round planned further moves. Ruled out: detection of hot keys. Change: the leader holds the answer to a heartbeat for up to 500 ms, 200 ms where the upstream leaves, and sends it as soon as an entry changes what its sender is to hold. A lease counts from when the heartbeat came. Registry members campaign after 350 to 600 ms in place of 600 to 1,000.

--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -21,6 +21,24 @@
         return std::ranges::any_of(held, [first, last](const HeldKeys& keys) { return overlaps(keys.first, keys.last, first, last); });
     }
 
+    template <typename Keys>
+    std::uint32_t keyCount(const Keys& keys) noexcept
+    {
+        return std::uint32_t { keys.last } - keys.first + 1;
+    }
+
+    /// @return Keys of a range that are held under its fence.
+    std::uint32_t heldOf(std::span<const HeldKeys> held, const KeyRange& range) noexcept
+    {
+        std::uint32_t count = 0;
+        for (const auto& keys : held) {
+            if (keys.fence == range.fence && overlaps(keys.first, keys.last, range.first, range.last)) {
+                count += std::uint32_t { std::min(keys.last, range.last) } - std::max(keys.first, range.first) + 1;
+            }
+        }
+        return count;
+    }
+
     std::string handoverOf(std::span<const ReleasedKeys> released, KeyNumber first, KeyNumber last)
     {
         const auto found = std::ranges::find_if(released, [first, last](const ReleasedKeys& keys) { return keys.first <= first && last <= keys.last; });
@@ -45,7 +63,6 @@
     this->balancedAt = now;
     this->contacts.clear();
     this->omissions.clear();
-    this->moveSeenAt.clear();
     this->loads.clear();
     this->entries.clear();
 }
@@ -76,7 +93,7 @@
 {
     auto& contact = this->contacts[heartbeat.announcement.key.name];
     if (contact.key != heartbeat.announcement.key) {
-        contact = Contact { heartbeat.announcement.key, 0, now, now, std::nullopt };
+        contact = Contact { heartbeat.announcement.key, 0, now, now, {}, std::nullopt };
     } else if (heartbeat.sequence <= contact.sequence) {
         return false;
     } else {
@@ -103,11 +120,7 @@
             continue;
         }
         omission.handover = handoverOf(heartbeat.released, omission.first, omission.last);
-        const auto* target = this->contact(range->target);
-        omission.assignAt = target == nullptr ? now : std::max(now, target->nextExpected - this->timing.assignLead);
-        if (*omission.assignAt - now > this->timing.movePatience) {
-            omission.assignAt = now;
-        }
+        omission.assignAt = now + std::max<Duration>(this->timeToReach(now, range->target) - this->timing.assignLead, Duration::zero());
     }
 }
 
@@ -124,7 +137,7 @@
             auto& assignment = assignments[omission.service];
             assignment.service = omission.service;
             // A later move may have been joined to the range; its keys were not released.
-            assignment.grants.push_back({ omission.first, std::min(range->last, omission.last), range->target, omission.handover, this->timeToHeartbeat(now, range->target) });
+            assignment.grants.push_back({ omission.first, std::min(range->last, omission.last), range->target, omission.handover, this->timeToReach(now, range->target) });
         }
         return false;
     });
@@ -135,43 +148,61 @@
     return commands;
 }
 
-bool KeyCoordinator::isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state)
+bool KeyCoordinator::isOmitted(const KeyRange& range) const
+{
+    return std::ranges::any_of(this->omissions, [&range](const Omission& omission) { return omission.owner == range.owner && omission.fence == range.fence && omission.first == range.first; });
+}
+
+bool KeyCoordinator::isOmissionDue(const KeyRange& range, const RegistryState& state) const
 {
-    const bool isOmitted = std::ranges::any_of(this->omissions, [&range](const Omission& omission) { return omission.owner == range.owner && omission.fence == range.fence && omission.first == range.first; });
     const auto* owner = state.findUpstream(range.owner.name);
-    if (isOmitted || owner == nullptr || !owner->isUsable()) {
-        // An upstream that leaves has little time; where nobody can take its keys yet they wait for the next owner.
-        return true;
-    }
-    const auto* target = this->contact(range.target);
-    if (target == nullptr) {
-        return false;
-    }
-    const auto key = range.fence.value * keyNumberCount + range.first;
-    const auto seenAt = this->moveSeenAt.emplace(key, now).first->second;
-    const auto ahead = target->nextExpected - now;
-    if ((ahead >= this->timing.moveLead && ahead <= this->timing.moveReach) || now - seenAt > this->timing.movePatience) {
-        this->moveSeenAt.erase(key);
-        return true;
-    }
-    return false;
+    // An upstream that leaves has little time; where nobody can take its keys yet they wait for the next owner.
+    const bool isLeaving = owner == nullptr || !owner->isUsable();
+    return isLeaving || this->isOmitted(range) || this->contact(range.target) != nullptr;
 }
 
-Duration KeyCoordinator::timeToHeartbeat(Instant now, const UpstreamKey& key) const
+Duration KeyCoordinator::timeToReach(Instant now, const UpstreamKey& key) const
 {
     const auto* heard = this->contact(key);
-    return heard == nullptr ? Duration::zero() : std::max<Duration>(heard->nextExpected - now, Duration::zero());
+    if (heard == nullptr || heard->reachableUntil >= now + this->timing.assignLead) {
+        return Duration::zero();
+    }
+    return std::max<Duration>(heard->nextExpected - now, Duration::zero());
 }
 
 void KeyCoordinator::omit(std::string_view service, const KeyRange& range, std::uint64_t sequence)
 {
-    const auto isSame = [&range](const Omission& omission) { return omission.owner == range.owner && omission.first == range.first && omission.fence == range.fence; };
-    if (std::ranges::none_of(this->omissions, isSame)) {
+    if (!this->isOmitted(range)) {
         this->omissions.push_back({ std::string { service }, range.owner, range.first, range.last, range.fence, sequence, std::nullopt, {} });
     }
 }
 
-KeyHeartbeatAnswer KeyCoordinator::answer(Instant now, const KeyHeartbeat& heartbeat, const RegistryState& state)
+bool KeyCoordinator::hasNews(const KeyHeartbeat& heartbeat, const RegistryState& state) const
+{
+    const auto& announcement = heartbeat.announcement;
+    std::uint32_t granted = 0;
+    for (const auto& range : state.keyRanges(announcement.service)) {
+        if (range.owner != announcement.key || (range.isMoving() && this->isOmitted(range))) {
+            continue;
+        }
+        if (range.isMoving() || heldOf(heartbeat.held, range) != keyCount(range)) {
+            return true;
+        }
+        granted += keyCount(range);
+    }
+    std::uint32_t held = 0;
+    for (const auto& keys : heartbeat.held) {
+        held += keyCount(keys);
+    }
+    return held != granted;
+}
+
+void KeyCoordinator::answerHeld(const UpstreamKey& key, Instant until)
+{
+    this->contacts[key.name].reachableUntil = until;
+}
+
+KeyHeartbeatAnswer KeyCoordinator::answer(const KeyHeartbeat& heartbeat, const RegistryState& state)
 {
     const auto& announcement = heartbeat.announcement;
     const auto* service = state.findService(announcement.service);
@@ -183,13 +214,16 @@
         if (range.owner != announcement.key) {
             continue;
         }
-        if (range.isMoving() && this->isOmissionDue(now, range, state)) {
+        if (range.isMoving() && this->isOmissionDue(range, state)) {
             this->omit(announcement.service, range, heartbeat.sequence);
             continue;
         }
         answer.grants.push_back(range);
     }
-    this->contacts[announcement.key.name].leaseEnd = now + this->timing.lease + this->timing.lease / this->timing.driftDivisor;
+    // The upstream counts from when it sent the heartbeat.
+    auto& contact = this->contacts[announcement.key.name];
+    contact.leaseEnd = contact.heardAt + this->timing.lease + this->timing.lease / this->timing.driftDivisor;
+    contact.reachableUntil = {};
     return answer;
 }
 
@@ -317,7 +351,7 @@
     auto grants = placeFreeKeys(
         ranges, [&](const KeyRange& range) { return this->isFree(now, range, state); }, available, weights);
     for (auto& grant : grants) {
-        grant.expectedIn = this->timeToHeartbeat(now, grant.owner);
+        grant.expectedIn = this->timeToReach(now, grant.owner);
     }
     if (!grants.empty()) {
         commands.push_back(AssignKeyRanges { std::string { service }, std::move(grants) });
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -26,15 +26,13 @@
     Duration settleTime { std::chrono::milliseconds { 1'200 } };
     /// How often keys are balanced.
     Duration balanceInterval { std::chrono::milliseconds { 500 } };
-    /// How long a move waits for a moment at which the target's next heartbeat follows soon.
-    Duration movePatience { std::chrono::milliseconds { 900 } };
-    /// The target's heartbeat has to be at least this far ahead of the source's: the source answers the omission within
-    /// 100 ms, and the assignment has to be committed across regions.
-    Duration moveLead { std::chrono::milliseconds { 180 } };
     /// How long before the target's heartbeat released keys are assigned to it: the time of a commit across regions.
     Duration assignLead { std::chrono::milliseconds { 130 } };
-    /// A target whose heartbeat is further ahead than this is not worth starting now.
-    Duration moveReach { std::chrono::milliseconds { 500 } };
+    /// How long the answer to a heartbeat waits for news. A heartbeat counts as failed after a second without an answer, and
+    /// the next one follows about 900 ms after it.
+    Duration answerHold { std::chrono::milliseconds { 500 } };
+    /// The same where the upstream leaves: its departure is to be confirmed soon, and moves of its keys begin at once.
+    Duration leavingAnswerHold { std::chrono::milliseconds { 200 } };
 };
 
 /// Grants leases on numbered keys, moves keys and finds upstreams that fell silent. Used by the leader only; everything
@@ -62,8 +60,14 @@
     /// heartbeat, so that entry VMs hear of the owner about when it does.
     void takeReleases(Instant now, const KeyHeartbeat& heartbeat, const RegistryState& state);
 
-    /// Renews the upstream's lease and says what it is to hold.
-    KeyHeartbeatAnswer answer(Instant now, const KeyHeartbeat& heartbeat, const RegistryState& state);
+    /// @return True where the answer to the heartbeat would tell its sender to hold other keys than it does.
+    bool hasNews(const KeyHeartbeat& heartbeat, const RegistryState& state) const;
+
+    /// Takes note that the answer to an upstream's latest heartbeat is held back, so that news reach it at once until then.
+    void answerHeld(const UpstreamKey& key, Instant until);
+
+    /// Renews the upstream's lease from when its latest heartbeat came, and says what it is to hold.
+    KeyHeartbeatAnswer answer(const KeyHeartbeat& heartbeat, const RegistryState& state);
 
     void addLoad(Instant now, const KeyLoadReport& report, const RegistryState& state);
     /// @return Entry VMs that reported load lately.
@@ -79,6 +83,8 @@
         std::uint64_t sequence {};
         Instant heardAt;
         Instant nextExpected;
+        /// Until when an answer to it is held back. In the past where none is.
+        Instant reachableUntil;
         /// No lease granted in this term lasts longer. Empty where none was granted.
         std::optional<Instant> leaseEnd;
     };
@@ -99,11 +105,13 @@
     const Contact* contact(const UpstreamKey& key) const;
     bool isLeasePossible(Instant now, const UpstreamKey& key, const RegistryState& state) const;
     bool isFree(Instant now, const KeyRange& range, const RegistryState& state) const;
-    bool isOmissionDue(Instant now, const KeyRange& range, const RegistryState& state);
+    bool isOmitted(const KeyRange& range) const;
+    bool isOmissionDue(const KeyRange& range, const RegistryState& state) const;
     /// @return Assignments of released keys that are due.
     std::vector<Command> assignReleased(Instant now, const RegistryState& state);
-    /// @return Time until the upstream's next heartbeat as far as it can be foreseen, or zero.
-    Duration timeToHeartbeat(Instant now, const UpstreamKey& key) const;
+    /// @return Time until the upstream can be told of an assignment that is proposed now, as far as it can be foreseen. Zero
+    /// where the answer to a heartbeat is held back.
+    Duration timeToReach(Instant now, const UpstreamKey& key) const;
     void omit(std::string_view service, const KeyRange& range, std::uint64_t sequence);
     std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
     void findSilent(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
@@ -129,8 +137,6 @@
     /// Estimated time that an upstream works on a request, without waiting, in milliseconds.
     absl::flat_hash_map<UpstreamKey, double> serviceTimes;
     absl::flat_hash_map<NodeId, Instant> entries;
-    /// When a move was first seen, by service and first key.
-    absl::flat_hash_map<std::uint64_t, Instant> moveSeenAt;
     absl::flat_hash_map<std::string, Instant> firstAnnounced;
 };
 
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ledger/Member.h"
+#include "core/registry/HeldHeartbeats.h"
 #include "core/registry/JoinPlan.h"
 #include "core/registry/KeyCoordinator.h"
 #include "core/registry/KeyHeartbeat.h"
@@ -9,6 +10,7 @@
 #include "teaselturn/Ports.h"
 
 #include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <concepts>
 #include <optional>
 #include <utility>
@@ -78,7 +80,8 @@
 
 /// Settings of a registry process.
 struct RegistryOptions {
-    MemberTiming election;
+    /// A follower misses three heartbeats, or more than five round trips between regions of 60 ms, before it campaigns.
+    MemberTiming election { .electionMinimum = std::chrono::milliseconds { 350 }, .electionMaximum = std::chrono::milliseconds { 600 } };
     KeyLeaseTiming leases;
     JoinLimits joins;
     /// Log entries after which the state is written as a snapshot and the log is cut.
@@ -166,7 +169,10 @@
     void reply(NodeId to, PeerMessage message) { this->replies.push_back({ to, std::move(message) }); }
     bool joinPending(CallId call, const ChangeItems& change);
     bool propose(Instant now, Command command, Waiting waiting);
-    void answerHeartbeat(Instant now, CallId call, const KeyHeartbeat& heartbeat);
+    /// Takes what the heartbeat tells. Its answer waits for news where there are none.
+    void takeHeartbeat(Instant now, CallId call, KeyHeartbeat heartbeat);
+    void answerHeartbeats(Instant now);
+    void noteNews(const Command& command);
     void followLeadership(Instant now);
     void decide(Instant now);
     void changeMembers(Instant now);
@@ -206,6 +212,9 @@
     std::vector<CallAnswer> answers;
     std::vector<AppliedCommand> appliedCommands;
     absl::btree_map<LogIndex, Pending> pending;
+    HeldHeartbeats<CallId> heldHeartbeats;
+    /// Upstreams whose keys, or whose state, an applied entry changed.
+    absl::flat_hash_set<std::string> upstreamsWithNews;
     absl::btree_map<NodeId, FeedWaiter> feedWaiters;
     absl::btree_map<NodeId, SentFeed> sentFeeds;
     absl::btree_map<NodeId, Joiner> joiners;
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -150,20 +150,68 @@
         }
         return;
     }
-    this->answerHeartbeat(now, call, heartbeat);
+    this->takeHeartbeat(now, call, std::move(heartbeat));
 }
 
 template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::answerHeartbeat(Instant now, CallId call, const KeyHeartbeat& heartbeat)
+void RegistryService<Random, Codec>::takeHeartbeat(Instant now, CallId call, KeyHeartbeat heartbeat)
 {
-    const auto* registered = this->registry.findUpstream(heartbeat.announcement.key.name);
-    const bool isKnown = registered != nullptr && registered->announcement.key == heartbeat.announcement.key;
+    const auto& announcement = heartbeat.announcement;
+    const auto* registered = this->registry.findUpstream(announcement.key.name);
+    const bool isKnown = registered != nullptr && registered->announcement.key == announcement.key;
     if (!isKnown || !this->coordinator.note(now, heartbeat)) {
         this->answer(call, KeyHeartbeatAnswer {});
         return;
     }
     this->coordinator.takeReleases(now, heartbeat, this->registry);
-    this->answer(call, this->coordinator.answer(now, heartbeat, this->registry));
+    const auto* service = this->registry.findService(announcement.service);
+    const bool mayHoldKeys = service != nullptr && service->isSharded && this->registry.isAlive(announcement.key);
+    if (!mayHoldKeys || this->coordinator.hasNews(heartbeat, this->registry)) {
+        this->answer(call, this->coordinator.answer(heartbeat, this->registry));
+        return;
+    }
+    const auto answerBy = now + (announcement.isDraining ? this->options.leases.leavingAnswerHold : this->options.leases.answerHold);
+    this->coordinator.answerHeld(announcement.key, answerBy);
+    if (const auto earlier = this->heldHeartbeats.add({ call, std::move(heartbeat), answerBy })) {
+        this->answer(earlier->call, KeyHeartbeatAnswer {});
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::answerHeartbeats(Instant now)
+{
+    const auto refusal = this->readRefusal(now);
+    const auto settle = [&](const auto& held) {
+        this->answer(held->call, refusal ? *refusal : CallResult { this->coordinator.answer(held->heartbeat, this->registry) });
+    };
+    for (const auto& name : std::exchange(this->upstreamsWithNews, {})) {
+        if (const auto held = this->heldHeartbeats.take(name)) {
+            settle(held);
+        }
+    }
+    while (const auto held = refusal ? this->heldHeartbeats.takeAny() : this->heldHeartbeats.takeDue(now)) {
+        settle(held);
+    }
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::noteNews(const Command& command)
+{
+    if (const auto* assigned = std::get_if<AssignKeyRanges>(&command)) {
+        for (const auto& grant : assigned->grants) {
+            this->upstreamsWithNews.insert(grant.owner.name);
+        }
+    } else if (const auto* begun = std::get_if<BeginKeyMoves>(&command)) {
+        for (const auto& move : begun->moves) {
+            if (const auto* range = this->registry.findRange(begun->service, move.first)) {
+                this->upstreamsWithNews.insert(range->owner.name);
+            }
+        }
+    } else if (const auto* removed = std::get_if<RemoveUpstream>(&command)) {
+        this->upstreamsWithNews.insert(removed->key.name);
+    } else if (const auto* registered = std::get_if<RegisterUpstream>(&command)) {
+        this->upstreamsWithNews.insert(registered->key.name);
+    }
 }
 
 template <RandomSource Random, RegistryCodec Codec>
@@ -402,6 +450,9 @@
             this->answer(departure->call, CallUnavailable {});
         }
     }
+    while (const auto held = this->heldHeartbeats.takeAny()) {
+        this->answer(held->call, CallUnavailable {});
+    }
     this->pending.clear();
     this->pendingDecisions = 0;
 }
@@ -420,7 +471,7 @@
         --this->pendingDecisions;
     } else if (const auto* heartbeat = std::get_if<WaitingHeartbeat>(&held.waiting)) {
         if (isOurs && this->leads(now)) {
-            this->answerHeartbeat(now, heartbeat->call, heartbeat->heartbeat);
+            this->takeHeartbeat(now, heartbeat->call, heartbeat->heartbeat);
         } else {
             this->answer(heartbeat->call, CallUnavailable {});
         }
@@ -445,6 +496,7 @@
     this->applyCommitted(now, std::move(effects.storage.committed));
     effects.storage.committed.clear();
     this->followLeadership(now);
+    this->answerHeartbeats(now);
     this->answerFeeds(now);
     effects.applied = std::exchange(this->appliedCommands, {});
     effects.answers = std::exchange(this->answers, {});
@@ -481,6 +533,7 @@
         }
         const auto outcome = this->registry.apply(entry.index, entry.command);
         this->appliedTerm = entry.term;
+        this->noteNews(entry.command);
         this->settle(now, entry, outcome);
         this->appliedCommands.push_back({ std::move(entry), outcome });
     }
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -165,6 +165,90 @@
     CHECK(answer->grants[0].last == keyNumberCount - 1);
 }
 
+namespace {
+
+/// A leader with a sharded service and one upstream that has announced itself.
+struct LeaderWithUpstream : SingleMember {
+    RegisterUpstream upstream = announcement("u", "k");
+
+    LeaderWithUpstream()
+    {
+        this->pass(milliseconds { 2'000 });
+        this->service.changeItems(this->now, CallId { 1 }, firstItems());
+        this->drive();
+        this->beat(10, 1);
+        this->pass(milliseconds { 100 });
+    }
+
+    void beat(std::uint64_t call, std::uint64_t sequence, std::vector<HeldKeys> held = {})
+    {
+        this->service.heartbeat(this->now, CallId { call }, heartbeat(this->upstream, sequence, std::move(held)));
+        this->drive();
+    }
+
+    std::vector<HeldKeys> granted(std::uint64_t call) const
+    {
+        const auto* answer = this->answerTo<KeyHeartbeatAnswer>(call);
+        std::vector<HeldKeys> keys;
+        for (const auto& range : answer == nullptr ? std::vector<KeyRange> {} : answer->grants) {
+            keys.push_back({ range.first, range.last, range.fence });
+        }
+        return keys;
+    }
+};
+
+}
+
+TEST_CASE("news reach an upstream at once where its heartbeat waits for an answer")
+{
+    // Guards against keys that wait for the next heartbeat although a call of their owner is open.
+    LeaderWithUpstream leader;
+    leader.pass(milliseconds { 900 });
+    leader.beat(11, 2);
+    REQUIRE(leader.answerTo<KeyHeartbeatAnswer>(11) == nullptr);
+    // The service settles 1.2 s after its first announcement.
+    leader.pass(milliseconds { 250 });
+    CHECK(leader.granted(11).size() == 1);
+}
+
+TEST_CASE("a heartbeat without news is answered before its sender gives up")
+{
+    LeaderWithUpstream leader;
+    leader.pass(milliseconds { 1'000 });
+    leader.beat(11, 2);
+    leader.pass(milliseconds { 400 });
+    const auto held = leader.granted(11);
+    REQUIRE(held.size() == 1);
+    leader.beat(12, 3, held);
+    leader.pass(milliseconds { 450 });
+    CHECK(leader.answerTo<KeyHeartbeatAnswer>(12) == nullptr);
+    leader.pass(milliseconds { 100 });
+    CHECK(leader.granted(12) == held);
+}
+
+TEST_CASE("a later heartbeat ends the wait of the one before")
+{
+    LeaderWithUpstream leader;
+    leader.beat(11, 2);
+    leader.beat(12, 3);
+    REQUIRE(leader.answerTo<KeyHeartbeatAnswer>(11) != nullptr);
+    CHECK(!leader.answerTo<KeyHeartbeatAnswer>(11)->hasGrants);
+    CHECK(leader.answerTo<KeyHeartbeatAnswer>(12) == nullptr);
+}
+
+TEST_CASE("heartbeats that wait are passed on where the member stops leading")
+{
+    // Guards against an upstream that waits a second for a member that cannot answer any more.
+    LeaderWithUpstream leader;
+    leader.beat(11, 2);
+    REQUIRE(leader.answerTo<KeyHeartbeatAnswer>(11) == nullptr);
+    AppendRequest append;
+    append.term = Term { 1'000 };
+    leader.service.receive(leader.now, NodeId { 2 }, append);
+    leader.drive();
+    CHECK((leader.answerTo<CallElsewhere>(11) != nullptr || leader.answerTo<CallUnavailable>(11) != nullptr));
+}
+
 TEST_CASE("a copy is complete only with everything that its member had applied")
 {
     // Guards against an entry VM that takes the first part of the log for the whole configuration.
