Add a load model and rank upstreams by this entry VM's own requests

The model plays callers, entry VMs, upstreams and the registry's leader on a simulated clock; entry VMs and leader run the product's decisions. Ten load patterns are replayed as tests against round robin, least outstanding and two random choices. An entry VM sent to the upstream that looked best until it had filled the slots, while other entry VMs filled them too. Change: each request of this entry VM at an upstream counts for half of its latency. The comparison with two choices on slow-third fails without it.

--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -117,7 +117,7 @@
         if (this->unansweredSince && now - *this->unansweredSince > this->usual * silenceFactor) {
             expected = std::max<Duration>(expected, now - *this->unansweredSince);
         }
-        const auto busy = std::max(0.0, static_cast<double>(this->inFlightCount + 1) / this->slots - 1);
+        const auto busy = crowdWeight * this->inFlightCount;
         return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { expected } * ((1 + busy) * (1 + errorPenalty * this->errorShare)));
     }
 
@@ -138,6 +138,9 @@
     /// An upstream that fails every second request counts as three times as slow.
     static constexpr double errorPenalty = 4;
     static constexpr int silenceFactor = 3;
+    /// Part of its latency by which each request of this entry VM slows an upstream down. Other entry VMs send it requests
+    /// too, so its slots are taken before this one has filled them.
+    static constexpr double crowdWeight = 0.5;
     /// Recent latency above this multiple of the usual one means that requests queue at the upstream.
     static constexpr double crowdedFactor = 2.2;
     static constexpr int failuresToClose = 2;
--- /dev/null
+++ b/tools/load-model/SimulationInlines.h
@@ -0,0 +1,359 @@
+#pragma once
+
+#include "load-model/Simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace teaselturn::model {
+
+template <DispatchPolicy Policy>
+Simulation<Policy>::Simulation(const Pattern& pattern, const SimulationOptions& options)
+    : pattern(pattern)
+    , options(options)
+    , random(options.seed)
+    , startAt(this->events.now() + settleTime)
+    , registry(this->events, options.seed, options.registry, [this] {
+        for (auto& entry : this->entries) {
+            DispatchDecisions decisions;
+            entry.policy->sync(this->events.now(), this->registry.copy(), decisions);
+            this->perform(entry, decisions);
+        }
+    })
+{
+    const RouteItem item { "host.example", "/", RequestKind::Idempotent, pattern.deadline, pattern.targetLatency, 1, 2, { { "service", 1 } } };
+    this->route = std::make_shared<const CompiledRoute>(CompiledRoute { "route", 1, item });
+    for (std::uint32_t i = 0; i < pattern.entryVms; ++i) {
+        DispatchOptions dispatch;
+        dispatch.zone = "zone";
+        dispatch.spread = i + 1;
+        dispatch.linkBytesPerSecond = options.knowsLink ? pattern.linkBytesPerSecond : 0;
+        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, {} });
+        this->entries.back().policy->setEntryCount(pattern.entryVms);
+    }
+}
+
+template <DispatchPolicy Policy>
+bool Simulation<Policy>::isActive(const Disturbance& disturbance) const
+{
+    const auto elapsed = this->events.now() - this->startAt;
+    return elapsed >= disturbance.from && elapsed < disturbance.until;
+}
+
+template <DispatchPolicy Policy>
+double Simulation<Policy>::arrivalRate() const
+{
+    auto rate = this->pattern.requestsPerSecond;
+    for (const auto& disturbance : this->pattern.disturbances) {
+        rate *= disturbance.kind == DisturbanceKind::Burst && this->isActive(disturbance) ? disturbance.factor : 1;
+    }
+    return rate;
+}
+
+template <DispatchPolicy Policy>
+KeyNumber Simulation<Policy>::chooseKey()
+{
+    for (std::size_t i = 0; i < this->pattern.disturbances.size(); ++i) {
+        const auto& disturbance = this->pattern.disturbances[i];
+        if (disturbance.kind == DisturbanceKind::HotRange && this->isActive(disturbance) && this->random.share() < disturbance.share) {
+            const auto first = 20'000 * (i + 1);
+            return static_cast<KeyNumber>(first + this->random.below(disturbance.keys));
+        }
+    }
+    // Busy keys lie close to one another.
+    return static_cast<KeyNumber>(std::pow(this->random.share(), 3) * keyNumberCount);
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::addUpstream(std::size_t number)
+{
+    const auto name = "upstream-" + std::to_string(number);
+    const auto incarnation = static_cast<std::uint64_t>(number + 1);
+    const Endpoint endpoint { "10.0.0.1", static_cast<std::uint16_t>(1'000 + number) };
+    RegisterUpstream announcement { { name, incarnation }, "service", endpoint, "zone", this->pattern.slots, false };
+    this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), 0.75 + 0.5 * this->random.share());
+    auto& upstream = this->upstreams.back();
+    this->events.after(Duration { static_cast<Duration::rep>(this->random.below(static_cast<std::uint64_t>(Duration { heartbeatInterval }.count()))) }, [this, &upstream] { this->beat(upstream, true); });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::beat(UpstreamModel& upstream, bool isRegular)
+{
+    if (upstream.isStopped()) {
+        return;
+    }
+    const auto sentAt = this->events.now();
+    this->events.after(networkDelay, [this, &upstream, sentAt, heartbeat = upstream.heartbeat()] {
+        this->registry.heartbeat(heartbeat, [this, &upstream, sentAt](const KeyHeartbeatAnswer& answer) {
+            if (upstream.takeAnswer(sentAt, answer)) {
+                this->events.after(releaseInterval, [this, &upstream] { this->beat(upstream, false); });
+            }
+        });
+    });
+    if (isRegular) {
+        this->events.after(heartbeatInterval, [this, &upstream] { this->beat(upstream, true); });
+    }
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::applyDisturbances()
+{
+    for (const auto& disturbance : this->pattern.disturbances) {
+        const auto affected = static_cast<std::size_t>(std::lround(disturbance.share * this->pattern.upstreams));
+        const auto during = [&](auto begin, auto end) {
+            this->events.at(this->startAt + disturbance.from, begin);
+            this->events.at(this->startAt + disturbance.until, end);
+        };
+        if (disturbance.kind == DisturbanceKind::SlowUpstreams) {
+            const auto set = [this, affected](double factor) {
+                for (std::size_t i = 0; i < affected; ++i) {
+                    this->upstreams[i].setSlowness(factor);
+                }
+            };
+            during([set, &disturbance] { set(disturbance.factor); }, [set] { set(1); });
+        } else if (disturbance.kind == DisturbanceKind::Shedding) {
+            const auto set = [this](double share) {
+                for (auto& upstream : this->upstreams) {
+                    upstream.setRefusedShare(share);
+                }
+            };
+            during([set, &disturbance] { set(disturbance.share); }, [set] { set(0); });
+        } else if (disturbance.kind == DisturbanceKind::Replacement) {
+            const auto interval = (disturbance.until - disturbance.from) / std::max<std::size_t>(affected, 1);
+            this->events.at(this->startAt + disturbance.from, [this, affected, interval] { this->replaceNext(0, affected, interval); });
+        }
+    }
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::replaceNext(std::size_t number, std::size_t count, Duration interval)
+{
+    constexpr std::chrono::milliseconds drainTime { 2'500 };
+    if (number == count) {
+        return;
+    }
+    this->addUpstream(this->upstreams.size());
+    auto& leaving = this->upstreams[number];
+    leaving.beginDrain();
+    this->beat(leaving, false);
+    this->events.after(drainTime, [this, &leaving] {
+        leaving.stop();
+        this->registry.depart(leaving.key());
+    });
+    this->events.after(interval, [this, number, count, interval] { this->replaceNext(number + 1, count, interval); });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::reportLoad(Entry& entry)
+{
+    this->registry.report(entry.node, entry.policy->takeKeyLoads(maxReportedKeys));
+    this->events.after(reportInterval, [this, &entry] { this->reportLoad(entry); });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::arrive()
+{
+    if (this->events.now() >= this->startAt + this->pattern.duration) {
+        return;
+    }
+    auto caller = std::make_shared<Caller>(Caller { this->events.now(), this->pattern.isSharded ? std::optional { this->chooseKey() } : std::nullopt, 1, false });
+    for (const auto& disturbance : this->pattern.disturbances) {
+        if (disturbance.kind == DisturbanceKind::ImpatientCallers && this->isActive(disturbance) && this->random.share() < disturbance.share) {
+            caller->isImpatient = true;
+            caller->returns = static_cast<std::uint32_t>(disturbance.factor);
+        }
+    }
+    ++this->figures.requests;
+    this->attempt(caller);
+    this->events.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.exponential(1 / this->arrivalRate()) }), [this] { this->arrive(); });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::attempt(const std::shared_ptr<Caller>& caller)
+{
+    auto& entry = this->entries[this->random.below(this->entries.size())];
+    this->events.after(networkDelay, [this, &entry, caller] {
+        const auto now = this->events.now();
+        const ExchangeId id { ++this->lastId };
+        const auto deadline = now + this->pattern.deadline;
+        entry.attempts.emplace(id, Attempt { caller, deadline });
+        DispatchDecisions decisions;
+        entry.policy->submit(now, DispatchRequest { id, this->route, caller->key, now, deadline, requestBytes }, decisions);
+        this->perform(entry, decisions);
+    });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::perform(Entry& entry, const DispatchDecisions& decisions)
+{
+    for (const auto& decision : decisions) {
+        if (const auto* send = std::get_if<SendRequest>(&decision)) {
+            this->sendTo(entry, *send);
+        } else if (const auto* refusal = std::get_if<RefuseRequest>(&decision)) {
+            this->refused(entry, *refusal);
+        } else if (const auto* deliver = std::get_if<DeliverAnswer>(&decision)) {
+            this->delivered(entry, deliver->id);
+        } else if (const auto* failure = std::get_if<FailRequest>(&decision)) {
+            ++this->figures.failed;
+            entry.attempts.erase(failure->id);
+        } else if (const auto* abandon = std::get_if<AbandonAttempt>(&decision)) {
+            auto& attempt = entry.attempts.at(abandon->id);
+            if (attempt.upstream != nullptr) {
+                attempt.upstream->abandon(attempt.work);
+                attempt.work = 0;
+            }
+        }
+    }
+    this->schedule(entry);
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::sendTo(Entry& entry, const SendRequest& send)
+{
+    auto& attempt = entry.attempts.at(send.id);
+    const auto target = std::ranges::find(this->upstreams, send.upstream, &UpstreamModel::key);
+    const auto work = ++this->lastId;
+    attempt.work = work;
+    attempt.upstream = &*target;
+    this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline] {
+        upstream->receive({ work, key, deadline, [this, &entry, id, work](AttemptOutcome outcome) {
+                               this->events.after(networkDelay, [this, &entry, id, work, outcome] { this->ended(entry, id, work, outcome); });
+                           } });
+    });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::ended(Entry& entry, ExchangeId id, std::uint64_t work, AttemptOutcome outcome)
+{
+    const auto found = entry.attempts.find(id);
+    if (found == entry.attempts.end() || found->second.work != work) {
+        return;
+    }
+    if (outcome == AttemptOutcome::Answered) {
+        entry.policy->answerArrived(id, this->pattern.answerBytes);
+    }
+    DispatchDecisions decisions;
+    entry.policy->attemptEnded(this->events.now(), id, outcome, decisions);
+    this->perform(entry, decisions);
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::refused(Entry& entry, const RefuseRequest& refusal)
+{
+    const auto caller = entry.attempts.at(refusal.id).caller;
+    entry.attempts.erase(refusal.id);
+    if (caller->returns == 0) {
+        ++this->figures.refused;
+        return;
+    }
+    --caller->returns;
+    this->events.after(networkDelay + (caller->isImpatient ? Duration { impatientReturn } : refusal.retryAfter), [this, caller] { this->attempt(caller); });
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::delivered(Entry& entry, ExchangeId id)
+{
+    const auto attempt = entry.attempts.at(id);
+    entry.attempts.erase(id);
+    auto arrivesAt = this->events.now();
+    if (this->pattern.linkBytesPerSecond > 0) {
+        const std::chrono::duration<double> transfer { static_cast<double>(this->pattern.answerBytes) / static_cast<double>(this->pattern.linkBytesPerSecond) };
+        entry.linkFreeAt = std::max(entry.linkFreeAt, arrivesAt) + std::chrono::duration_cast<Duration>(transfer);
+        arrivesAt = entry.linkFreeAt;
+    }
+    arrivesAt += networkDelay;
+    const auto latency = arrivesAt - attempt.caller->firstAt;
+    if (arrivesAt > attempt.deadline) {
+        ++this->figures.failed;
+        return;
+    }
+    ++(latency <= this->pattern.targetLatency ? this->figures.inTime : this->figures.late);
+    this->figures.latencies->record(latency);
+}
+
+template <DispatchPolicy Policy>
+void Simulation<Policy>::schedule(Entry& entry)
+{
+    const auto due = entry.policy->nextDeadline();
+    if (!due || (entry.timer && *entry.timer <= *due)) {
+        return;
+    }
+    entry.timer = due;
+    this->events.at(*due, [this, &entry, at = *due] {
+        if (entry.timer != at) {
+            return;
+        }
+        entry.timer.reset();
+        DispatchDecisions decisions;
+        entry.policy->advance(this->events.now(), decisions);
+        this->perform(entry, decisions);
+    });
+}
+
+/// Fluid bound: work that can still end in time is worked on whenever there is any; all the rest is answered late.
+template <DispatchPolicy Policy>
+double Simulation<Policy>::bound() const
+{
+    constexpr std::chrono::milliseconds step { 10 };
+    const auto seconds = [](Duration duration) { return std::chrono::duration<double> { duration }.count(); };
+    double waiting = 0;
+    double inTime = 0;
+    double offered = 0;
+    for (std::chrono::milliseconds at {}; at < this->pattern.duration; at += step) {
+        const auto active = [&](const Disturbance& disturbance) { return at >= disturbance.from && at < disturbance.until; };
+        double arrivals = this->pattern.requestsPerSecond;
+        double slowed = 0;
+        double slowness = 1;
+        for (const auto& disturbance : this->pattern.disturbances) {
+            if (disturbance.kind == DisturbanceKind::Burst && active(disturbance)) {
+                arrivals *= disturbance.factor;
+            } else if (disturbance.kind == DisturbanceKind::SlowUpstreams && active(disturbance)) {
+                slowed = disturbance.share;
+                slowness = disturbance.factor;
+            }
+        }
+        double capacity = 0;
+        for (std::size_t i = 0; i < this->pattern.upstreams; ++i) {
+            const bool isSlow = static_cast<double>(i) < std::round(slowed * this->pattern.upstreams);
+            const auto cold = at < this->pattern.coldTime - settleTime ? this->pattern.coldFactor : 1;
+            capacity += this->pattern.slots * this->upstreams[i].speed() / (seconds(this->pattern.work) * (isSlow ? slowness : 1) * cold);
+        }
+        if (this->pattern.linkBytesPerSecond > 0) {
+            capacity = std::min(capacity, static_cast<double>(this->pattern.linkBytesPerSecond) * this->pattern.entryVms / static_cast<double>(this->pattern.answerBytes));
+        }
+        offered += arrivals * seconds(step);
+        waiting += arrivals * seconds(step);
+        const auto served = std::min(waiting, capacity * seconds(step));
+        inTime += served;
+        waiting = std::min(waiting - served, capacity * seconds(this->pattern.targetLatency));
+    }
+    inTime += waiting;
+    return offered == 0 ? 0 : std::min(1.0, (inTime + lateWorth * (offered - inTime)) / offered);
+}
+
+template <DispatchPolicy Policy>
+Figures Simulation<Policy>::run()
+{
+    constexpr std::chrono::milliseconds electionTime { 700 };
+    this->events.after(electionTime, [this] {
+        const ServiceItem service { this->pattern.isSharded, 110, std::chrono::seconds { 3 } };
+        this->registry.changeItems({ { ConfigItem { "service", 1, service, "service" } }, {} });
+        for (std::size_t i = 0; i < this->pattern.upstreams; ++i) {
+            this->addUpstream(i);
+        }
+    });
+    for (auto& entry : this->entries) {
+        this->events.after(reportInterval * (entry.node.value % this->entries.size()) / this->entries.size(), [this, &entry] { this->reportLoad(entry); });
+    }
+    this->applyDisturbances();
+    this->events.at(this->startAt, [this] { this->arrive(); });
+    this->events.runUntil(this->startAt + this->pattern.duration + tailTime);
+    for (const auto& upstream : this->upstreams) {
+        this->figures.arrivals += upstream.arrivals();
+        this->figures.misdirected += upstream.misdirected();
+    }
+    this->figures.bound = this->bound();
+    return this->figures;
+}
+
+}
--- /dev/null
+++ b/tools/load-model/UpstreamModel.cpp
@@ -0,0 +1,144 @@
+#include "load-model/UpstreamModel.h"
+
+#include <algorithm>
+
+namespace teaselturn::model {
+
+namespace {
+
+    /// Part by which a request takes longer while every slot is busy.
+    constexpr double crowding = 0.4;
+
+    /// Calls visit(first, last) for each run of keys with one value that is not zero.
+    template <typename Visit>
+    void forEachRun(const std::vector<std::uint64_t>& values, Visit visit)
+    {
+        for (std::size_t first = 0; first < values.size();) {
+            auto end = first + 1;
+            while (end < values.size() && values[end] == values[first]) {
+                ++end;
+            }
+            if (values[first] != 0) {
+                visit(static_cast<KeyNumber>(first), static_cast<KeyNumber>(end - 1));
+            }
+            first = end;
+        }
+    }
+
+}
+
+UpstreamModel::UpstreamModel(EventQueue& events, ModelRandom& random, const Pattern& pattern, RegisterUpstream announcement, double speed)
+    : events(events)
+    , random(random)
+    , pattern(pattern)
+    , announcement(std::move(announcement))
+    , ownSpeed(speed)
+    , startedAt(events.now())
+    , fences(keyNumberCount)
+    , isGranted(keyNumberCount)
+{
+}
+
+bool UpstreamModel::holds(std::optional<KeyNumber> wanted) const noexcept
+{
+    return !wanted || (this->isGranted[*wanted] && this->events.now() < this->leaseEnd);
+}
+
+void UpstreamModel::receive(UpstreamWork work)
+{
+    if (this->isGone) {
+        work.ended(AttemptOutcome::NotSent);
+        return;
+    }
+    ++this->arrived;
+    if (!this->holds(work.key)) {
+        ++this->misdirections;
+        work.ended(AttemptOutcome::Misdirected);
+    } else if (this->refusedShare > 0 && this->random.share() < this->refusedShare) {
+        work.ended(AttemptOutcome::Full);
+    } else if (this->running < this->pattern.slots) {
+        this->begin(std::move(work));
+    } else if (this->waiting.size() < this->pattern.queueLength) {
+        this->waiting.push_back(std::move(work));
+    } else {
+        work.ended(AttemptOutcome::Full);
+    }
+}
+
+void UpstreamModel::abandon(std::uint64_t number)
+{
+    std::erase_if(this->waiting, [number](const UpstreamWork& work) { return work.number == number; });
+}
+
+void UpstreamModel::begin(UpstreamWork work)
+{
+    ++this->running;
+    if (work.key) {
+        ++this->busyKeys[*work.key];
+    }
+    const bool isCold = this->events.now() - this->startedAt < this->pattern.coldTime;
+    const auto crowd = 1 + crowding * (this->running - 1) / this->pattern.slots;
+    const auto mean = std::chrono::duration<double> { this->pattern.work }.count() * this->slowness * crowd * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
+    const auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.workingTime(mean) });
+    this->events.after(length, [this, key = work.key, ended = std::move(work.ended)] {
+        ended(AttemptOutcome::Answered);
+        this->finish(key);
+    });
+}
+
+void UpstreamModel::finish(const std::optional<KeyNumber>& worked)
+{
+    --this->running;
+    if (worked && --this->busyKeys[*worked] == 0) {
+        this->busyKeys.erase(*worked);
+    }
+    while (!this->waiting.empty() && this->running < this->pattern.slots) {
+        auto work = std::move(this->waiting.front());
+        this->waiting.pop_front();
+        if (work.deadline < this->events.now()) {
+            continue;
+        }
+        if (this->holds(work.key)) {
+            this->begin(std::move(work));
+        } else {
+            ++this->misdirections;
+            work.ended(AttemptOutcome::Misdirected);
+        }
+    }
+}
+
+KeyHeartbeat UpstreamModel::heartbeat()
+{
+    KeyHeartbeat heartbeat { this->announcement, ++this->sequence, {}, std::exchange(this->released, {}) };
+    forEachRun(this->fences, [&](KeyNumber first, KeyNumber last) { heartbeat.held.push_back({ first, last, Fence { this->fences[first] } }); });
+    return heartbeat;
+}
+
+bool UpstreamModel::takeAnswer(Instant sentAt, const KeyHeartbeatAnswer& answer)
+{
+    if (!answer.hasGrants || this->isGone) {
+        return false;
+    }
+    this->leaseEnd = sentAt + answer.lease;
+    std::vector<std::uint64_t> wanted(keyNumberCount);
+    for (const auto& range : answer.grants) {
+        std::fill(wanted.begin() + range.first, wanted.begin() + range.last + 1, range.fence.value);
+    }
+    std::vector<std::uint64_t> given(keyNumberCount);
+    bool isBusy = false;
+    for (std::size_t key = 0; key < keyNumberCount; ++key) {
+        this->isGranted[key] = wanted[key] != 0;
+        if (this->fences[key] != 0 && wanted[key] == 0) {
+            if (this->busyKeys.contains(static_cast<KeyNumber>(key))) {
+                isBusy = true;
+                continue;
+            }
+            given[key] = 1;
+        }
+        this->fences[key] = wanted[key];
+    }
+    forEachRun(given, [this](KeyNumber first, KeyNumber last) { this->released.push_back({ first, last, "handover" }); });
+    return isBusy || !this->released.empty();
+}
+
+}
