--- a/tools/load-model/RegistryModel.h
+++ b/tools/load-model/RegistryModel.h
@@ -29,10 +29,10 @@
         this->drive();
     }
 
-    void heartbeat(KeyHeartbeat heartbeat, std::function<void(const KeyHeartbeatAnswer&)> answered)
+    void heartbeat(KeyHeartbeat heartbeat, const std::function<void(const KeyHeartbeatAnswer&)>& answered)
     {
         const CallId call { ++this->lastCall };
-        this->waiting.emplace(call, std::move(answered));
+        this->waiting.emplace(call, answered);
         this->service.heartbeat(this->events.now(), call, std::move(heartbeat));
         this->drive();
     }
--- a/tools/load-model/UpstreamModel.cpp
+++ b/tools/load-model/UpstreamModel.cpp
@@ -54,14 +54,15 @@
     if (!this->holds(work.key)) {
         ++this->misdirections;
         work.ended(AttemptOutcome::Misdirected);
-    } else if (this->refusedShare > 0 && this->random.share() < this->refusedShare) {
+        return;
+    }
+    const bool isRefused = this->refusedShare > 0 && this->random.share() < this->refusedShare;
+    if (isRefused || (this->running >= this->pattern.slots && this->waiting.size() >= this->pattern.queueLength)) {
         work.ended(AttemptOutcome::Full);
     } else if (this->running < this->pattern.slots) {
         this->begin(std::move(work));
-    } else if (this->waiting.size() < this->pattern.queueLength) {
-        this->waiting.push_back(std::move(work));
     } else {
-        work.ended(AttemptOutcome::Full);
+        this->waiting.push_back(std::move(work));
     }
 }
 
