Keep the first members of a registry on disk; add a fault soak

Cause: a member of a new registry got the first members from its settings and kept them in memory. Where no member ever joined, no entry named them. After every member had restarted, which is not a first start, each found itself in no configuration, nobody voted, and the registry was lost for good although every disk was intact. Ruled out: messages between restarted members; the same restarts heal with the change. The soak starts teaselturnd as three registry members and some entry VMs with stand-ins for servers and callers, all as processes on loopback. Seeded faults: SIGKILL, SIGSTOP, SIGTERM, lost and full disks, exchanged seeds, and proxies that delay, silence, cut one way or reset. It checks runs at most once, true refusals, whole answers, falling fences, acknowledged changes and recovery, also while it runs. The test fails where the members are not written.

--- /dev/null
+++ b/src/node/registry/FirstMembers.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "adapters/codec/RegistryCodec.h"
+#include "core/ledger/FirstDisk.h"
+#include "core/ledger/Member.h"
+#include "teaselturn/Registry.h"
+#include "teaselturn/Result.h"
+
+#include <concepts>
+#include <span>
+
+namespace teaselturn {
+
+template <typename T>
+concept SnapshotStore = requires(T& store, const LedgerSnapshot& snapshot)
+{
+    {
+        store.saveSnapshot(snapshot)
+        } -> std::same_as<Status>;
+};
+
+/// Makes the first members of a new registry durable, as a snapshot before the first entry. Later starts are not told
+/// that the system is new, so a member that kept them in memory only would find itself in no configuration.
+/// @param state State read from the store; a store that was used before is left alone.
+/// @return Success, or LogWriteFailed.
+template <SnapshotStore Store>
+Status recordFirstMembers(Store& store, MemberState& state, std::span<const NodeId> nodes)
+{
+    if (state.snapshot || !state.entries.empty() || state.hardState.term != Term {}) {
+        return success();
+    }
+    RegistrySnapshot registry;
+    for (const auto node : nodes) {
+        registry.members.push_back({ node, firstDiskId(node), true });
+    }
+    LedgerSnapshot snapshot { {}, {}, registry.members, BinaryRegistryCodec {}.encode(registry) };
+    if (auto saved = store.saveSnapshot(snapshot); !saved) {
+        return saved;
+    }
+    state.snapshot = std::move(snapshot);
+    return success();
+}
+
+}
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -5,6 +5,7 @@
 #include "adapters/peer/PeerTransport.h"
 #include "core/ledger/FirstDisk.h"
 #include "node/registry/ControlDialect.h"
+#include "node/registry/FirstMembers.h"
 #include "node/registry/RegistryNode.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -85,8 +86,8 @@
     auto state = folder->takeState();
     state.node = this->options.self;
     if (isFirstMember) {
-        for (const auto seed : this->options.seeds) {
-            state.initialMembers.push_back({ seed, firstDiskId(seed), true });
+        if (const auto recorded = recordFirstMembers(*folder, state, this->options.seeds); !recorded) {
+            return recorded.failure();
         }
     }
     RegistryCallbacks callbacks { [this](CallAnswer answer) { this->answerCall(std::move(answer)); }, [this](const Failure&) { this->failed(); } };
--- /dev/null
+++ b/tests/node/registry/FirstMembersTest.cpp
@@ -0,0 +1,68 @@
+#include "node/registry/FirstMembers.h"
+
+#include "adapters/disk/DataFolder.h"
+#include "adapters/settings/TemporaryFolder.h"
+#include "core/registry/RegistryService.h"
+#include "core/support/SeededRandom.h"
+
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+
+namespace {
+
+const std::vector<NodeId> nodes { NodeId { 1 }, NodeId { 2 }, NodeId { 3 } };
+
+Result<DataFolder<>> open(const std::string& path)
+{
+    return DataFolder<>::open({}, path, firstDiskId(NodeId { 1 }));
+}
+
+using Service = RegistryService<SeededRandom, BinaryRegistryCodec>;
+
+Service serviceOf(MemberState state)
+{
+    state.node = NodeId { 1 };
+    return { std::move(state), nodes, SeededRandom { 1 }, {}, Instant { std::chrono::seconds { 1 } } };
+}
+
+}
+
+TEST_CASE("first members know each other after a start that is not told that the system is new")
+{
+    // Guards against a registry whose members all restarted and find themselves in no configuration: nobody votes again.
+    const TemporaryFolder folder;
+    const auto path = (folder.path() / "data").string();
+    {
+        auto first = open(path);
+        REQUIRE(first);
+        auto state = first->takeState();
+        REQUIRE(recordFirstMembers(*first, state, nodes));
+        CHECK(serviceOf(std::move(state)).ledgerMember().members().size() == nodes.size());
+        MemberEffects effects;
+        effects.hardState = HardState { Term { 1 }, NodeId { 2 }, firstDiskId(NodeId { 2 }) };
+        effects.append = { { Term { 1 }, LogIndex { 1 }, RemoveUpstream {} } };
+        REQUIRE(first->write(effects));
+    }
+    auto second = open(path);
+    REQUIRE(second);
+    const auto service = serviceOf(second->takeState());
+    CHECK(!service.startFailure());
+    REQUIRE(service.ledgerMember().members().size() == nodes.size());
+    CHECK(service.ledgerMember().members()[0] == MemberSpec { NodeId { 1 }, firstDiskId(NodeId { 1 }), true });
+    CHECK(service.ledgerMember().role() == MemberRole::Follower);
+    CHECK(service.ledgerMember().lastIndex() == LogIndex { 1 });
+}
+
+TEST_CASE("a store that was used keeps its members")
+{
+    // Guards against a start under changed seeds that replaces the configuration.
+    const TemporaryFolder folder;
+    auto store = open((folder.path() / "data").string());
+    REQUIRE(store);
+    auto state = store->takeState();
+    REQUIRE(recordFirstMembers(*store, state, nodes));
+    REQUIRE(recordFirstMembers(*store, state, std::vector { NodeId { 9 } }));
+    CHECK(state.snapshot->members.size() == nodes.size());
+}
--- /dev/null
+++ b/tests/platform/soak/server.py
@@ -0,0 +1,229 @@
+#!/usr/bin/env python3
+"""A stand-in for a server of the platform: announces itself, holds keys under leases, runs requests and records each run.
+
+usage: server.py NAME SERVICE LISTEN ADVERTISED RECORD SHARDED CONTROL[=THROUGH]...
+  RECORD   file of lines: time, "run", request id, key or -, fence or -, name, start of the process in ms
+  CONTROL  address of a member's control port, and the address of a proxy to it
+"""
+
+import hashlib
+import http.client
+import http.server
+import itertools
+import json
+import os
+import signal
+import socketserver
+import sys
+import threading
+import time
+
+KEYS = 65536
+INTERVAL = 0.87
+WORK_SECONDS = 0.015
+DRAIN_SECONDS = 3.0
+
+
+def signature(request_id):
+    return hashlib.sha256(f"{request_id} answered".encode()).hexdigest()
+
+
+def rows_of(values):
+    """Runs of equal values that are not zero, as (first, last, value)."""
+    first = 0
+    for value, group in itertools.groupby(values):
+        size = sum(1 for _ in group)
+        if value:
+            yield first, first + size - 1, value
+        first += size
+
+
+class Server:
+    def __init__(self, name, service, listen, advertised, record, sharded, controls):
+        self.name, self.service, self.advertised, self.is_sharded = name, service, advertised, sharded
+        self.through = dict((control.split("=") + [control])[:2] for control in controls)
+        self.controls = list(self.through)
+        self.born = int(time.time() * 1000)
+        self.record = os.open(record, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
+        self.lock = threading.Lock()
+        self.granted = [0] * KEYS
+        self.held = [0] * KEYS
+        self.seen = [0] * KEYS
+        self.busy = {}
+        self.released = []
+        self.lease_end = 0.0
+        self.sequence = 0
+        self.state = "ready"
+        self.listen = listen
+
+    def begin(self, request_id, key):
+        """Returns the fence, 0 for a service without keys, or None where the key is not held."""
+        now = time.monotonic()
+        with self.lock:
+            fence = 0
+            if self.is_sharded:
+                fence = self.granted[key] if now < self.lease_end else 0
+                if not fence:
+                    return None
+                self.busy[key] = self.busy.get(key, 0) + 1
+        os.write(self.record, f"{now:.6f} run {request_id} {key if self.is_sharded else '-'} {fence or '-'} {self.name} {self.born}\n".encode())
+        return fence
+
+    def end(self, key):
+        if self.is_sharded:
+            with self.lock:
+                self.busy[key] -= 1
+                if not self.busy[key]:
+                    del self.busy[key]
+
+    def take(self, answer, sent_at):
+        """Returns True where keys are to be released soon."""
+        if "holds" not in answer:
+            return False
+        wanted = [0] * KEYS
+        for first, last, fence, _ in answer["holds"]:
+            wanted[first:last + 1] = [fence] * (last - first + 1)
+        with self.lock:
+            self.lease_end = max(self.lease_end, sent_at + answer["hold_s"])
+            dropped = [0] * KEYS
+            for key in range(KEYS):
+                fence = wanted[key]
+                if fence and fence < self.seen[key]:
+                    fence = 0
+                self.granted[key] = fence
+                if fence:
+                    self.held[key] = self.seen[key] = fence
+                elif self.held[key] and key not in self.busy:
+                    dropped[key] = 1
+                    self.held[key] = 0
+            self.released += [[first, last, "handover"] for first, last, _ in rows_of(dropped)]
+            return bool(self.released) or self.held != self.granted
+
+    def beat(self):
+        """Sends one heartbeat. Returns True where the next one is to follow at once."""
+        with self.lock:
+            if time.monotonic() >= self.lease_end and not self.busy:
+                self.granted = [0] * KEYS
+                self.held = [0] * KEYS
+                self.released = []
+            self.sequence += 1
+            body = {"service": self.service, "address": self.advertised, "zone": "zone-1", "version": "v1", "slots": 4, "state": self.state,
+                "warmup_left_s": 0, "sequence": self.sequence, "born": self.born}
+            released = self.released[:]
+            if self.is_sharded:
+                body |= {"holds": [list(row) for row in rows_of(self.held)], "released": released}
+        for control in self.controls[:]:
+            sent_at = time.monotonic()
+            try:
+                answer = self.call(control, "PUT", body)
+            except (OSError, http.client.HTTPException, ValueError):
+                self.controls.append(self.controls.pop(0))
+                continue
+            if answer is None:
+                continue
+            with self.lock:
+                self.released = self.released[len(released):]
+            return self.is_sharded and self.take(answer, sent_at)
+        return False
+
+    def call(self, control, method, body):
+        for _ in range(3):
+            host, port = self.through.get(control, control).split(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=1)
+            try:
+                connection.request(method, f"/instances/{self.name}", json.dumps(body), {"Content-Type": "application/json"})
+                response = connection.getresponse()
+                text = response.read()
+            finally:
+                connection.close()
+            if response.status == 307:
+                control = response.getheader("Location").split("/")[2]
+                continue
+            if response.status // 100 != 2:
+                return None
+            answer = json.loads(text)
+            preferred = answer.get("heartbeat_url", control)
+            if preferred in self.controls:
+                self.controls.remove(preferred)
+                self.controls.insert(0, preferred)
+            return answer
+        return None
+
+    def announce(self):
+        while True:
+            started = time.monotonic()
+            if not self.beat():
+                time.sleep(max(0.0, started + INTERVAL - time.monotonic()))
+            else:
+                time.sleep(0.1)
+
+    def leave(self, *_):
+        def finish():
+            self.state = "draining"
+            time.sleep(DRAIN_SECONDS)
+            for control in self.controls[:]:
+                try:
+                    if self.call(control, "DELETE", {"born": self.born}) is not None:
+                        break
+                except (OSError, http.client.HTTPException, ValueError):
+                    continue
+            os._exit(0)
+
+        threading.Thread(target=finish).start()
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    timeout = 15
+
+    def do_GET(self):
+        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        server = self.server.stand_in
+        request_id = self.headers.get("Request-Id", "")
+        key = int(self.headers.get("Shard-Key", 0))
+        if self.path == "/healthz":
+            return self.reply(200, {"Instance-Id": server.name}, b"")
+        is_mine = self.headers.get("Expect-Instance", server.name) == server.name
+        if not is_mine or server.begin(request_id, key) is None:
+            return self.reply(421, {"Not-Executed": "1", "Request-Id": request_id}, b"")
+        try:
+            time.sleep(WORK_SECONDS)
+        finally:
+            server.end(key)
+        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, f"body of {request_id} {self.command} {self.path}".encode())
+
+    do_POST = do_GET
+
+    def reply(self, status, headers, body):
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
+class Listener(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def handle_error(self, *_):
+        pass
+
+
+def main():
+    name, service, listen, advertised, record, sharded, *controls = sys.argv[1:]
+    server = Server(name, service, listen, advertised, record, sharded == "1", controls)
+    host, port = listen.split(":")
+    listener = Listener((host, int(port)), Handler)
+    listener.stand_in = server
+    signal.signal(signal.SIGTERM, server.leave)
+    threading.Thread(target=server.announce, daemon=True).start()
+    listener.serve_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform/soak/soak.py
@@ -0,0 +1,440 @@
+#!/usr/bin/env python3
+"""Runs the real programs as processes on loopback, disturbs them at random and checks what callers and servers see.
+
+usage: soak.py [--seed N] [--seconds N] [--build FOLDER] [--entries N] [--keyed N] [--plain N] [--keep] [--regressions]
+  --seed N        order and times of the faults (default: drawn); it is printed
+  --seconds N     how long faults last (default 20); then everything is healed and has to recover
+  --build FOLDER  where teaselturnd was built (default build)
+  --keep          keeps the folder with logs and records also after a success
+  --regressions   plays the seeds of failed-seeds.txt one after the other
+
+Faults come in series and overlap. One member at a time is disturbed, since the loss of one is to be tolerated. Exit status
+1 means that a promise was broken; the folder with logs and records is then kept.
+"""
+
+import argparse
+import collections
+import http.client
+import json
+import os
+import pathlib
+import random
+import resource
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from proxy import Proxy
+from server import KEYS, signature
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+SERVER = pathlib.Path(__file__).resolve().parent / "server.py"
+FAILED_SEEDS = pathlib.Path(__file__).resolve().parent / "failed-seeds.txt"
+MEMBERS = 3
+PEER_PORT, CONTROL_PORT, FRONT_PORT, READINESS_PORT, SERVER_PORT = 7540, 8544, 8548, 8542, 8090
+ROUTE_TIMEOUT, DEADLINE = 1.5, 2.0
+# Time after the last fault within which nearly all requests are served again.
+RECOVERY_SECONDS = 15
+RECOVERED_SHARE = 0.95
+START_SECONDS = 30
+# Smaller than any log that a run writes, so that writes fail as on a full disk.
+FULL_DISK_BYTES = 4096
+CALLER_THREADS = 8
+CALLER_PAUSE = 0.02
+
+
+class Violation(Exception):
+    pass
+
+
+class Process:
+    """A process that faults stop, pause, kill and start again."""
+
+    def __init__(self, folder, name, command, environment=None):
+        self.folder, self.name, self.command = folder, name, [str(part) for part in command]
+        self.environment = dict(os.environ, **(environment or {}))
+        self.handle = None
+        self.is_disturbed = False
+
+    def start(self, file_limit=None):
+        def limit():
+            if file_limit:
+                signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+                resource.setrlimit(resource.RLIMIT_FSIZE, (file_limit, file_limit))
+
+        with open(self.folder / f"{self.name}.log", "ab") as log:
+            self.handle = subprocess.Popen(self.command, env=self.environment, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE if file_limit else log,
+                stderr=subprocess.DEVNULL if file_limit else log, preexec_fn=limit)
+        if file_limit:
+            threading.Thread(target=lambda pipe: [None for _ in pipe], args=(self.handle.stdout,), daemon=True).start()
+
+    def signal(self, number):
+        if self.handle.poll() is None:
+            self.handle.send_signal(number)
+
+    def stop(self, number, patience):
+        """Signals the process and waits for its end. Returns False where it had to be killed."""
+        self.signal(number)
+        try:
+            self.handle.wait(patience)
+            return True
+        except subprocess.TimeoutExpired:
+            self.handle.kill()
+            self.handle.wait()
+            return False
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="teaselturn-soak-"))
+        self.network = f"127.{20 + os.getpid() % 200}.{os.getpid() // 200 % 200}"
+        self.is_over = threading.Event()
+        self.lock = threading.Lock()
+        self.results = {}
+        self.outcomes = collections.Counter()
+        self.acknowledged = {}
+        self.faults = []
+        self.violations = []
+        self.members = [self.make_vm("member", i, 1 + i) for i in range(MEMBERS)]
+        self.entries = [self.make_vm("entry", i, 50 + i) for i in range(options.entries)]
+        self.control_proxies = {f"{vm.address}:{CONTROL_PORT}": Proxy((vm.address, CONTROL_PORT)) for vm in self.members}
+        self.front_proxies = [Proxy((vm.address, FRONT_PORT)) for vm in self.entries]
+        self.server_proxies = []
+        self.servers = [self.make_server("keyed", i, 100 + i, True) for i in range(options.keyed)]
+        self.servers += [self.make_server("plain", i, 150 + i, False) for i in range(options.plain)]
+
+    def make_vm(self, role, index, number):
+        name = f"{role}-{index + 1}"
+        process = Process(self.folder, name, [self.options.build / "src/node/teaselturnd", "--platform"], {"TEASELTURN_BOOT": str(self.folder / f"{name}.json")})
+        process.address, process.is_member = f"{self.network}.{number}", role == "member"
+        return process
+
+    def make_server(self, service, index, number, is_sharded):
+        name = f"{service}-{index + 1}"
+        listen = f"{self.network}.{number}:{SERVER_PORT}"
+        proxy = Proxy((f"{self.network}.{number}", SERVER_PORT))
+        self.server_proxies.append(proxy)
+        controls = [f"{control}={through.address}" for control, through in self.control_proxies.items()]
+        return Process(self.folder, name, [sys.executable, SERVER, name, service, listen, proxy.address, self.folder / "runs.record", int(is_sharded), *controls])
+
+    def write_settings(self, vm, is_first):
+        listen = {"control": f"{vm.address}:{CONTROL_PORT}"} if vm.is_member else {"front": f"{vm.address}:{FRONT_PORT}", "readiness": f"{vm.address}:{READINESS_PORT}"}
+        document = {"node_name": vm.name, "serves": ["control_plane"] if vm.is_member else ["edge"], "ip": vm.address, "zone": "zone-1", "zones": {"zone-1": "region-1"},
+            "listen": listen, "internal_port_range": [PEER_PORT, PEER_PORT + 15], "seeds": [f"{member.address}:{CONTROL_PORT}" for member in self.members], "bootstrap": is_first,
+            "limits": {"cpu_cores": 1, "bandwidth_mbps": None}, "data_dir": str(self.data_folder(vm)) if vm.is_member else None, "fault_tolerance": {"machines": 1},
+            "bounds": ["grace_period_s=6", "drain_s=2.5", "hold_max_s=10", "retry_budget_ratio=0.2", "budget_slack=50", "retry_window_s=10"]}
+        (self.folder / f"{vm.name}.json").write_text(json.dumps(document))
+
+    def data_folder(self, vm):
+        folder = self.folder / f"data-{vm.name}"
+        folder.mkdir(exist_ok=True)
+        return folder
+
+    # Operators and callers.
+
+    def control(self, method, body=None):
+        """Calls a member, and the one it names. Returns the status and the document, or None where nobody answers."""
+        target = self.random_member()
+        for _ in range(4):
+            connection = http.client.HTTPConnection(*target.split(":"), timeout=2)
+            try:
+                connection.request(method, "/config", body and json.dumps(body), {"Content-Type": "application/json"})
+                response = connection.getresponse()
+                text = response.read()
+            except (OSError, http.client.HTTPException):
+                target = self.random_member()
+                continue
+            finally:
+                connection.close()
+            if response.status == 307:
+                target = response.getheader("Location").split("/")[2]
+                continue
+            return response.status, text
+        return None
+
+    @staticmethod
+    def random_member_of(members):
+        return f"{random.choice(members).address}:{CONTROL_PORT}"
+
+    def random_member(self):
+        return self.random_member_of(self.members)
+
+    def route(self, service, kind, path, version):
+        return {"host": "soak.example", "path_prefix": path, "kind": kind, "timeout_s": ROUTE_TIMEOUT, "target_latency_s": 0.5, "priority": 1, "service": service, "attempts": 2, "version": f"{version:08x}"}
+
+    def first_configuration(self):
+        service = {"health_check_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "version": "00000001"}
+        routes = {f"{service}-{kind}": self.route(service, kind, f"/{service}/{kind}/", 1) for service in ("keyed", "plain") for kind in ("safe", "unsafe")}
+        return {"upsert": {"services": {"keyed": service | {"sharded": True, "warm_s": 1.0, "grants": "heartbeat"}, "plain": service}, "routes": routes}}
+
+    def change_configuration(self):
+        version = 1
+        while not self.is_over.wait(0.5):
+            version += 1
+            name = f"changing-{version % 5}"
+            route = self.route("plain", "safe", f"/changing/{version % 5}/{version}/", version)
+            answer = self.control("PATCH", {"upsert": {"routes": {name: route}}})
+            if answer and answer[0] == 200:
+                self.acknowledged[name] = version
+
+    def call_forever(self, number):
+        generator = random.Random(self.options.seed * 1000 + number)
+        while not self.is_over.is_set():
+            self.call(generator)
+            time.sleep(CALLER_PAUSE)
+
+    def call(self, generator):
+        request_id = f"{generator.getrandbits(64):016x}"
+        service, kind = generator.choice(["keyed", "plain"]), generator.choice(["safe", "unsafe"])
+        path = f"/{service}/{kind}/{generator.randrange(1000)}"
+        # Most requests are for a few keys, so that keys move.
+        key = generator.randrange(200) if generator.random() < 0.5 else generator.randrange(KEYS)
+        headers = {"Host": "soak.example", "Request-Id": request_id, "Deadline-Ms": str(int(DEADLINE * 1000)), "Shard-Key": str(key)}
+        proxy = generator.choice(self.front_proxies)
+        connection = http.client.HTTPConnection(*proxy.address.split(":"), timeout=DEADLINE)
+        status = 0
+        try:
+            connection.request("GET", path, None, headers)
+            response = connection.getresponse()
+            status, body = response.status, response.read()
+            if status == 200 and (body != f"body of {request_id} GET {path}".encode() or response.getheader("Upstream-Signature") != signature(request_id)):
+                self.violations.append(f"request {request_id} got another answer: {body[:80]!r}")
+        except (OSError, http.client.HTTPException):
+            pass
+        finally:
+            connection.close()
+        with self.lock:
+            self.results[request_id] = (kind, status)
+            self.outcomes[status] += 1
+
+    # Faults.
+
+    def fault(self):
+        """Draws a fault and carries it out in a thread of its own; it ends by itself."""
+        vm = self.random.choice(self.members + self.entries)
+        server = self.random.choice(self.servers)
+        proxy = self.random.choice(self.front_proxies + self.server_proxies + list(self.control_proxies.values()))
+        seconds = self.random.uniform(0.2, 4)
+        kinds = [(self.kill, vm, seconds), (self.pause, vm, seconds), (self.terminate, vm, seconds), (self.kill, server, seconds), (self.pause, server, seconds), (self.terminate, server, seconds),
+            (self.harm, proxy, seconds), (self.harm, proxy, seconds), (self.exchange_seeds, vm, seconds)]
+        if vm.is_member:
+            kinds += [(self.lose_disk, vm, seconds), (self.fill_disk, vm, seconds)]
+        action, target, length = self.random.choice(kinds)
+        mode = self.random.choice(["delay", "silence", "one-way", "reset"])
+        is_member = getattr(target, "is_member", False)
+        if isinstance(target, Process):
+            if target.is_disturbed or (is_member and any(member.is_disturbed for member in self.members)):
+                return
+            target.is_disturbed = True
+        self.faults.append(f"{time.monotonic() - self.started_at:.2f} {action.__name__} {getattr(target, 'name', getattr(target, 'target', ''))} {length:.2f} {mode if action == self.harm else ''}")
+        thread = threading.Thread(target=self.carry_out, args=(action, target, length, mode), daemon=True)
+        thread.start()
+        self.fault_threads.append(thread)
+
+    def carry_out(self, action, target, seconds, mode):
+        if action == self.harm:
+            action(target, seconds, mode)
+        else:
+            action(target, seconds)
+            if getattr(target, "is_member", False):
+                # A member has to catch up before the next one may be lost.
+                time.sleep(4)
+            target.is_disturbed = False
+
+    def kill(self, process, seconds):
+        process.stop(signal.SIGKILL, 5)
+        time.sleep(seconds)
+        process.start()
+
+    def pause(self, process, seconds):
+        process.signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        process.signal(signal.SIGCONT)
+
+    def terminate(self, process, _):
+        if not process.stop(signal.SIGTERM, 10):
+            self.violations.append(f"{process.name} did not end within 10 s of SIGTERM")
+        process.start()
+
+    def lose_disk(self, vm, seconds):
+        vm.stop(signal.SIGKILL, 5)
+        shutil.rmtree(self.data_folder(vm))
+        self.write_settings(vm, False)
+        time.sleep(seconds)
+        vm.start()
+
+    def fill_disk(self, vm, seconds):
+        vm.stop(signal.SIGKILL, 5)
+        vm.start(FULL_DISK_BYTES)
+        time.sleep(seconds)
+        vm.stop(signal.SIGKILL, 5)
+        vm.start()
+
+    def exchange_seeds(self, vm, _):
+        path = self.folder / f"{vm.name}.json"
+        document = json.loads(path.read_text())
+        document["seeds"] = document["seeds"][1:] + document["seeds"][:1]
+        path.write_text(json.dumps(document))
+        vm.signal(signal.SIGHUP)
+
+    def harm(self, proxy, seconds, mode):
+        proxy.set_mode(mode, 0.3)
+        time.sleep(seconds)
+        proxy.set_mode("pass")
+
+    # Checks.
+
+    def runs(self):
+        record = self.folder / "runs.record"
+        for line in record.read_text().splitlines() if record.exists() else []:
+            fields = line.split()
+            if len(fields) == 7:
+                yield float(fields[0]), fields[2], fields[3], fields[4], f"{fields[5]}/{fields[6]}"
+
+    def check(self):
+        runs = sorted(self.runs())
+        with self.lock:
+            results = dict(self.results)
+        counts = collections.Counter(run[1] for run in runs)
+        for request_id, count in counts.items():
+            kind, status = results.get(request_id, (None, None))
+            if kind == "unsafe" and count > 1:
+                self.violations.append(f"unsafe request {request_id} ran {count} times")
+            if kind == "unsafe" and status in (408, 421, 429, 503):
+                self.violations.append(f"unsafe request {request_id} ran and was answered {status}")
+        for request_id, (_, status) in results.items():
+            if status == 200 and request_id not in counts:
+                self.violations.append(f"request {request_id} was answered and never ran")
+        latest = {}
+        for time_of, request_id, key, fence, server in runs:
+            if key == "-":
+                continue
+            known_fence, known_server = latest.get(key, (0, server))
+            if int(fence) < known_fence or (int(fence) == known_fence and server != known_server):
+                self.violations.append(f"key {key} ran at {server} under fence {fence} at {time_of} after {known_server} under {known_fence} (request {request_id})")
+            latest[key] = (int(fence), server)
+        if self.violations:
+            raise Violation("\n".join(self.violations[:10]))
+        return len(runs)
+
+    def served_share(self, seconds):
+        with self.lock:
+            before = self.outcomes.copy()
+        time.sleep(seconds)
+        with self.lock:
+            after = self.outcomes - before
+        return after[200] / max(1, sum(after.values()))
+
+    def wait_until_served(self, ceiling, what):
+        end = time.monotonic() + ceiling
+        share = 0
+        while time.monotonic() < end:
+            share = self.served_share(1)
+            if share >= RECOVERED_SHARE:
+                return
+        raise Violation(f"{what}: only {share:.2f} of the requests are served {ceiling} s later")
+
+    def check_configuration(self):
+        answer = self.control("GET")
+        if not answer or answer[0] != 200:
+            raise Violation(f"the configuration cannot be read back: {answer}")
+        routes = json.loads(answer[1])["routes"]
+        for name, version in self.acknowledged.items():
+            if name not in routes or int(routes[name]["version"], 16) < version:
+                raise Violation(f"acknowledged version {version} of {name} is lost: {routes.get(name)}")
+
+    def start(self):
+        for vm in self.members + self.entries:
+            self.write_settings(vm, True)
+            vm.start()
+        for server in self.servers:
+            server.start()
+        end = time.monotonic() + START_SECONDS
+        while True:
+            answer = self.control("PATCH", self.first_configuration())
+            if answer and answer[0] == 200:
+                break
+            if time.monotonic() > end:
+                raise Violation(f"the first configuration was not taken: {answer}")
+            time.sleep(0.2)
+        for vm in self.members + self.entries:
+            self.write_settings(vm, False)
+        for number in range(CALLER_THREADS):
+            threading.Thread(target=self.call_forever, args=(number,), daemon=True).start()
+        threading.Thread(target=self.change_configuration, daemon=True).start()
+        self.wait_until_served(START_SECONDS, "start")
+
+    def run(self):
+        self.start()
+        self.started_at = time.monotonic()
+        self.fault_threads = []
+        checked_at = self.started_at
+        while time.monotonic() - self.started_at < self.options.seconds:
+            self.fault()
+            time.sleep(self.random.expovariate(2.0))
+            if time.monotonic() - checked_at > 3:
+                self.check()
+                checked_at = time.monotonic()
+        for thread in self.fault_threads:
+            thread.join()
+        self.wait_until_served(RECOVERY_SECONDS, "recovery")
+        self.check_configuration()
+        self.is_over.set()
+        time.sleep(DEADLINE + 0.5)
+        return self.check()
+
+    def end(self):
+        self.is_over.set()
+        for process in self.members + self.entries + self.servers:
+            if process.handle and process.handle.poll() is None:
+                process.signal(signal.SIGCONT)
+                process.handle.kill()
+                process.handle.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser(usage=__doc__)
+    parser.add_argument("--seed", type=int, default=random.SystemRandom().randrange(1_000_000))
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--build", type=pathlib.Path, default=ROOT / "build")
+    parser.add_argument("--entries", type=int, default=3)
+    parser.add_argument("--keyed", type=int, default=4)
+    parser.add_argument("--plain", type=int, default=2)
+    parser.add_argument("--keep", action="store_true")
+    parser.add_argument("--regressions", action="store_true")
+    options = parser.parse_args()
+    options.build = options.build.resolve()
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(1))
+    if not options.regressions:
+        return play(options)
+    lines = [line.split() for line in FAILED_SEEDS.read_text().splitlines() if not line.startswith("#")]
+    return max(play(argparse.Namespace(**(vars(options) | {"seed": int(seed), "seconds": float(seconds)}))) for seed, seconds, *_ in lines)
+
+
+def play(options):
+    soak = Soak(options)
+    try:
+        runs = soak.run()
+        print(f"soak: seed {options.seed}: {len(soak.results)} requests, {soak.outcomes[200]} served, {runs} runs, {len(soak.faults)} faults, {len(soak.acknowledged)} changed routes, no promise broken", flush=True)
+        is_clean = True
+    except Violation as violation:
+        print(f"soak: seed {options.seed}: BROKEN: {violation}\nfaults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
+        is_clean = False
+    finally:
+        soak.end()
+        if not options.keep and sys.exc_info()[0] is None and is_clean:
+            shutil.rmtree(soak.folder, ignore_errors=True)
+    return 0 if is_clean else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
