--- a/tests/platform/soak/server.py
+++ b/tests/platform/soak/server.py
@@ -4,6 +4,8 @@
 usage: server.py NAME SERVICE LISTEN ADVERTISED RECORD SHARDED CONTROL[=THROUGH]...
   RECORD   file of lines: time, "run", request id, key or -, fence or -, name, start of the process in ms
   CONTROL  address of a member's control port, and the address of a proxy to it
+
+The environment variable SOAK_MUTATION names a promise that the server breaks, so that the soak has to notice.
 """
 
 import hashlib
@@ -12,6 +14,7 @@
 import itertools
 import json
 import os
+import random
 import signal
 import socketserver
 import sys
@@ -22,6 +25,8 @@
 INTERVAL = 0.87
 WORK_SECONDS = 0.015
 DRAIN_SECONDS = 3.0
+# runs-twice, crossed-answers, refuses-after-run, or nothing.
+MUTATION = os.environ.get("SOAK_MUTATION", "")
 
 
 def signature(request_id):
@@ -66,7 +71,8 @@
                 if not fence:
                     return None
                 self.busy[key] = self.busy.get(key, 0) + 1
-        os.write(self.record, f"{now:.6f} run {request_id} {key if self.is_sharded else '-'} {fence or '-'} {self.name} {self.born}\n".encode())
+        for _ in range(2 if MUTATION == "runs-twice" else 1):
+            os.write(self.record, f"{now:.6f} run {request_id} {key if self.is_sharded else '-'} {fence or '-'} {self.name} {self.born}\n".encode())
         return fence
 
     def end(self, key):
@@ -190,7 +196,10 @@
             time.sleep(WORK_SECONDS)
         finally:
             server.end(key)
-        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, f"body of {request_id} {self.command} {self.path}".encode())
+        if MUTATION == "refuses-after-run" and random.random() < 0.05:
+            return self.reply(503, {"Not-Executed": "1", "Request-Id": request_id}, b"")
+        answered = request_id[::-1] if MUTATION == "crossed-answers" else request_id
+        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, f"body of {answered} {self.command} {self.path}".encode())
 
     do_POST = do_GET
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -6,7 +6,7 @@
   --seconds N     how long faults last (default 20); then everything is healed and has to recover
   --build FOLDER  where teaselturnd was built (default build)
   --keep          keeps the folder with logs and records also after a success
-  --regressions   plays the seeds of failed-seeds.txt one after the other
+  --regressions   plays the seeds of failed-seeds.txt, a few at a time
 
 Faults come in series and overlap. One member at a time is disturbed, since the loss of one is to be tolerated. Exit status
 1 means that a promise was broken; the folder with logs and records is then kept.
@@ -14,6 +14,7 @@
 
 import argparse
 import collections
+import concurrent.futures
 import http.client
 import json
 import os
@@ -46,6 +47,7 @@
 # Smaller than any log that a run writes, so that writes fail as on a full disk.
 FULL_DISK_BYTES = 4096
 CALLER_THREADS = 8
+REGRESSIONS_AT_A_TIME = 4
 CALLER_PAUSE = 0.02
 
 
@@ -417,7 +419,10 @@
     if not options.regressions:
         return play(options)
     lines = [line.split() for line in FAILED_SEEDS.read_text().splitlines() if not line.startswith("#")]
-    return max(play(argparse.Namespace(**(vars(options) | {"seed": int(seed), "seconds": float(seconds)}))) for seed, seconds, *_ in lines)
+    command = [sys.executable, __file__, "--build", str(options.build), "--entries", str(options.entries), "--keyed", str(options.keyed), "--plain", str(options.plain)]
+    with concurrent.futures.ThreadPoolExecutor(REGRESSIONS_AT_A_TIME) as pool:
+        codes = pool.map(lambda line: subprocess.run([*command, "--seed", line[0], "--seconds", line[1]], check=False).returncode, lines)
+        return max(codes)
 
 
 def play(options):
