--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -7,28 +7,12 @@
 namespace teaselturn {
 
 namespace registry {
-    /// How long a member holds a feed request open when it has nothing new.
-    inline constexpr std::chrono::milliseconds feedHold { 300 };
     /// A member that heard nothing of a leader for this long does not answer feeds and calls: what it has may be old.
     inline constexpr std::chrono::milliseconds contactPatience { 1'000 };
     /// How often a process asks to become a member.
     inline constexpr std::chrono::milliseconds joinInterval { 300 };
     /// How long a request to join counts.
     inline constexpr std::chrono::seconds joinMemory { 2 };
-    /// Speed at which a long answer arrives at least: compressed to a fifth over a shared link of 1 Mbit/s.
-    inline constexpr std::size_t slowestBytesPerMs = 5 * 125;
-    /// Entries in one feed answer, in bytes.
-    inline constexpr std::size_t feedBytes = 48 * 1024;
-    /// Entry VMs that are up to this many entries behind get them in datagrams, a few entries each: a stream that loses a
-    /// packet stalls for seconds, and everything behind it.
-    inline constexpr std::uint64_t datagramFeedEntries = 96;
-    /// Entries in one datagram, in bytes as estimated; compressed they fit.
-    inline constexpr std::size_t datagramFeedBytes = 2'000;
-    /// Datagrams that answer one request. From another region each further request takes 60 ms, and a link of 2 Mbit/s
-    /// carries this many in 50 ms.
-    inline constexpr std::size_t feedDatagrams = 8;
-    /// Part of a snapshot in one feed answer, in bytes.
-    inline constexpr std::size_t feedSnapshotPartBytes = 256 * 1024;
 }
 
 template <RandomSource Random, RegistryCodec Codec>
@@ -142,83 +126,6 @@
     return true;
 }
 
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::heartbeat(Instant now, CallId call, KeyHeartbeat heartbeat)
-{
-    if (auto refusal = this->readRefusal(now)) {
-        this->answer(call, std::move(*refusal));
-        return;
-    }
-    if (auto command = this->coordinator.registration(heartbeat, this->registry)) {
-        if (!this->propose(now, std::move(*command), WaitingHeartbeat { call, std::move(heartbeat) })) {
-            this->answer(call, CallUnavailable {});
-        }
-        return;
-    }
-    this->takeHeartbeat(now, call, std::move(heartbeat));
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::takeHeartbeat(Instant now, CallId call, KeyHeartbeat heartbeat)
-{
-    const auto& announcement = heartbeat.announcement;
-    const auto* registered = this->registry.findUpstream(announcement.key.name);
-    const bool isKnown = registered != nullptr && registered->announcement.key == announcement.key;
-    if (!isKnown || !this->coordinator.note(now, heartbeat)) {
-        this->answer(call, KeyHeartbeatAnswer {});
-        return;
-    }
-    this->coordinator.takeReleases(now, heartbeat, this->registry);
-    const auto* service = this->registry.findService(announcement.service);
-    const bool mayHoldKeys = service != nullptr && service->isSharded && this->registry.isAlive(announcement.key);
-    if (!mayHoldKeys || this->coordinator.hasNews(heartbeat, this->registry)) {
-        this->answer(call, this->coordinator.answer(heartbeat, this->registry));
-        return;
-    }
-    const auto answerBy = now + (announcement.isDraining ? this->options.leases.leavingAnswerHold : this->options.leases.answerHold);
-    this->coordinator.answerHeld(announcement.key, answerBy);
-    if (const auto earlier = this->heldHeartbeats.add({ call, std::move(heartbeat), answerBy })) {
-        this->answer(earlier->call, KeyHeartbeatAnswer {});
-    }
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::answerHeartbeats(Instant now)
-{
-    const auto refusal = this->readRefusal(now);
-    const auto settle = [&](const auto& held) {
-        this->answer(held->call, refusal ? *refusal : CallResult { this->coordinator.answer(held->heartbeat, this->registry) });
-    };
-    for (const auto& name : std::exchange(this->upstreamsWithNews, {})) {
-        if (const auto held = this->heldHeartbeats.take(name)) {
-            settle(held);
-        }
-    }
-    while (const auto held = refusal ? this->heldHeartbeats.takeAny() : this->heldHeartbeats.takeDue(now)) {
-        settle(held);
-    }
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::noteNews(const Command& command)
-{
-    if (const auto* assigned = std::get_if<AssignKeyRanges>(&command)) {
-        for (const auto& grant : assigned->grants) {
-            this->upstreamsWithNews.insert(grant.owner.name);
-        }
-    } else if (const auto* begun = std::get_if<BeginKeyMoves>(&command)) {
-        for (const auto& move : begun->moves) {
-            if (const auto* range = this->registry.findRange(begun->service, move.first)) {
-                this->upstreamsWithNews.insert(range->owner.name);
-            }
-        }
-    } else if (const auto* removed = std::get_if<RemoveUpstream>(&command)) {
-        this->upstreamsWithNews.insert(removed->key.name);
-    } else if (const auto* registered = std::get_if<RegisterUpstream>(&command)) {
-        this->upstreamsWithNews.insert(registered->key.name);
-    }
-}
-
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::depart(Instant now, CallId call, std::string_view upstream, std::optional<std::uint64_t> incarnation)
 {
@@ -368,109 +275,6 @@
     }
 }
 
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::takeFeedRequest(Instant now, NodeId from, const FeedRequest& request)
-{
-    if (!this->isCurrent(now)) {
-        return;
-    }
-    if (request.appliedIndex < this->registry.appliedIndex()) {
-        this->feedWaiters.erase(from);
-        this->sendFeed(now, from, request);
-        return;
-    }
-    this->feedWaiters[from] = FeedWaiter { request, now + registry::feedHold };
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::answerFeeds(Instant now)
-{
-    const bool mayAnswer = this->isCurrent(now);
-    for (auto waiter = this->feedWaiters.begin(); waiter != this->feedWaiters.end();) {
-        const auto hasNews = waiter->second.request.appliedIndex < this->registry.appliedIndex();
-        if ((!hasNews || !mayAnswer) && now < waiter->second.answerBy) {
-            ++waiter;
-            continue;
-        }
-        if (mayAnswer) {
-            this->sendFeed(now, waiter->first, waiter->second.request);
-        }
-        waiter = this->feedWaiters.erase(waiter);
-    }
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::sendFeed(Instant now, NodeId to, const FeedRequest& request)
-{
-    auto& last = this->sentFeeds[to];
-    const bool isRepeat = last.appliedIndex == request.appliedIndex && last.snapshotOffset == request.snapshotOffset;
-    if (isRepeat && now < last.arrivesBy) {
-        return;
-    }
-    auto answer = this->feedReply(request);
-    std::size_t bytes = answer.snapshotBytes.size();
-    for (const auto& entry : answer.entries) {
-        bytes += estimatedBytes(entry.command);
-    }
-    const auto transfer = std::chrono::milliseconds { bytes / registry::slowestBytesPerMs };
-    last = SentFeed { request.appliedIndex, request.snapshotOffset, now + transfer };
-    if (this->isNear(request)) {
-        this->replyInDatagrams(to, std::move(answer));
-    } else {
-        this->reply(to, std::move(answer));
-    }
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-bool RegistryService<Random, Codec>::isNear(const FeedRequest& request) const noexcept
-{
-    return this->registry.appliedIndex().value - request.appliedIndex.value <= registry::datagramFeedEntries;
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-void RegistryService<Random, Codec>::replyInDatagrams(NodeId to, FeedReply answer)
-{
-    auto entries = std::exchange(answer.entries, {});
-    std::size_t bytes = 0;
-    for (auto& entry : entries) {
-        const auto size = estimatedBytes(entry.command);
-        if (!answer.entries.empty() && bytes + size > registry::datagramFeedBytes) {
-            // As answers to an earlier request they do not end the wait for the last one.
-            auto part = answer;
-            --part.sequence;
-            this->reply(to, std::move(part));
-            answer.entries.clear();
-            bytes = 0;
-        }
-        bytes += size;
-        answer.entries.push_back(std::move(entry));
-    }
-    this->reply(to, std::move(answer));
-}
-
-template <RandomSource Random, RegistryCodec Codec>
-FeedReply RegistryService<Random, Codec>::feedReply(const FeedRequest& request)
-{
-    const auto applied = this->registry.appliedIndex();
-    if (request.snapshotIndex == LogIndex {} || request.snapshotIndex != this->feedSnapshotIndex) {
-        auto entries = this->member.committedAfter(request.appliedIndex, this->isNear(request) ? registry::feedDatagrams * registry::datagramFeedBytes : registry::feedBytes);
-        if (entries) {
-            std::erase_if(*entries, [applied](const LogEntry& entry) { return entry.index > applied; });
-            return FeedReply { request.sequence, applied, std::move(*entries), 0, 0, {}, {} };
-        }
-        if (this->feedSnapshotIndex <= request.appliedIndex || this->feedSnapshotIndex < this->member.firstIndex()) {
-            this->feedSnapshotIndex = applied;
-            this->feedSnapshot = this->codec.encode(this->registry.snapshot());
-        }
-    }
-    const auto offset = request.snapshotIndex == this->feedSnapshotIndex ? request.snapshotOffset : 0;
-    const auto begin = std::min<std::size_t>(offset, this->feedSnapshot.size());
-    const auto end = std::min(begin + registry::feedSnapshotPartBytes, this->feedSnapshot.size());
-    FeedReply answer { request.sequence, applied, {}, begin, this->feedSnapshot.size(), this->feedSnapshotIndex, {} };
-    answer.snapshotBytes.assign(this->feedSnapshot.begin() + static_cast<std::ptrdiff_t>(begin), this->feedSnapshot.begin() + static_cast<std::ptrdiff_t>(end));
-    return answer;
-}
-
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::dropPending()
 {
@@ -589,3 +393,6 @@
 }
 
 }
+
+#include "core/registry/RegistryFeedInlines.h"
+#include "core/registry/RegistryHeartbeatInlines.h"
