--- a/tests/node/registry/FirstMembersTest.cpp
+++ b/tests/node/registry/FirstMembersTest.cpp
@@ -39,7 +39,8 @@
         REQUIRE(first);
         auto state = first->takeState();
         REQUIRE(recordFirstMembers(*first, state, nodes));
-        CHECK(serviceOf(std::move(state)).ledgerMember().members().size() == nodes.size());
+        const auto service = serviceOf(std::move(state));
+        CHECK(service.ledgerMember().members().size() == nodes.size());
         MemberEffects effects;
         effects.hardState = HardState { Term { 1 }, NodeId { 2 }, firstDiskId(NodeId { 2 }) };
         effects.append = { { Term { 1 }, LogIndex { 1 }, RemoveUpstream {} } };
