Grant no keys beside their proposed assignment, and take only proof as release

Cause: between the proposal of an assignment and its application, its keys still belong to their former owner in the applied state. An owner that was considered dead and registered again in the entry before the assignment was granted the keys under the old fence in the reply to that heartbeat, while the next entry gave them to another upstream. The same happened when the target of a move died while the assignment to it was proposed. Also: a heartbeat without keys that it never listed counted as their release although a reply that granted them could still arrive; and a held heartbeat was answered after a later heartbeat of the same upstream.

Change: the coordinator remembers the assignments that it proposed until the next decision and grants none of their keys to another upstream. A release needs a row of released keys, a heartbeat that listed the keys before, or the end of every lease that can have been given. An earlier held heartbeat is answered without grants before a later one is answered.

--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -39,6 +39,12 @@
         return count;
     }
 
+    /// @return True if the rows cover every key of the range.
+    bool isReleased(std::span<const ReleasedKeys> released, KeyNumber first, KeyNumber last)
+    {
+        return std::ranges::any_of(released, [first, last](const ReleasedKeys& keys) { return keys.first <= first && last <= keys.last; });
+    }
+
     std::string findHandover(std::span<const ReleasedKeys> released, KeyNumber first, KeyNumber last)
     {
         const auto found = std::ranges::find_if(released, [first, last](const ReleasedKeys& keys) { return keys.first <= first && last <= keys.last; });
@@ -63,6 +69,7 @@
     this->lastBalancedAt = now;
     this->contacts.clear();
     this->revocations.clear();
+    this->proposedAssignments.clear();
     this->loads.clear();
     this->lastReportAt.clear();
 }
@@ -116,7 +123,14 @@
             continue;
         }
         const auto* range = state.findRange(announcement.service, revocation.first);
-        if (range == nullptr || range->fence != revocation.fence || holdsAny(heartbeat.held, revocation.first, revocation.last)) {
+        if (range == nullptr || range->fence != revocation.fence) {
+            continue;
+        }
+        if (holdsAny(heartbeat.held, revocation.first, revocation.last)) {
+            revocation.isConfirmed = true;
+            continue;
+        }
+        if (!revocation.isConfirmed && now < revocation.grantedUntil && !isReleased(heartbeat.released, revocation.first, revocation.last)) {
             continue;
         }
         revocation.handover = findHandover(heartbeat.released, revocation.first, revocation.last);
@@ -172,19 +186,27 @@
     return std::max<Duration>(contact->nextExpectedAt - now, Duration::zero());
 }
 
-void KeyCoordinator::revoke(std::string_view service, const KeyRange& range, std::uint64_t sequence)
+void KeyCoordinator::revoke(const KeyHeartbeat& heartbeat, const KeyRange& range)
 {
     if (!this->isRevoked(range)) {
-        this->revocations.push_back({ std::string { service }, range.owner, range.first, range.last, range.fence, sequence, std::nullopt, {} });
+        const bool isHeld = holdsAny(heartbeat.held, range.first, range.last);
+        this->revocations.push_back({ heartbeat.announcement.service, range.owner, range.first, range.last, range.fence, heartbeat.sequence, isHeld, this->latestLeaseEnd(range.owner), std::nullopt, {} });
     }
 }
 
+bool KeyCoordinator::isProposedForAnother(std::string_view service, const KeyRange& range) const
+{
+    return std::ranges::any_of(this->proposedAssignments, [&](const AssignKeyRanges& assignment) {
+        return assignment.service == service && std::ranges::any_of(assignment.grants, [&range](const KeyRangeGrant& grant) { return grant.owner != range.owner && overlaps(grant.first, grant.last, range.first, range.last); });
+    });
+}
+
 bool KeyCoordinator::hasUpdate(const KeyHeartbeat& heartbeat, const RegistryState& state) const
 {
     const auto& announcement = heartbeat.announcement;
     std::uint32_t granted = 0;
     for (const auto& range : state.keyRanges(announcement.service)) {
-        if (range.owner != announcement.key || (range.isMoving() && this->isRevoked(range))) {
+        if (range.owner != announcement.key || (range.isMoving() && this->isRevoked(range)) || this->isProposedForAnother(announcement.service, range)) {
             continue;
         }
         if (range.isMoving() || heldKeyCount(heartbeat.held, range) != keyCount(range)) {
@@ -213,11 +235,11 @@
     }
     KeyHeartbeatReply reply { true, {}, this->timing.lease };
     for (const auto& range : state.keyRanges(announcement.service)) {
-        if (range.owner != announcement.key) {
+        if (range.owner != announcement.key || this->isProposedForAnother(announcement.service, range)) {
             continue;
         }
         if (range.isMoving() && this->mayRevoke(range, state)) {
-            this->revoke(announcement.service, range, heartbeat.sequence);
+            this->revoke(heartbeat, range);
             continue;
         }
         reply.grants.push_back(range);
@@ -285,10 +307,14 @@
         // A later incarnation shows that this one has ended.
         return false;
     }
+    return now < this->latestLeaseEnd(key);
+}
+
+Instant KeyCoordinator::latestLeaseEnd(const UpstreamKey& key) const
+{
     const auto formerLeaseEnd = this->leaderSince + this->timing.lease + this->timing.lease / this->timing.driftDivisor;
     const auto* contact = this->findContact(key);
-    const auto end = contact != nullptr && contact->leaseEnd ? std::max(*contact->leaseEnd, formerLeaseEnd) : formerLeaseEnd;
-    return now < end;
+    return contact != nullptr && contact->leaseEnd ? std::max(*contact->leaseEnd, formerLeaseEnd) : formerLeaseEnd;
 }
 
 bool KeyCoordinator::isAssignable(Instant now, const KeyRange& range, const RegistryState& state) const
@@ -372,6 +398,8 @@
 
 std::vector<Command> KeyCoordinator::decide(Instant now, const RegistryState& state)
 {
+    // Every earlier decision is applied or dropped by now.
+    this->proposedAssignments.clear();
     auto commands = this->assignReleased(now, state);
     this->removeUnresponsiveUpstreams(now, state, commands);
     std::vector<std::string> sharded;
@@ -395,6 +423,11 @@
             this->balanceKeys(service, state, commands);
         }
     }
+    for (const auto& command : commands) {
+        if (const auto* assignment = std::get_if<AssignKeyRanges>(&command)) {
+            this->proposedAssignments.push_back(*assignment);
+        }
+    }
     return commands;
 }
 
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -82,7 +82,8 @@
     /// @return Number of entry VMs whose last load report has not expired.
     std::uint32_t entryVmCount(Instant now) const;
 
-    /// @return Commands to propose now. Called on every tick while no earlier decision is pending.
+    /// @return Commands to propose now. Called on every tick, but only once all commands of the last call are applied
+    /// or dropped.
     std::vector<Command> decide(Instant now, const RegistryState& state);
 
 private:
@@ -107,6 +108,11 @@
         Fence fence;
         /// Sequence number of the heartbeat whose reply left the keys out first.
         std::uint64_t sequence {};
+        /// Whether a heartbeat listed the keys as held when or after they were revoked. Until one does, a reply that
+        /// granted them may still be on its way, and a heartbeat that does not list them is no proof of their release.
+        bool isConfirmed {};
+        /// Latest end of the lease that a reply before the revocation can have given.
+        Instant grantedUntil;
         /// Time at which to propose the assignment. Set once the owner has released the keys.
         std::optional<Instant> assignAt;
         std::string handover;
@@ -124,7 +130,12 @@
     /// @return Estimated time until the upstream can learn of an assignment that is proposed now. Zero if a reply to
     /// its heartbeat is being delayed, or if the upstream has sent no heartbeat.
     Duration timeUntilReachable(Instant now, const UpstreamKey& key) const;
-    void revoke(std::string_view service, const KeyRange& range, std::uint64_t sequence);
+    void revoke(const KeyHeartbeat& heartbeat, const KeyRange& range);
+    /// @return True if keys of the range are proposed for another upstream than its owner and the entry may not be
+    /// applied yet.
+    bool isProposedForAnother(std::string_view service, const KeyRange& range) const;
+    /// @return Latest end of a lease that a reply can have given to the upstream, by this leader or the former one.
+    Instant latestLeaseEnd(const UpstreamKey& key) const;
     std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
     void removeUnresponsiveUpstreams(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
     void placeKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
@@ -137,6 +148,9 @@
     Instant lastBalancedAt;
     absl::flat_hash_map<std::string, Contact> contacts;
     std::vector<Revocation> revocations;
+    /// Assignments that the last decide() returned. Until they are applied, an owner that returns from the dead must not
+    /// be granted the same keys once more.
+    std::vector<AssignKeyRanges> proposedAssignments;
     absl::btree_map<std::string, KeyLoadTable, std::less<>> loads;
     /// Responses of an upstream since its service time was last estimated, and the sum of their latencies.
     struct ResponseTotals {
--- a/src/core/registry/RegistryHeartbeatInlines.h
+++ b/src/core/registry/RegistryHeartbeatInlines.h
@@ -37,6 +37,10 @@
     const auto* service = this->registry.findService(announcement.service);
     const bool mayHoldKeys = service != nullptr && service->isSharded && this->registry.isAlive(announcement.key);
     if (!mayHoldKeys || this->coordinator.hasUpdate(heartbeat, this->registry)) {
+        // A reply to the earlier heartbeat that is made after this one could be taken in its place.
+        if (const auto earlier = this->heldHeartbeats.take(announcement.key.name)) {
+            this->respond(earlier->requestId, KeyHeartbeatReply {});
+        }
         this->respond(requestId, this->coordinator.makeReply(heartbeat, this->registry));
         return;
     }
--- a/tests/core/registry/KeyCoordinatorTest.cpp
+++ b/tests/core/registry/KeyCoordinatorTest.cpp
@@ -317,3 +317,64 @@
     CHECK(grant.expectedDelay >= Duration::zero());
     CHECK(grant.expectedDelay <= milliseconds { 900 });
 }
+
+TEST_CASE("an upstream that returns is not granted keys that are already proposed for another one")
+{
+    // Guards against two holders of a key, and a fence that goes back: the dead owner registers again in the log entry
+    // before the one that assigns its keys, and the reply to that heartbeat granted them under the old fence.
+    Leader leader;
+    leader.now += std::chrono::seconds { 10 };
+    leader.sendHeartbeat(heartbeat(leader.to, 1));
+    leader.apply(RemoveUpstream { leader.from.key, false });
+    const auto commands = leader.coordinator.decide(leader.now, leader.state);
+    REQUIRE(countAssignments(commands) == 1);
+    const auto returning = heartbeat(leader.from, 1);
+    REQUIRE(leader.coordinator.registrationFor(returning, leader.state));
+    leader.apply(leader.from);
+    REQUIRE(leader.coordinator.recordHeartbeat(leader.now, returning));
+    CHECK(!leader.coordinator.hasUpdate(returning, leader.state));
+    CHECK(!isGranted(leader.coordinator.makeReply(returning, leader.state), 5));
+    leader.apply(*std::ranges::find_if(commands, [](const Command& command) { return std::holds_alternative<AssignKeyRanges>(command); }));
+    CHECK(!isGranted(leader.sendHeartbeat(heartbeat(leader.from, 2)), 5));
+    CHECK(isGranted(leader.sendHeartbeat(heartbeat(leader.to, 2)), 5));
+}
+
+TEST_CASE("released keys are not granted to their owner again if their next owner dies while the assignment is proposed")
+{
+    Leader leader;
+    leader.sendHeartbeat(heartbeat(leader.to, 1));
+    leader.apply(BeginKeyMoves { "k", { { 0, 99, leader.to.key } } });
+    leader.sendHeartbeat(heartbeat(leader.from, 1, { allKeys }));
+    const auto releasing = heartbeat(leader.from, 2, { { 100, keyNumberCount - 1, Fence { 4 } } }, { { 0, 99, "token" } });
+    const auto commands = leader.assignmentsAfter(releasing);
+    REQUIRE(commands.size() == 1);
+    leader.apply(RemoveUpstream { leader.to.key, false });
+    CHECK(!isGranted(leader.sendHeartbeat(heartbeat(leader.from, 3, { { 100, keyNumberCount - 1, Fence { 4 } } })), 5));
+    leader.apply(commands[0]);
+    CHECK(!isGranted(leader.sendHeartbeat(heartbeat(leader.from, 4, { { 100, keyNumberCount - 1, Fence { 4 } } })), 5));
+}
+
+TEST_CASE("a heartbeat that never listed keys is no proof of their release while a reply may still grant them")
+{
+    // Guards against two holders of a key: a reply that granted the keys is late, the next heartbeats do not list them,
+    // and the owner takes the reply after another upstream got the keys.
+    Leader leader;
+    leader.sendHeartbeat(heartbeat(leader.to, 1));
+    CHECK(isGranted(leader.sendHeartbeat(heartbeat(leader.from, 1)), 5));
+    leader.apply(BeginKeyMoves { "k", { { 0, 99, leader.to.key } } });
+    leader.now += milliseconds { 100 };
+    REQUIRE(!isGranted(leader.sendHeartbeat(heartbeat(leader.from, 2)), 5));
+    leader.now += milliseconds { 100 };
+    SECTION("no proof") { CHECK(leader.assignmentsAfter(heartbeat(leader.from, 3)).empty()); }
+    SECTION("a row of released keys is proof") { CHECK(leader.assignmentsAfter(heartbeat(leader.from, 3, {}, { { 0, 99, "token" } })).size() == 1); }
+    SECTION("a heartbeat without keys that were listed before is proof")
+    {
+        CHECK(leader.assignmentsAfter(heartbeat(leader.from, 3, { allKeys })).empty());
+        CHECK(leader.assignmentsAfter(heartbeat(leader.from, 4)).size() == 1);
+    }
+    SECTION("the end of every lease is proof")
+    {
+        leader.now += milliseconds { 4'100 };
+        CHECK(leader.assignmentsAfter(heartbeat(leader.from, 3)).size() == 1);
+    }
+}
