Bound and check what other writers send to members, and accept downloads

Cause: the JSON library recurses once per level when it writes a document, so that one item of 100,000 levels ended a member with a segmentation fault, and a deep item in the log made every read of the configuration walk it again. Integers of heartbeats were narrowed silently, addresses were taken with any host and trailing bytes, and key rows in any order. A route without timeout_s or of kind download was refused, so that no configuration of the further deployments was accepted.

RequestKind::Download is idempotent with a large response, and a route may state no timeout.

--- a/include/teaselturn/Registry.h
+++ b/include/teaselturn/Registry.h
@@ -19,6 +19,8 @@
     Idempotent,
     /// The request runs at most once for each request of a caller.
     AtMostOnce,
+    /// The request may run more than once, and its response is large.
+    Download,
 };
 
 /// A service of a route and its share of the route's requests.
@@ -32,6 +34,9 @@
 
 /// Routes requests of a host and path prefix to services, and sets their time limits.
 struct RouteItem {
+    /// Timeout of a route that states none. It exceeds the deadline of any caller.
+    static constexpr std::chrono::hours noTimeout { 24 };
+
     std::string host;
     std::string pathPrefix;
     RequestKind kind { RequestKind::AtMostOnce };
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -174,7 +174,7 @@
 template <typename Archive>
 void serialize(Archive& archive, RequestKind& value)
 {
-    serializeEnum(archive, value, RequestKind::AtMostOnce);
+    serializeEnum(archive, value, RequestKind::Download);
 }
 
 template <typename Archive>
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -193,3 +193,115 @@
     CHECK(readPlatformSettings("{").error() == ResultCode::SettingsSyntax);
     CHECK(readPlatformSettings("{}").error() == ResultCode::SettingsMissingMember);
 }
+
+TEST_CASE("a deeply nested document is rejected before it is built")
+{
+    // Guards against the end of the process: the JSON library recursed once per level of an item when it was written.
+    const auto nested = [](std::size_t depth) { return std::string(depth, '[') + std::string(depth, ']'); };
+    for (const std::size_t depth : { 20, 20'000, 100'000, 4'000'000 }) {
+        CHECK(!readItems(R"({"upsert":{"services":{"t":{"version":"00000002","x":)" + nested(depth) + "}}}}"));
+        CHECK(!readHeartbeat("i-1", R"({"service":"a","x":)" + nested(depth) + "}"));
+        CHECK(!readIncarnation(R"({"born":5,"x":)" + nested(depth) + "}"));
+        CHECK(!readItems(std::string(depth, '[')));
+    }
+    CHECK(readItems(R"({"upsert":{"services":{"t":{"version":"00000002","x":)" + nested(5) + "}}}}"));
+    CHECK(readItems(R"({"upsert":{"services":{"t":{"version":"00000002","x":"[[[[[[[[[[[[[[[[[[[[[\"[["}}}})"));
+}
+
+TEST_CASE("an item that an older version accepted does not stop a reader of the configuration")
+{
+    RegistryState state;
+    auto deep = serviceItem("t", false);
+    deep.document = R"({"version":"00000001","x":)" + std::string(20'000, '[') + std::string(20'000, ']') + "}";
+    REQUIRE(applyNext(state, ChangeItems { { deep }, {} }) == ResultCode::Ok);
+    CHECK(writeItems(state) == R"({"routes":{},"services":{"t":)" + deep.document + "}}");
+}
+
+TEST_CASE("a heartbeat of another writer names no upstream")
+{
+    // Guards against values that were narrowed or cut silently, and an upstream that no request can reach.
+    const auto valid = json::parse(R"({"service":"a","address":"10.128.0.9:8080","zone":"z","slots":2,"state":"ready","sequence":4,"born":1700000000000,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})");
+    REQUIRE(readHeartbeat("i-1", valid.dump()));
+    const std::vector<std::pair<const char*, const char*>> odd {
+        { "slots", "1e300" },
+        { "slots", "-5" },
+        { "slots", "0" },
+        { "slots", "2.5" },
+        { "slots", "4294967298" },
+        { "slots", "\"2\"" },
+        { "sequence", "1e300" },
+        { "sequence", "-1" },
+        { "sequence", "1.5" },
+        { "born", "-1" },
+        { "born", "1e300" },
+        { "born", "\"now\"" },
+        { "born", "null" },
+        { "address", "\"10.0.0.1:80x\"" },
+        { "address", "\"nonsense:80\"" },
+        { "address", "\"10.0.0.1:0\"" },
+        { "address", "\"10.0.0.1:65536\"" },
+        { "address", "\"10.0.0.1:-1\"" },
+        { "address", "\"10.0.0.1\"" },
+        { "address", "\":80\"" },
+        { "address", "\"10.0.0.1:99999999999999999999\"" },
+        { "service", "\"\"" },
+        { "zone", "7" },
+        { "holds", "[[0,65536,7]]" },
+        { "holds", "[[9,3,7]]" },
+        { "holds", "[[0,-1,7]]" },
+        { "holds", "[[0,1]]" },
+        { "holds", "[[0,1,-7]]" },
+        { "holds", "[[0,1,1e300]]" },
+        { "holds", "{}" },
+        { "holds", "[7]" },
+        { "released", "[[65536,65537,\"x\"]]" },
+        { "released", "[[2,1,\"x\"]]" },
+        { "released", "[[1,2,3]]" },
+    };
+    for (const auto& [name, text] : odd) {
+        auto document = valid;
+        document[name] = json::parse(text);
+        INFO(name << " " << text);
+        CHECK(!readHeartbeat("i-1", document.dump()));
+    }
+    CHECK(!readHeartbeat(std::string(1'000, 'i'), valid.dump()));
+    auto whole = valid;
+    whole["born"] = 1.7e12;
+    CHECK(readHeartbeat("i-1", whole.dump())->announcement.key.incarnation == 1'700'000'000'000);
+}
+
+TEST_CASE("integers of items are checked and not narrowed")
+{
+    const std::vector<std::pair<const char*, const char*>> odd { { "priority", "-1" }, { "priority", "1e300" }, { "attempts", "4294967297" }, { "attempts", "\"2\"" }, { "timeout_s", "1e300" }, { "timeout_s", "null" } };
+    for (const auto& [name, text] : odd) {
+        auto bad = routeJson;
+        bad[name] = json::parse(text);
+        INFO(name << " " << text);
+        CHECK(!readItems(json { { "upsert", { { "routes", { { "r", bad } } } } } }.dump()));
+    }
+}
+
+TEST_CASE("a route may be for downloads and state no timeout")
+{
+    auto download = routeJson;
+    download["kind"] = "download";
+    download.erase("timeout_s");
+    const auto change = readItems(json { { "upsert", { { "services", { { "a", serviceJson }, { "b", serviceJson } } }, { "routes", { { "r", download } } } } } }.dump());
+    REQUIRE(change);
+    const auto& route = std::get<RouteItem>(change->upserts[0].content);
+    CHECK(route.kind == RequestKind::Download);
+    CHECK(route.timeout == RouteItem::noTimeout);
+    CHECK(route.targetLatency == std::chrono::milliseconds { 300 });
+    RegistryState state;
+    CHECK(applyNext(state, *change) == ResultCode::Ok);
+}
+
+TEST_CASE("a refused control request says why")
+{
+    const auto malformed = ControlApi::decodeRequest(request("PATCH", "/config", {}, R"({"upsert":{"limits":{"version":"xyz"}}})"));
+    const auto response = ControlApi::encodeMalformedRequest(std::get<MalformedControlRequest>(malformed));
+    CHECK(response.status == 400);
+    CHECK(json::parse(response.body)["error"] == "a configuration item is invalid: a version is not a hexadecimal number");
+    CHECK(json::parse(ControlApi::encodeResult(ItemsResult { ResultCode::ItemConflict, "r has other content" }, {}, "").body)["error"] == "r has other content");
+    CHECK(json::parse(ControlApi::encodeMalformedRequest({ 400, "\xff\xfe" }).body).contains("error"));
+}
