Follow what upstreams state about themselves: departure and pause

Cause: the header Server-Leaving of a response and the Retry-After of an upstream's 503 were not read. An upstream that leaves got requests until the registry told of it, and one that asked for a pause got the next request at once.

Change: the protocol decodes both into an UpstreamNotice; the dispatcher gives a leaving upstream no new work beside others and none after the drain time, by incarnation and apart from the registry's state, so that a late heartbeat does not bring it back. A paused upstream gets no request, retry or new connection until the pause ends; queued requests that cannot be served in time are refused at once with the time that is left; afterwards its limit grows from one. A pause is bounded to 30 s; values that are no positive number of seconds are ignored.

--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -10,6 +10,10 @@
 
     /// Number of times that a request may be sent to an upstream that does not hold its key.
     constexpr std::uint32_t maxMisdirections = 3;
+    /// Maximum number of upstreams that are remembered as leaving.
+    constexpr std::size_t maxLeavingUpstreams = 4'096;
+    /// Longest pause that an upstream may ask for. It bounds the harm of an absurd value.
+    constexpr std::chrono::seconds maxUpstreamPause { 30 };
     /// Weight of one response in the moving average of a service's latency.
     constexpr double latencyWeight = 0.05;
 
@@ -178,11 +182,11 @@
     return pending.service->retries.tryRetry(now, bounds, this->entryVmCount);
 }
 
-bool Dispatcher::hasOtherUpstream(const PendingRequest& pending)
+bool Dispatcher::hasOtherUpstream(Instant now, const PendingRequest& pending)
 {
     return std::ranges::any_of(pending.service->upstreams, [&](const UpstreamKey& key) {
         const auto* candidate = this->findUpstream(key);
-        return candidate != nullptr && candidate->state != UpstreamState::Draining && std::ranges::find(pending.excludedUpstreams, key) == pending.excludedUpstreams.end();
+        return candidate != nullptr && !candidate->drainingSince && !candidate->load.isPaused(now) && std::ranges::find(pending.excludedUpstreams, key) == pending.excludedUpstreams.end();
     });
 }
 
@@ -197,13 +201,13 @@
             this->recordMisdirection(now, pending);
         }
         auto* owner = range == nullptr ? nullptr : this->findUpstream(range->owner);
-        if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isCircuitOpen(now))) {
+        if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isCircuitOpen(now) || owner->load.isPaused(now))) {
             this->refuseOrFail(now, pending, pending.possibleRuns > 0 ? ResultCode::RequestOutcomeUnknown : ResultCode::RequestCircuitOpen, decisions);
             return;
         }
     } else {
         pending.excludedUpstreams.push_back(pending.sentTo);
-        if (!this->hasOtherUpstream(pending)) {
+        if (!this->hasOtherUpstream(now, pending)) {
             this->refuseOrFail(now, pending, ResultCode::RequestRefusedByUpstream, decisions);
             return;
         }
@@ -241,6 +245,34 @@
     }
 }
 
+void Dispatcher::recordLeaving(Instant now, Upstream& upstream)
+{
+    if (this->leavingSince.size() >= maxLeavingUpstreams) {
+        const auto oldest = std::ranges::min_element(this->leavingSince, {}, [](const auto& item) { return item.second; });
+        this->leavingSince.erase(oldest);
+    }
+    this->leavingSince.try_emplace(upstream.announcement.key, now);
+    if (!upstream.drainingSince) {
+        upstream.drainingSince = now;
+    }
+}
+
+void Dispatcher::noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions)
+{
+    const auto found = this->pendingRequests.find(id);
+    auto* upstream = found == this->pendingRequests.end() ? nullptr : this->findUpstream(found->second->sentTo);
+    if (upstream == nullptr) {
+        return;
+    }
+    if (notice.isLeaving) {
+        this->recordLeaving(now, *upstream);
+    }
+    if (notice.pause > Duration::zero()) {
+        upstream->load.pause(now + std::min<Duration>(notice.pause, maxUpstreamPause));
+        this->refuseWhilePaused(now, *found->second->service, *upstream, decisions);
+    }
+}
+
 void Dispatcher::settleLinkBudget(Instant now, const PendingRequest& pending)
 {
     if (pending.responseBytes > 0) {
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -40,6 +40,9 @@
     void submit(Instant now, DispatchRequest request, DispatchDecisions& decisions);
     /// Records the size of a response. Called before attemptEnded() reports the outcome of the same attempt.
     void responseReceived(PendingRequestId id, std::size_t bytes);
+    /// Applies what the upstream of a request's attempt states about itself. Called before attemptEnded() reports the
+    /// outcome of the same attempt.
+    void noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions);
     /// Handles the end of an attempt: completes the request, or queues it for a retry. Adds at most one decision for
     /// this request, and others for queued requests that can now be sent.
     void attemptEnded(Instant now, PendingRequestId id, AttemptOutcome outcome, DispatchDecisions& decisions);
@@ -73,7 +76,8 @@
         /// differs between entry VMs, so that each uses few upstreams and connections while the load of all entry VMs
         /// spreads evenly over the upstreams.
         double preferencePenalty {};
-        /// When this entry VM learned that the upstream is draining; empty if it is not.
+        /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
+        /// responses; empty if it is not.
         std::optional<Instant> drainingSince;
         /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
         /// flight to it removes it.
@@ -158,6 +162,10 @@
     Duration extraRoundTripTo(std::string_view zone) const;
     Duration expectedLatency(Instant now, const Service& service, const Upstream& upstream) const;
     bool isDrained(Instant now, const Upstream& upstream) const noexcept;
+    void recordLeaving(Instant now, Upstream& upstream);
+    /// Refuses queued requests that a paused upstream cannot serve in time, and schedules the others for the end of the
+    /// pause.
+    void refuseWhilePaused(Instant now, Service& service, const Upstream& upstream, DispatchDecisions& decisions);
     std::string_view chooseService(const CompiledRoute& route);
     const KeyRange* findRange(const PendingRequest& pending) const;
     static std::uint64_t rangeId(const KeyRange& range) noexcept { return range.fence.value * keyNumberCount + range.first; }
@@ -201,7 +209,7 @@
     /// Queues a request for another attempt, or ends it if no upstream can run it.
     void retry(Instant now, PendingRequest& pending, AttemptOutcome outcome, DispatchDecisions& decisions);
     /// @return True if the request may be retried at another upstream of the service.
-    bool hasOtherUpstream(const PendingRequest& pending);
+    bool hasOtherUpstream(Instant now, const PendingRequest& pending);
     /// Decides whether to retry. Consumes a retry of the service's budget, unless the request was not sent.
     bool tryConsumeRetry(Instant now, PendingRequest& pending, AttemptOutcome outcome);
     /// Records the end of the outstanding attempt, if any.
@@ -216,6 +224,9 @@
     LogIndex itemsIndex;
     LogIndex upstreamsIndex;
     absl::flat_hash_map<UpstreamKey, Upstream> upstreams;
+    /// Upstreams whose responses said that they leave. Kept apart from `upstreams`, so that a late heartbeat or an older
+    /// state of the registry does not make them usable again.
+    absl::flat_hash_map<UpstreamKey, Instant> leavingSince;
     absl::btree_map<std::string, std::unique_ptr<Service>, std::less<>> services;
     absl::flat_hash_map<PendingRequestId, std::unique_ptr<PendingRequest>> pendingRequests;
     absl::btree_set<std::pair<Instant, PendingRequestId>> deadlines;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -45,6 +45,10 @@
     }
     this->queueFor(pending).insert({ pending.request.route->item.priority, pending.sequenceNumber, pending.request.id });
     pending.isQueued = true;
+    const auto* owner = pending.service->isSharded ? this->findUpstream(pending.queueOwner) : nullptr;
+    if (owner != nullptr && owner->load.pauseEnd() > pending.request.arrivedAt && owner->load.pauseEnd() < pending.expiresAt) {
+        this->deadlines.emplace(owner->load.pauseEnd(), pending.request.id);
+    }
     if (const auto until = this->deferredUntil(pending); until && *until > pending.request.arrivedAt && *until < pending.expiresAt) {
         this->deadlines.emplace(*until, pending.request.id);
     }
@@ -180,7 +184,7 @@
     Duration bestLatency {};
     for (const auto& key : service.upstreams) {
         auto* candidate = this->findUpstream(key);
-        const bool isUsable = candidate != nullptr && (candidate->state == UpstreamState::Ready || candidate->state == UpstreamState::Dead) && candidate->load.hasCapacity(now);
+        const bool isUsable = candidate != nullptr && !candidate->drainingSince && candidate->load.hasCapacity(now);
         if (!isUsable || std::ranges::find(pending.excludedUpstreams, key) != pending.excludedUpstreams.end()) {
             continue;
         }
@@ -256,7 +260,7 @@
     } else {
         const auto acceptsRequests = [this, now](const UpstreamKey& key) {
             auto* candidate = this->findUpstream(key);
-            return candidate != nullptr && candidate->state != UpstreamState::Draining && !candidate->load.isCircuitOpen(now);
+            return candidate != nullptr && !candidate->drainingSince && !candidate->load.isCircuitOpen(now) && !candidate->load.isPaused(now);
         };
         if (std::ranges::none_of(service.upstreams, acceptsRequests)) {
             return service.upstreams.empty() ? ResultCode::RequestNoOwner : ResultCode::RequestCircuitOpen;
@@ -286,7 +290,8 @@
         if (owner->load.hasCapacity(now) && waiting == 0) {
             return ownershipDelay;
         }
-        return ownershipDelay + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+        const auto pause = std::max<Duration>(owner->load.pauseEnd() - now, Duration::zero());
+        return ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
     }
     const auto waiting = ahead(service.queue);
     if (waiting == 0 && this->chooseUpstream(now, service, pending) != nullptr) {
@@ -297,6 +302,26 @@
     return scaled(service.averageLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
 }
 
+void Dispatcher::refuseWhilePaused(Instant now, Service& service, const Upstream& upstream, DispatchDecisions& decisions)
+{
+    const auto owned = service.queues.find(upstream.announcement.key);
+    if (service.isSharded && owned == service.queues.end()) {
+        return;
+    }
+    std::vector<PendingRequestId> waiting;
+    std::ranges::transform(service.isSharded ? owned->second : service.queue, std::back_inserter(waiting), &QueuePosition::id);
+    const auto servedAt = upstream.load.pauseEnd() + service.averageLatency;
+    for (const auto id : waiting) {
+        auto& pending = *this->pendingRequests.at(id);
+        const bool isLate = servedAt > std::min(pending.expiresAt, pending.request.arrivedAt + pending.request.route->item.targetLatency);
+        if (isLate && (service.isSharded || !this->hasOtherUpstream(now, pending))) {
+            this->refuseOrFail(now, pending, ResultCode::RequestRefusedByUpstream, decisions);
+        } else {
+            this->deadlines.emplace(upstream.load.pauseEnd(), id);
+        }
+    }
+}
+
 bool Dispatcher::isLinkFull(Instant now, const PendingRequest& pending)
 {
     const auto& route = pending.request.route->item;
@@ -315,6 +340,13 @@
         // Callers retry at another entry VM, whose link usually has capacity.
         return scaled(minRetryAfter, 2 * jitter);
     }
+    if (const auto* range = this->findRange(pending)) {
+        // The upstream itself said when it takes requests again.
+        const auto* owner = this->findUpstream(range->owner);
+        if (owner != nullptr && owner->load.isPaused(now)) {
+            return std::clamp<Duration>(owner->load.pauseEnd() - now + scaled(minRetryAfter, jitter), minRetryAfter, maxRetryAfter);
+        }
+    }
     const auto left = std::max<Duration>(Duration::zero(), pending.expiresAt - now);
     return std::clamp<Duration>(scaled(left, 0.25 * jitter), minRetryAfter, maxRetryAfter);
 }
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -89,6 +89,9 @@
         if (registered.state == UpstreamState::Draining && !upstream.drainingSince) {
             upstream.drainingSince = now;
         }
+        if (const auto leaving = this->leavingSince.find(announcement.key); leaving != this->leavingSince.end() && (!upstream.drainingSince || leaving->second < *upstream.drainingSince)) {
+            upstream.drainingSince = leaving->second;
+        }
         upstream.isRegistered = true;
         this->findOrCreateService(announcement.service).upstreams.push_back(announcement.key);
     }
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -25,6 +25,14 @@
     Lost,
 };
 
+/// What an upstream states about itself in a response, beside the response itself.
+struct UpstreamNotice {
+    /// It is shutting down and takes no new work soon.
+    bool isLeaving {};
+    /// Time for which it wants no request from this entry VM. Zero if it states none.
+    Duration pause {};
+};
+
 /// Tracks the latency and failures of one upstream as seen by this entry VM. Limits the requests in flight and has a
 /// circuit breaker. The limit grows with each response at normal latency, and is halved if the latency shows that
 /// requests queue at the upstream, if the upstream has no free capacity, or if an attempt gets no response.
@@ -43,7 +51,7 @@
     /// @return True if one more request may be sent now.
     bool hasCapacity(Instant now) const noexcept
     {
-        if (now < this->circuitOpenUntil) {
+        if (now < this->circuitOpenUntil || this->isPaused(now)) {
             return false;
         }
         // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
@@ -54,6 +62,15 @@
     /// @return True while the circuit breaker blocks all requests to the upstream after failures.
     bool isCircuitOpen(Instant now) const noexcept { return now < this->circuitOpenUntil; }
 
+    /// Stops all requests for the time that the upstream asked for. Afterwards the limit grows from one request again.
+    void pause(Instant until) noexcept
+    {
+        this->pausedUntil = std::max(this->pausedUntil, until);
+        this->limit = 1;
+    }
+    bool isPaused(Instant now) const noexcept { return now < this->pausedUntil; }
+    Instant pauseEnd() const noexcept { return this->pausedUntil; }
+
     void recordSent(Instant now) noexcept
     {
         ++this->inFlightCount;
@@ -200,6 +217,7 @@
     Instant lastResponseAt;
     Instant lastLimitDecreaseAt;
     Instant circuitOpenUntil;
+    Instant pausedUntil;
     std::optional<Instant> noResponseSince;
     double errorShare {};
     int failuresSinceSuccess {};
--- a/src/node/gateway/CallerProtocol.h
+++ b/src/node/gateway/CallerProtocol.h
@@ -41,6 +41,10 @@
     {
         T::classifyResponse(response, info)
         } -> std::same_as<AttemptOutcome>;
+    /// @return What the upstream states about itself in the response's headers.
+    {
+        T::readNotice(response)
+        } -> std::same_as<UpstreamNotice>;
     /// @return The response to a request that did not run and will not.
     {
         T::refusal(info, code, duration)
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -318,6 +318,11 @@
         }
         if (pending != this->pendingRequests.end()) {
             this->dispatcher.responseReceived(pendingId, gateway::messageBytes(response.headers, response.body));
+            if (outcome != AttemptOutcome::Lost) {
+                DispatchDecisions decisions;
+                this->dispatcher.noticeReceived(now, pendingId, Protocol::readNotice(response), decisions);
+                this->applyDecisions(now, decisions, effects);
+            }
             pending->second.response = std::move(response);
             this->endAttempt(now, pendingId, outcome, effects);
         }
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -305,3 +305,19 @@
     CHECK(json::parse(ControlApi::encodeResult(ItemsResult { ResultCode::ItemConflict, "r has other content" }, {}, "").body)["error"] == "r has other content");
     CHECK(json::parse(ControlApi::encodeMalformedRequest({ 400, "\xff\xfe" }).body).contains("error"));
 }
+
+TEST_CASE("an upstream's departure and the pause that it asks for are read, and absurd times are bounded or ignored")
+{
+    const auto notice = [](unsigned status, std::vector<HttpHeader> headers) { return CallerHeaders::readNotice(response(status, std::move(headers))); };
+    CHECK(notice(200, { { "Server-Leaving", "1" } }).isLeaving);
+    CHECK(!notice(200, { { "Server-Leaving", "0" } }).isLeaving);
+    CHECK(!notice(200, {}).isLeaving);
+    CHECK(notice(503, { { "retry-after", "1.5" } }).pause == std::chrono::milliseconds { 1'500 });
+    CHECK(notice(503, { { "Retry-After", "2" }, { "Server-Leaving", "1" } }).isLeaving);
+    CHECK(notice(429, { { "Retry-After", "2" } }).pause == Duration::zero());
+    CHECK(notice(503, { { "Retry-After", "1e18" } }).pause == std::chrono::hours { 1 });
+    for (const auto* absurd : { "", "-1", "0", "soon", "nan", "inf", "1e999", "2 seconds", "Fri, 04 Dec 2026 10:00:00 GMT" }) {
+        INFO(absurd);
+        CHECK(notice(503, { { "Retry-After", absurd } }).pause == Duration::zero());
+    }
+}
