Bound what a peer can send, and refuse registrations for unknown services

Cause: a reader waited without a limit for the end of a chunk's size line, of trailers and of a run of interim responses, and one read of a socket took everything that a fast sender had sent, so that bytes without end filled the memory. A caller that sent requests faster than they were answered was read without a limit too. A heartbeat of another writer that named no service of the configuration registered an upstream and took the address from the one that had it.

Change: what the parser leaves of a message is bounded by the size of a head, and interim responses by 16; a read takes at most 256 KiB and continues by the reactor; the input of a caller with 16 open requests stays in the socket. A registration needs a service of the configuration once there is one.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -112,7 +112,9 @@
             return;
         }
         auto state = connection->stream.flush();
-        if (state == StreamState::Open && (events & (EPOLLIN | disconnectEvents)) != 0) {
+        // The input of a caller that sends faster than its requests are answered stays in the socket.
+        connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
+        if (state == StreamState::Open && !connection->isReadPaused && (events & (EPOLLIN | disconnectEvents)) != 0) {
             state = connection->stream.read(connection->input);
             if (state == StreamState::Open && (events & disconnectEvents) != 0) {
                 state = connection->stream.read(connection->input);
@@ -121,6 +123,9 @@
         if (state == StreamState::Open) {
             this->readRequests(connection, callbacks);
             this->writeResponses(*connection, callbacks);
+            if (!connection->isClosed && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
+                this->continueReading(connection, events);
+            }
         } else {
             this->close(*connection, callbacks);
         }
@@ -128,6 +133,11 @@
     this->invokeHandlers(callbacks);
 }
 
+void HttpListener::continueReading(const ConnectionPointer& connection, std::uint32_t events)
+{
+    this->reactor.after(Duration::zero(), [this, connection, events](Instant) { this->handleEvents(connection, events); });
+}
+
 HttpRequestId HttpListener::registerRequest(const ConnectionPointer& connection)
 {
     const MutexLock lock { this->mutex };
@@ -266,6 +276,9 @@
         this->writeResponses(*connection, callbacks);
         if (!connection->isClosed) {
             this->readRequests(connection, callbacks);
+            if (std::exchange(connection->isReadPaused, false)) {
+                this->continueReading(connection, EPOLLIN);
+            }
         }
     }
     this->invokeHandlers(callbacks);
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -90,6 +90,8 @@
         /// If true, no further request is read and the connection closes after the responses of the open requests.
         bool closesAfterResponses ABSL_GUARDED_BY(mutex) {};
         bool isClosed ABSL_GUARDED_BY(mutex) {};
+        /// True while input is left in the socket because the caller sent more requests than may be open.
+        bool isReadPaused ABSL_GUARDED_BY(mutex) {};
 
         Connection(FileDescriptor socket, ReadLimits limits)
             : stream(std::move(socket))
@@ -107,6 +109,8 @@
 
     void accept();
     void handleEvents(const ConnectionPointer& connection, std::uint32_t events);
+    /// Handles the events again later.
+    void continueReading(const ConnectionPointer& connection, std::uint32_t events);
     void readRequests(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -27,6 +27,9 @@
         return { text.data(), text.size() };
     }
 
+    /// Interim (1xx) responses that may precede a response.
+    constexpr std::size_t maxInterimResponses = 16;
+
     ReadProgress toReadProgress(const boost::beast::error_code& error)
     {
         if (!error || error == http::error::need_more) {
@@ -87,6 +90,10 @@
                 if (this->parser->content.get().result_int() / 100 == 1) {
                     // An interim (1xx) response; the final one follows.
                     this->parser.reset();
+                    if (++this->interimCount > maxInterimResponses) {
+                        progress = ReadProgress::Malformed;
+                        break;
+                    }
                     continue;
                 }
             }
@@ -98,6 +105,11 @@
         }
     }
     buffer.erase(0, consumed);
+    if (progress == ReadProgress::Incomplete && buffer.size() > this->limits.maxHeadBytes) {
+        // The parser takes body bytes at once. What it leaves is an unfinished line, which it would wait for without a
+        // limit in a chunk's size line and in trailers.
+        return ReadProgress::HeadTooLarge;
+    }
     return progress;
 }
 
@@ -130,6 +142,7 @@
     message.body = std::move(parsed.body());
     this->parser.reset();
     this->isBodyless = false;
+    this->interimCount = 0;
     return message;
 }
 
--- a/src/adapters/http/MessageReader.h
+++ b/src/adapters/http/MessageReader.h
@@ -86,6 +86,8 @@
 
     ReadLimits limits;
     bool isBodyless {};
+    /// Interim responses since the last message.
+    std::size_t interimCount {};
     std::unique_ptr<Parser> parser;
 };
 
--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -150,7 +150,16 @@
     if (state == StreamState::Open && (events & disconnectEvents) != 0) {
         state = this->stream.read(this->input);
     }
-    return this->readResponse(state);
+    auto next = this->readResponse(state);
+    if (this->phase != Phase::Closed && this->stream.hasUnreadInput()) {
+        // Continues later, so that a fast sender neither fills the memory nor occupies a worker.
+        this->reactor.after(Duration::zero(), [weak = this->weak_from_this(), events](Instant) {
+            if (const auto connection = weak.lock()) {
+                connection->handleEvents(events);
+            }
+        });
+    }
+    return next;
 }
 
 std::function<void()> UpstreamConnection::readResponse(StreamState state)
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -17,7 +17,8 @@
 StreamState TcpStream::read(std::string& target)
 {
     std::array<char, readBytes> buffer;
-    while (true) {
+    this->stoppedAtLimit = false;
+    for (std::size_t total = 0;;) {
         const auto count = recv(this->socket.number(), buffer.data(), buffer.size(), 0);
         if (count == 0) {
             return StreamState::Ended;
@@ -30,6 +31,11 @@
         if (static_cast<std::size_t>(count) < buffer.size()) {
             return StreamState::Open;
         }
+        total += static_cast<std::size_t>(count);
+        if (total >= maxReadBytes) {
+            this->stoppedAtLimit = true;
+            return StreamState::Open;
+        }
     }
 }
 
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -26,8 +26,14 @@
     {
     }
 
-    /// Reads until the socket would block and appends the bytes to the target.
+    /// Maximum bytes of one read().
+    static constexpr std::size_t maxReadBytes = 256 * 1024;
+
+    /// Reads until the socket would block, but at most maxReadBytes, and appends the bytes to the target.
     StreamState read(std::string& target);
+    /// @return True if the last read() stopped at its limit. No event tells of the bytes that are left, so the caller
+    /// must call it again.
+    bool hasUnreadInput() const noexcept { return this->stoppedAtLimit; }
 
     /// Writes as many bytes as the socket accepts and buffers the rest for flush().
     StreamState write(std::string_view bytes);
@@ -45,6 +51,7 @@
     FileDescriptor socket;
     std::string backlog;
     std::size_t sentBytes {};
+    bool stoppedAtLimit {};
 };
 
 /// Accepts a connection as a non-blocking socket with TCP_NODELAY.
--- a/src/core/registry/RegistryHeartbeatInlines.h
+++ b/src/core/registry/RegistryHeartbeatInlines.h
@@ -15,6 +15,12 @@
         return;
     }
     if (auto command = this->coordinator.registrationFor(heartbeat, this->registry)) {
+        const bool hasItems = this->registry.itemsChangedAt() != LogIndex {};
+        if (hasItems && this->registry.findService(heartbeat.announcement.service) == nullptr) {
+            // No route leads to the service, and a registration would take the address from the upstream that has it.
+            this->respond(requestId, KeyHeartbeatReply {});
+            return;
+        }
         if (!this->propose(now, std::move(*command), HeartbeatWaiter { requestId, std::move(heartbeat) })) {
             this->respond(requestId, LeaderUnavailable {});
         }
--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -87,3 +87,29 @@
     std::string buffer = "\x01\x02garbage\r\n\r\n";
     CHECK(reader.read(buffer) == ReadProgress::Malformed);
 }
+
+TEST_CASE("bytes that never become a message are bounded, wherever in the message they come")
+{
+    // Guards against a peer that sends until the process has no memory left.
+    const auto start = GENERATE(as<std::string> {},
+        "", "HTTP/1.1 ", "HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nName: ", "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: ",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "HTTP/1.1 200 OK\r\n\r\n");
+    const auto filler = GENERATE(as<std::string> {}, "a", "0", " ", "\r\n", "1\r\na\r\n", "a: b\r\n", "1;x=y\r\na\r\n", "HTTP/1.1 100 Continue\r\n\r\n");
+    auto reader = responses();
+    std::string buffer = start;
+    std::string piece;
+    while (piece.size() < 4'096) {
+        piece += filler;
+    }
+    auto progress = reader.read(buffer);
+    std::size_t largest = buffer.size();
+    for (int i = 0; i < 64 && progress == ReadProgress::Incomplete; ++i) {
+        buffer += piece;
+        progress = reader.read(buffer);
+        largest = std::max(largest, buffer.size());
+    }
+    INFO("start '" << start << "' filler '" << filler << "' largest buffer " << largest);
+    CHECK(progress != ReadProgress::Incomplete);
+    CHECK(largest <= 16'384);
+}
--- a/tests/adapters/http/RawUpstream.h
+++ b/tests/adapters/http/RawUpstream.h
@@ -20,10 +20,11 @@
 public:
     using Script = std::function<void(teaselturn::Connection&, int connectionNumber)>;
 
-    explicit RawUpstream(Script script)
+    /// @param address Address of the loopback network, or 0.0.0.0 for all of them.
+    explicit RawUpstream(Script script, const char* address = "127.0.0.1")
         : script(std::move(script))
     {
-        this->listener = teaselturn::listenOn("127.0.0.1", this->listenPort).value();
+        this->listener = teaselturn::listenOn(address, this->listenPort).value();
         this->acceptor = std::thread { [this] { this->run(); } };
     }
 
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -392,3 +392,23 @@
     CHECK(*changed);
     CHECK(replica.state().hasItems());
 }
+
+TEST_CASE("a heartbeat that names no service of the configuration takes no address from another upstream")
+{
+    // Guards against one odd entry of another writer that ends the registration of a running upstream.
+    SingleMember member;
+    member.advance(milliseconds { 2'000 });
+    member.service.changeItems(member.now, ControlRequestId { 1 }, initialItems());
+    member.drive();
+    const auto running = announcement("running", "k");
+    member.service.heartbeat(member.now, ControlRequestId { 2 }, heartbeat(running, 1));
+    member.drive();
+    REQUIRE(member.service.state().isAlive(running.key));
+    auto odd = announcement("odd", "nowhere", 5);
+    odd.endpoint = running.endpoint;
+    member.service.heartbeat(member.now, ControlRequestId { 3 }, heartbeat(odd, 1));
+    member.drive();
+    CHECK(member.responseTo<KeyHeartbeatReply>(3) != nullptr);
+    CHECK(member.service.state().isAlive(running.key));
+    CHECK(member.service.state().findUpstream("odd") == nullptr);
+}
--- /dev/null
+++ b/tests/node/gateway/EndlessInputTest.cpp
@@ -0,0 +1,115 @@
+#include "node/gateway/Gateway.h"
+
+#include "adapters/http/RawUpstream.h"
+#include "core/registry/RegistryFixture.h"
+#include "platform/CallerHeaders.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <fstream>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// @return Resident memory of this process in KiB.
+std::size_t residentKib()
+{
+    std::ifstream statm { "/proc/self/statm" };
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    statm >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE)) / 1'024;
+}
+
+/// Sends a request and reads until the gateway ends the response.
+std::string exchange(const Endpoint& to, const std::string& id)
+{
+    auto connection = Connection::connect(to, RawUpstream::soon());
+    REQUIRE(connection);
+    RawUpstream::respond(**connection, "GET /r/x HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 8000\r\nConnection: close\r\n\r\n");
+    std::string received;
+    std::array<char, 4'096> buffer {};
+    std::size_t count = 0;
+    while ((*connection)->read(buffer, count, RawUpstream::soon()) == IoStatus::Ok) {
+        received.append(buffer.data(), count);
+    }
+    return received;
+}
+
+}
+
+TEST_CASE("upstreams that send bytes without end are cut off, their requests end as unknown, and memory stays flat")
+{
+    // Each start is the beginning of a response that never ends in a head, in the size of a chunk, in trailers or in
+    // interim responses.
+    const std::vector<std::pair<std::string, std::string>> endless {
+        { "", "garbage without a line end " },
+        { "HTTP/1.1 200 OK\r\nName: ", "value " },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "extension" },
+        { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: ", "value " },
+        { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    };
+    constexpr int connections = 300;
+    constexpr std::size_t maxSentByUpstream = 64 * 1'024 * 1'024;
+    std::atomic<int> closedByGateway { 0 };
+    auto upstream = std::make_unique<RawUpstream>([&](Connection& connection, int number) {
+        RawUpstream::readRequest(connection);
+        const auto& [start, filler] = endless[static_cast<std::size_t>(number) % endless.size()];
+        std::string piece;
+        while (piece.size() < 16 * 1'024) {
+            piece += filler;
+        }
+        RawUpstream::respond(connection, start);
+        for (std::size_t sent = 0; sent < maxSentByUpstream; sent += piece.size()) {
+            if (connection.write(piece, RawUpstream::soon()) != IoStatus::Ok) {
+                ++closedByGateway;
+                return;
+            }
+        }
+    },
+        "0.0.0.0");
+    Reactor reactor { 4 };
+    const auto logger = std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error }));
+    Gateway<platform::CallerHeaders> gateway { reactor, *logger, { "z1", {}, 1, 200, 100, milliseconds { 10'000 } } };
+    RegistryState state;
+    REQUIRE(applyNext(state, ChangeItems { { serviceItem("a", false), routeItem("r", "a", 1, RequestKind::AtMostOnce) }, {} }) == ResultCode::Ok);
+    // One upstream for each request, so that neither limits nor circuit breakers keep requests back.
+    for (int i = 0; i < connections; ++i) {
+        auto registered = announcement("u" + std::to_string(i), "a");
+        registered.endpoint = { "127.0." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250), upstream->endpoint().port };
+        registered.requestSlots = 4;
+        static_cast<void>(applyNext(state, registered));
+    }
+    gateway.executeEffects(gateway.applyState(state));
+    REQUIRE(gateway.listen({ "127.0.0.1", 0 }));
+    reactor.start();
+    const auto before = residentKib();
+    std::atomic<int> unknown { 0 };
+    std::atomic<int> others { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < connections; ++i) {
+        callers.emplace_back([&, i] {
+            const auto response = exchange(gateway.localEndpoint(), "id-" + std::to_string(i));
+            // Limits may refuse a request; none may be answered with a success.
+            response.starts_with("HTTP/1.1 502") || response.starts_with("HTTP/1.1 504") ? ++unknown : ++others;
+            if (response.starts_with("HTTP/1.1 2")) {
+                FAIL("a success was made of bytes that are no response");
+            }
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    const auto after = residentKib();
+    reactor.stop();
+    upstream.reset();
+    INFO("unknown " << unknown << ", others " << others << ", cut off " << closedByGateway << ", memory " << before << " to " << after << " KiB");
+    std::printf("endless responses: %d unknown, %d others, %d cut off, resident memory %zu to %zu KiB\n", unknown.load(), others.load(), closedByGateway.load(), before, after);
+    CHECK(unknown > 0);
+    CHECK(closedByGateway == unknown);
+    // Under a sanitizer, memory that was freed stays resident for a while.
+    CHECK(after < before + 200 * 1'024);
+}
