Let a member keep a connection for each upstream

Cause: a listener closed connections beyond 2,000. Change: members keep 3,500 connections of the 3,896 descriptors that they may use; entry VMs keep 2,000.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -9,8 +9,6 @@
 
     /// Maximum requests without a response per connection. Bytes of further requests stay unread.
     constexpr std::size_t maxPipelinedRequests = 16;
-    /// Maximum connections of all callers. Each holds a descriptor, and the upstream connections need as many again.
-    constexpr std::size_t maxConnections = 2'000;
     /// A connection fails if the caller leaves sent bytes unacknowledged for this long.
     constexpr std::chrono::milliseconds callerUserTimeout { 5'000 };
     constexpr std::chrono::milliseconds timeoutCheckInterval { 250 };
@@ -94,7 +92,7 @@
         connection->lastActiveAt = this->reactor.now();
         {
             const MutexLock lock { this->mutex };
-            if (this->connections.size() >= maxConnections) {
+            if (this->connections.size() >= this->maxConnections) {
                 continue;
             }
             this->connections.emplace(connection.get(), connection);
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -64,6 +64,9 @@
     void closeIdle();
 
     void setLimits(const CallerLimits& limits);
+    /// Sets the maximum number of open connections; those beyond it are closed on arrival. Call it before listen().
+    /// Each connection holds a descriptor.
+    void setMaxConnections(std::size_t count) noexcept { this->maxConnections = count; }
 
     /// Sends the response to a request. Does nothing if the request has ended.
     void respond(HttpRequestId id, OutgoingResponse response);
@@ -127,6 +130,8 @@
     std::uint64_t listenerWatchId {};
     TimerId timeoutTimer;
     std::atomic<bool> isDraining { false };
+    /// The default leaves as many descriptors of the smallest VM to connections to upstreams.
+    std::size_t maxConnections { 2'000 };
 
     /// Lock order: after a connection's mutex.
     Mutex mutex;
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -14,6 +14,12 @@
 
 namespace teaselturn {
 
+namespace registry {
+    /// Connections for control requests. The leader keeps one for the heartbeats of each upstream; a member has 3,896
+    /// descriptors and needs few others.
+    inline constexpr std::size_t maxControlConnections = 3'500;
+}
+
 /// Settings of a member of a registry.
 struct RegistryDaemonOptions {
     NodeId self;
@@ -124,6 +130,7 @@
     }
     this->node = std::move(*newNode);
     this->isOpen = true;
+    this->listener.setMaxConnections(registry::maxControlConnections);
     if (auto opened = this->listener.listen(this->options.control); !opened) {
         return opened;
     }
--- a/tests/core/dispatch/DispatcherNoticeTest.cpp
+++ b/tests/core/dispatch/DispatcherNoticeTest.cpp
@@ -95,6 +95,7 @@
     Upstreams fixture;
     const auto sent = fixture.submit(keyedRoute, KeyNumber { 5 });
     std::vector<PendingRequestId> queued;
+    queued.reserve(6);
     for (int i = 0; i < 6; ++i) {
         queued.push_back(fixture.submit(keyedRoute, KeyNumber { 5 }));
     }
