Finish sending responses before a planned stop closes their connections

Cause: a request counted as ended once its response was handed to the connection. Bytes that the socket had not taken yet kept neither the connection nor the process: closing idle connections cut it off, and with no open request the process ended. Change: a connection with unsent bytes is not idle and counts among the open requests.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -309,7 +309,7 @@
         PendingCallbacks callbacks;
         {
             const MutexLock lock { connection->mutex };
-            if (connection->exchanges.empty() && !connection->reader.isWithinMessage()) {
+            if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0) {
                 this->close(*connection, callbacks);
             }
         }
@@ -319,8 +319,13 @@
 
 std::size_t HttpListener::openRequests()
 {
+    std::size_t unsent = 0;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        unsent += connection->stream.unsentBytes() > 0 ? 1 : 0;
+    }
     const MutexLock lock { this->mutex };
-    return this->requests.size();
+    return this->requests.size() + unsent;
 }
 
 }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -60,7 +60,7 @@
     void stopListening();
     /// Sends "Connection: close" with later responses. Idle connections stay open until closeIdle().
     void beginDrain() noexcept { this->isDraining = true; }
-    /// Closes connections that have no open request and no partly received one.
+    /// Closes connections that have no open request, no partly received one and no unsent bytes of a response.
     void closeIdle();
 
     void setLimits(const CallerLimits& limits);
@@ -71,7 +71,7 @@
     /// Sends the response to a request. Does nothing if the request has ended.
     void respond(HttpRequestId id, OutgoingResponse response);
 
-    /// @return The number of requests without a response.
+    /// @return The number of requests without a response, and of connections with unsent bytes of one.
     std::size_t openRequests();
     Endpoint localEndpoint() const { return boundEndpoint(this->listener); }
 
--- a/tests/node/gateway/GatewayTest.cpp
+++ b/tests/node/gateway/GatewayTest.cpp
@@ -203,3 +203,33 @@
     CHECK(received.find("Connection: close") != std::string::npos);
     CHECK(received.find("[two]") == std::string::npos);
 }
+
+TEST_CASE("a planned stop does not cut a large response whose caller reads slowly")
+{
+    // Guards against closing a connection whose response is decided but not sent: it has no open request any more.
+    const std::string body(7 * 1'024 * 1'024, 'x');
+    GatewayFixture fixture { [&body](const ReceivedRequest& request) { return FakeUpstream::validResponse(request, body); }, RequestKind::Download };
+    const auto address = toSocketAddress(fixture.gateway.localEndpoint());
+    const FileDescriptor socket { ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0) };
+    const int smallBuffer = 16 * 1'024;
+    setsockopt(socket.number(), SOL_SOCKET, SO_RCVBUF, &smallBuffer, sizeof smallBuffer);
+    const timeval receiveTimeout { 10, 0 };
+    setsockopt(socket.number(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
+    REQUIRE(connect(socket.number(), address->pointer(), address->length) == 0);
+    const auto request = callerRequest("one", "/r/x", "20000");
+    REQUIRE(send(socket.number(), request.data(), request.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(request.size()));
+    char buffer[4'096];
+    auto received = static_cast<std::size_t>(recv(socket.number(), buffer, sizeof buffer, 0));
+    REQUIRE(received > 0);
+    fixture.gateway.beginDrain();
+    fixture.gateway.closeIdle();
+    CHECK(fixture.gateway.openRequests() == 1);
+    for (auto count = recv(socket.number(), buffer, sizeof buffer, 0); count > 0 && received < body.size(); count = recv(socket.number(), buffer, sizeof buffer, 0)) {
+        received += static_cast<std::size_t>(count);
+    }
+    CHECK(received >= body.size());
+    for (int i = 0; i < 1'000 && fixture.gateway.openRequests() > 0; ++i) {
+        std::this_thread::sleep_for(milliseconds { 10 });
+    }
+    CHECK(fixture.gateway.openRequests() == 0);
+}
