Give the HTTP parser the last chunk only with its end

Found by the adapters' tests under AddressSanitizer: the parser asserts that it gets at least five bytes once it has seen the beginning of the last chunk. An empty chunked body that arrives in pieces broke that. The assertion is compiled out of release builds, where the parser asked for more bytes as it should. Change: in a chunked body the reader waits for five bytes, the size of the shortest last chunk.

--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -27,6 +27,10 @@
         return { text.data(), text.size() };
     }
 
+    /// Size of the shortest last chunk. The parser requires that many bytes once it has seen the beginning of one, and any
+    /// chunk before it is followed by as many.
+    constexpr std::size_t finalChunkBytes = std::string_view { "0\r\n\r\n" }.size();
+
     /// Interim (1xx) responses that may precede a response.
     constexpr std::size_t maxInterimResponses = 16;
 
@@ -78,6 +82,9 @@
             this->parser->content.body_limit(this->limits.maxBodyBytes);
             this->parser->content.skip(this->isBodyless);
         }
+        if (this->parser->content.is_header_done() && this->parser->content.chunked() && buffer.size() - consumed < finalChunkBytes) {
+            break;
+        }
         boost::beast::error_code error;
         const auto taken = this->parser->content.put(boost::asio::const_buffer { buffer.data() + consumed, buffer.size() - consumed }, error);
         consumed += taken;
--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -113,3 +113,18 @@
     CHECK(progress != ReadProgress::Incomplete);
     CHECK(largest <= 16'384);
 }
+
+TEST_CASE("an empty chunked body may arrive byte by byte")
+{
+    // Guards against an assertion of the parser, which takes the last chunk only with its end.
+    auto reader = responses();
+    std::string buffer;
+    auto progress = ReadProgress::Incomplete;
+    for (const auto byte : std::string { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" }) {
+        REQUIRE(progress == ReadProgress::Incomplete);
+        buffer += byte;
+        progress = reader.read(buffer);
+    }
+    REQUIRE(progress == ReadProgress::Complete);
+    CHECK(reader.take().body.empty());
+}
