--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -148,8 +148,8 @@
     Instant lastBalancedAt;
     absl::flat_hash_map<std::string, Contact> contacts;
     std::vector<Revocation> revocations;
-    /// Assignments that the last decide() returned. Until they are applied, an owner that returns from the dead must not
-    /// be granted the same keys once more.
+    /// Assignments that the last decide() returned. While they are not applied, their keys must not be granted to any
+    /// other upstream.
     std::vector<AssignKeyRanges> proposedAssignments;
     absl::btree_map<std::string, KeyLoadTable, std::less<>> loads;
     /// Responses of an upstream since its service time was last estimated, and the sum of their latencies.
