--- a/review/common/platform_stand_in.py
+++ b/review/common/platform_stand_in.py
@@ -258,6 +258,8 @@
         self.connections = set()
         self.beats = None
         self.beating = True
+        # A server that leaves says so in all its answers (LETTER-4).
+        self.is_leaving = False
 
     async def start(self):
         self.listener = await asyncio.start_server(self.serve, self.address, self.PORT, backlog=256)
@@ -421,7 +423,7 @@
         return 200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id, answer)}, answer
 
     def encode(self, status, headers, body):
-        lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}", "Keep-Alive: timeout=10"] + [f"{name}: {value}" for name, value in headers.items()]
+        lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}", "Keep-Alive: timeout=10"] + (["Server-Leaving: 1"] if self.is_leaving else []) + [f"{name}: {value}" for name, value in headers.items()]
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
     async def reply(self, writer, status, headers, body):
