Carry each request id once on a connection to an upstream

Cause: a refused request was repeated on the connection that had refused it, with the same id. A second copy of the refusal, which a faulty upstream sent there, was taken for the response to the repeat. Responses are matched by id, and nothing kept an id unique on its connection. A refusal without an id was taken for the response to any request.

Ruled out: two attempts on one connection at a time, a repeat before the refusal was complete.

A connection now remembers the ids that it has carried and carries each once, so bytes with the id of an attempt are that attempt's. A response without an id counts only on a connection that carried no other request. UpstreamConnectionPool of the product's own front end had the same fault and follows the same rule. Lines about a request name the connection.

Two tests of UpstreamConnectionPool repeated an id on one connection to reach other cases; their second request has an id of its own now, as a second request of callers has, and they check as much.

--- a/src/adapters/http/UpstreamConnectionPool.cpp
+++ b/src/adapters/http/UpstreamConnectionPool.cpp
@@ -60,29 +60,30 @@
     const SteadyClock clock;
     AttemptReport report;
     while (true) {
-        std::unique_ptr<Connection> connection;
-        const auto acquireStatus = this->acquire(attempt, connection);
+        PooledConnection pooled;
+        const auto acquireStatus = this->acquire(attempt, pooled);
         if (acquireStatus != AcquireStatus::Acquired) {
             report.kind = acquireStatus == AcquireStatus::ConnectFailed ? AttemptReport::Kind::Made : AttemptReport::Kind::Limited;
             report.result = AttemptResult::ConnectionRefused;
             return report;
         }
         if (attempt.mayStillSend && !attempt.mayStillSend()) {
-            this->release(attempt.upstream, std::move(connection), clock.now());
+            this->release(attempt.upstream, std::move(pooled), clock.now());
             report.kind = AttemptReport::Kind::Withdrawn;
             return report;
         }
         const auto sentAt = clock.now();
-        auto result = exchange(*connection, attempt.request, this->limits.message, attempt.deadline);
+        pooled.carried.record(attempt.requestId);
+        auto result = exchange(*pooled.connection, attempt.request, this->limits.message, attempt.deadline);
         const auto endedAt = clock.now();
         report.kind = AttemptReport::Kind::Made;
         report.result = toAttemptResult(result, attempt.requestId);
         const bool isValidResponse
             = result.status == ExchangeStatus::Complete && report.result != AttemptResult::Mismatched;
-        if (!isValidResponse || !result.canReuse) {
-            connection.reset();
+        if (!isValidResponse || !result.canReuse || pooled.carried.isFull()) {
+            pooled.connection.reset();
         }
-        this->release(attempt.upstream, std::move(connection), endedAt);
+        this->release(attempt.upstream, std::move(pooled), endedAt);
         report.latency = endedAt - sentAt;
         report.response = std::move(result.response);
         // No byte was sent: the upstream had already reset the idle connection. Using another one does not send the
@@ -120,28 +121,46 @@
     return true;
 }
 
-UpstreamConnectionPool::AcquireStatus UpstreamConnectionPool::acquire(
-    const UpstreamAttempt& attempt, std::unique_ptr<Connection>& connection)
+bool UpstreamConnectionPool::takeIdle(Upstream& upstream, const UpstreamAttempt& attempt, Instant now, PooledConnection& target, std::vector<PooledConnection>& closed)
+{
+    auto& idleConnections = upstream.idleConnections;
+    for (auto index = idleConnections.size(); index-- > 0;) {
+        auto& idle = idleConnections[index];
+        const bool isUsable = !attempt.wantsNewConnection && now - idle.lastUsed < this->limits.idleTime && idle.connection->isIdle();
+        if (isUsable && !idle.carried.mayCarry(attempt.requestId)) {
+            continue;
+        }
+        auto taken = std::move(idle);
+        idleConnections.erase(idleConnections.begin() + static_cast<std::ptrdiff_t>(index));
+        if (isUsable) {
+            target = std::move(taken);
+            return true;
+        }
+        --upstream.open;
+        closed.push_back(std::move(taken));
+    }
+    return false;
+}
+
+UpstreamConnectionPool::AcquireStatus UpstreamConnectionPool::acquire(const UpstreamAttempt& attempt, PooledConnection& target)
 {
     const SteadyClock clock;
     // Destroyed after the lock is released and before a new connection is opened.
-    std::vector<IdleConnection> closed;
+    std::vector<PooledConnection> closed;
     bool isNew = false;
     {
         const MutexLock lock { this->mutex };
         while (!isNew) {
             const auto now = clock.now();
             auto& upstream = this->findOrAdd(attempt, now);
-            while (!upstream.idleConnections.empty()) {
-                auto idle = std::move(upstream.idleConnections.back());
-                upstream.idleConnections.pop_back();
-                if (!attempt.wantsNewConnection && now - idle.lastUsed < this->limits.idleTime
-                    && idle.connection->isIdle()) {
-                    connection = std::move(idle.connection);
-                    return AcquireStatus::Acquired;
-                }
+            if (this->takeIdle(upstream, attempt, now, target, closed)) {
+                return AcquireStatus::Acquired;
+            }
+            if (upstream.open >= attempt.connectionShare && !upstream.idleConnections.empty()) {
+                // The idle connections have carried the request's id. One of them makes room for a new connection.
+                closed.push_back(std::move(upstream.idleConnections.front()));
+                upstream.idleConnections.erase(upstream.idleConnections.begin());
                 --upstream.open;
-                closed.push_back(std::move(idle));
             }
             isNew = this->tryReserveNew(upstream, attempt, now);
             if (!isNew) {
@@ -160,21 +179,21 @@
     const auto connectDeadline = std::min(attempt.deadline, clock.now() + this->limits.connectTimeout);
     auto connected = Connection::connect(attempt.upstream, connectDeadline);
     if (!connected) {
-        this->release(attempt.upstream, nullptr, clock.now());
+        this->release(attempt.upstream, {}, clock.now());
         return AcquireStatus::ConnectFailed;
     }
-    connection = std::move(connected).value();
+    target.connection = std::move(connected).value();
     return AcquireStatus::Acquired;
 }
 
-void UpstreamConnectionPool::release(
-    const Endpoint& endpoint, std::unique_ptr<Connection> connection, Instant now)
+void UpstreamConnectionPool::release(const Endpoint& endpoint, PooledConnection pooled, Instant now)
 {
     {
         const MutexLock lock { this->mutex };
         auto& upstream = *this->upstreams.at(endpoint);
-        if (connection) {
-            upstream.idleConnections.push_back({ std::move(connection), now });
+        if (pooled.connection) {
+            pooled.lastUsed = now;
+            upstream.idleConnections.push_back(std::move(pooled));
         } else {
             --upstream.open;
         }
@@ -184,12 +203,12 @@
 
 void UpstreamConnectionPool::closeUnused(Instant now)
 {
-    std::vector<IdleConnection> closed;
+    std::vector<PooledConnection> closed;
     const MutexLock lock { this->mutex };
     for (auto entry = this->upstreams.begin(); entry != this->upstreams.end();) {
         auto& upstream = *entry->second;
         const auto unused = std::stable_partition(upstream.idleConnections.begin(), upstream.idleConnections.end(),
-            [&](const IdleConnection& idle) { return now - idle.lastUsed < this->limits.idleTime; });
+            [&](const PooledConnection& idle) { return now - idle.lastUsed < this->limits.idleTime; });
         upstream.open -= static_cast<std::uint32_t>(upstream.idleConnections.end() - unused);
         closed.insert(closed.end(), std::make_move_iterator(unused), std::make_move_iterator(upstream.idleConnections.end()));
         upstream.idleConnections.erase(unused, upstream.idleConnections.end());
--- a/src/adapters/http/UpstreamConnectionPool.h
+++ b/src/adapters/http/UpstreamConnectionPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/CarriedRequests.h"
 #include "adapters/http/HttpCodec.h"
 #include "adapters/http/UpstreamAttempt.h"
 #include "core/Mutex.h"
@@ -24,7 +25,7 @@
 };
 
 /// Pool of connections to upstreams. A connection carries one request at a time. It is reused only after a complete
-/// response with the request's id, and closed otherwise. Models UpstreamClient. Its mutex is ConnectionTable in the
+/// response with the request's id, closed otherwise, and never carries two requests with the same id. Models UpstreamClient. Its mutex is ConnectionTable in the
 /// lock order.
 class UpstreamConnectionPool {
 public:
@@ -40,12 +41,15 @@
     std::size_t connectionCount(const Endpoint& upstream);
 
 private:
-    struct IdleConnection {
+    /// A connection with the ids of the requests that it has carried.
+    struct PooledConnection {
         std::unique_ptr<Connection> connection;
+        CarriedRequests carried;
         Instant lastUsed;
     };
     struct Upstream {
-        std::vector<IdleConnection> idleConnections;
+        /// The most recently used one is the last.
+        std::vector<PooledConnection> idleConnections;
         std::uint32_t open {};
         std::uint32_t waiting {};
         /// Tokens for new connections, in thousandths of a connection.
@@ -64,9 +68,14 @@
         Limited,
     };
 
-    AcquireStatus acquire(const UpstreamAttempt& attempt, std::unique_ptr<Connection>& connection);
+    AcquireStatus acquire(const UpstreamAttempt& attempt, PooledConnection& target);
+    /// Removes the most recently used connection that may carry the attempt, and those that are no longer usable.
+    /// @param closed Receives the connections that are no longer usable. The caller destroys them without a lock.
+    /// @return True if one was found.
+    bool takeIdle(Upstream& upstream, const UpstreamAttempt& attempt, Instant now, PooledConnection& target, std::vector<PooledConnection>& closed) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     bool tryReserveNew(Upstream& upstream, const UpstreamAttempt& attempt, Instant now);
-    void release(const Endpoint& endpoint, std::unique_ptr<Connection> connection, Instant now);
+    /// @param pooled Without a connection if it was closed.
+    void release(const Endpoint& endpoint, PooledConnection pooled, Instant now);
     Upstream& findOrAdd(const UpstreamAttempt& attempt, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const ConnectionPoolLimits limits;
--- a/src/node/gateway/CallerProtocol.h
+++ b/src/node/gateway/CallerProtocol.h
@@ -38,8 +38,10 @@
         T::isReplacedHeader(name)
         } -> std::same_as<bool>;
     { T::appendUpstreamHeaders(out, upstream, duration) };
+    /// The last argument is true if the connection has carried no other request, so that a response without an id can
+    /// belong to this one only.
     {
-        T::classifyResponse(response, info)
+        T::classifyResponse(response, info, bool {})
         } -> std::same_as<AttemptOutcome>;
     /// @return What the upstream states about itself in the response's headers.
     {
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/CarriedRequests.h"
 #include "adapters/http/HttpListener.h"
 #include "adapters/http/UpstreamConnection.h"
 #include "adapters/log/Logger.h"
@@ -91,6 +92,7 @@
     struct ConnectionState {
         std::shared_ptr<UpstreamConnection> connection;
         UpstreamKey upstream;
+        CarriedRequests carried;
         PendingRequestId pendingId;
         Duration idleTime { IdleConnectionPool::defaultIdleTime };
     };
@@ -109,6 +111,8 @@
     void endAttempt(Instant now, PendingRequestId id, AttemptOutcome outcome, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void respond(Instant now, PendingRequestId id, OutgoingResponse response, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::shared_ptr<UpstreamConnection> openConnection(const SendRequest& decision) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// @return An idle connection to the upstream that has not carried the request's id; null if there is none.
+    std::shared_ptr<UpstreamConnection> takeIdleConnection(Instant now, const UpstreamKey& upstream, std::string_view requestId) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void scheduleAdvance(Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::string makeUpstreamRequest(const PendingRequest& pending, const UpstreamKey& upstream, Duration timeLeft) const;
     static OutgoingResponse relay(ReceivedResponse received);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -218,10 +218,16 @@
         return nullptr;
     }
     this->counters.connectionsOpened.add();
-    this->connections.emplace(id, ConnectionState { *opened, decision.upstream, {}, IdleConnectionPool::defaultIdleTime });
+    this->connections.emplace(id, ConnectionState { *opened, decision.upstream, {}, {}, IdleConnectionPool::defaultIdleTime });
     return *opened;
 }
 
+template <CallerProtocol Protocol>
+std::shared_ptr<UpstreamConnection> Gateway<Protocol>::takeIdleConnection(Instant now, const UpstreamKey& upstream, std::string_view requestId)
+{
+    return this->pool.take(upstream, now, [this, &requestId](ConnectionId id) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { return this->connections.at(id).carried.mayCarry(requestId); });
+}
+
 template <CallerProtocol Protocol>
 void Gateway<Protocol>::startAttempt(Instant now, const SendRequest& decision, Effects& effects)
 {
@@ -235,7 +241,7 @@
     if (pending.attempts++ > 0) {
         this->logOutcome(LogEvent::RequestRetried, pending, ResultCode::Ok, now);
     }
-    auto connection = this->pool.take(decision.upstream, now);
+    auto connection = this->takeIdleConnection(now, decision.upstream, pending.info.requestId);
     if (!connection) {
         connection = this->openConnection(decision);
     }
@@ -244,7 +250,9 @@
         return;
     }
     pending.connection = connection->number();
-    this->connections.at(connection->number()).pendingId = decision.id;
+    auto& connectionState = this->connections.at(connection->number());
+    connectionState.pendingId = decision.id;
+    connectionState.carried.record(pending.info.requestId);
     const bool isHead = pending.request.method == "HEAD";
     effects.sends.push_back({ std::move(connection), this->makeUpstreamRequest(pending, decision.upstream, decision.timeLeft), isHead });
 }
@@ -302,13 +310,13 @@
         }
         const auto pendingId = std::exchange(connection->second.pendingId, {});
         const auto pending = this->pendingRequests.find(pendingId);
-        const auto outcome = pending == this->pendingRequests.end() ? AttemptOutcome::Lost : Protocol::classifyResponse(response, pending->second.info);
+        const auto outcome = pending == this->pendingRequests.end() ? AttemptOutcome::Lost : Protocol::classifyResponse(response, pending->second.info, connection->second.carried.count() == 1);
         if (outcome == AttemptOutcome::Lost) {
             // The response is damaged or belongs to another request, so later bytes of the connection are not trusted.
             this->counters.responsesDropped.add();
             isReusable = false;
         }
-        if (isReusable) {
+        if (isReusable && !connection->second.carried.isFull()) {
             const auto idleTime = gateway::parseKeepAliveTimeout(response.header("Keep-Alive"));
             connection->second.idleTime = idleTime.value_or(connection->second.idleTime);
             this->pool.put(connection->second.upstream, connection->second.connection, now, connection->second.idleTime);
@@ -442,7 +450,7 @@
         return;
     }
     const auto waitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(now - pending.arrivedAt).count();
-    const std::array<LogField, 9> fields { {
+    const std::array<LogField, 10> fields { {
         { "request", pending.info.requestId },
         { "route", pending.route->name },
         { "version", pending.route->version },
@@ -451,6 +459,7 @@
         { "waitedMs", waitedMs },
         { "sends", pending.attempts },
         { "upstream", pending.upstream },
+        { "connection", pending.connection.value },
         { "skippedLines", this->logRateLimiter.takeSkipped() },
     } };
     this->logger.log(event, "", std::span<const LogField> { fields });
--- a/src/node/gateway/IdleConnectionPool.cpp
+++ b/src/node/gateway/IdleConnectionPool.cpp
@@ -6,15 +6,21 @@
 
 namespace teaselturn {
 
-std::shared_ptr<UpstreamConnection> IdleConnectionPool::take(const UpstreamKey& upstream, Instant now)
+std::shared_ptr<UpstreamConnection> IdleConnectionPool::take(const UpstreamKey& upstream, Instant now, const std::function<bool(ConnectionId)>& mayUse)
 {
     const auto found = this->idle.find(upstream);
-    if (found == this->idle.end() || found->second.empty() || found->second.back().usableUntil <= now) {
+    if (found == this->idle.end()) {
         return nullptr;
     }
-    auto connection = std::move(found->second.back().connection);
-    found->second.pop_back();
-    return connection;
+    auto& connections = found->second;
+    for (auto entry = connections.rbegin(); entry != connections.rend() && entry->usableUntil > now; ++entry) {
+        if (mayUse(entry->connection->number())) {
+            auto connection = std::move(entry->connection);
+            connections.erase(std::next(entry).base());
+            return connection;
+        }
+    }
+    return nullptr;
 }
 
 void IdleConnectionPool::put(const UpstreamKey& upstream, std::shared_ptr<UpstreamConnection> connection, Instant now, Duration idleTime)
--- a/src/node/gateway/IdleConnectionPool.h
+++ b/src/node/gateway/IdleConnectionPool.h
@@ -24,9 +24,9 @@
     /// Maximum number of idle connections per upstream, enforced by takeExpired().
     static constexpr std::size_t maxIdle = 8;
 
-    /// Removes and returns the most recently used connection. Returns null if there is none or the upstream is about
-    /// to close it (see closeMargin).
-    std::shared_ptr<UpstreamConnection> take(const UpstreamKey& upstream, Instant now);
+    /// Removes and returns the most recently used connection for which mayUse is true. Returns null if there is none or
+    /// the upstream is about to close it (see closeMargin).
+    std::shared_ptr<UpstreamConnection> take(const UpstreamKey& upstream, Instant now, const std::function<bool(ConnectionId)>& mayUse);
 
     /// @param idleTime How long the upstream keeps the connection open.
     void put(const UpstreamKey& upstream, std::shared_ptr<UpstreamConnection> connection, Instant now, Duration idleTime);
--- a/tests/adapters/http/UpstreamConnectionPoolTest.cpp
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -10,14 +10,25 @@
 
 namespace {
 
-const std::string validResponse = "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok";
+std::string validResponseTo(const std::string& id)
+{
+    return "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: " + id + "\r\nContent-Length: 2\r\n\r\nok";
+}
+
+const std::string validResponse = validResponseTo("id");
 
 AttemptReport sendTo(UpstreamConnectionPool& pool, const Endpoint& endpoint, Duration timeout = 10s,
-    std::uint32_t share = 4, bool wantsNew = false)
+    std::uint32_t share = 4, bool wantsNew = false, std::string_view id = "id")
 {
-    const HttpHeaderView headers[] = { { "Teaselturn-Request-Id", "id" } };
+    const HttpHeaderView headers[] = { { "Teaselturn-Request-Id", id } };
     const HttpRequest request { "GET", "/s/x/y", headers, {}, {} };
-    return pool.send({ endpoint, share, request, "id", SteadyClock {}.now() + timeout, wantsNew, {} });
+    return pool.send({ endpoint, share, request, id, SteadyClock {}.now() + timeout, wantsNew, {} });
+}
+
+/// Sends a request with another id, which may use a connection that carried the first one.
+AttemptReport sendSecondTo(UpstreamConnectionPool& pool, const Endpoint& endpoint)
+{
+    return sendTo(pool, endpoint, 10s, 4, false, "second");
 }
 
 struct Case {
@@ -113,7 +124,7 @@
     {
         UpstreamConnectionPool pool;
         REQUIRE(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
-        CHECK(sendTo(pool, upstream.endpoint()).result == AttemptResult::Broken);
+        CHECK(sendSecondTo(pool, upstream.endpoint()).result == AttemptResult::Broken);
     }
     CHECK(requests == 2);
 }
@@ -123,14 +134,14 @@
     std::atomic<int> connections { 0 };
     RawUpstream upstream { [&](Connection& connection, int) {
         ++connections;
-        RawUpstream::readRequest(connection);
-        RawUpstream::respond(connection, validResponse);
+        const bool isSecond = RawUpstream::readRequest(connection).find("Request-Id: second") != std::string::npos;
+        RawUpstream::respond(connection, validResponseTo(isSecond ? "second" : "id"));
     } };
     UpstreamConnectionPool pool;
     REQUIRE(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
     // If the close has arrived, the pool opens another connection; if not, the request may have run. The pool must
     // never report that nothing was sent.
-    const auto second = sendTo(pool, upstream.endpoint());
+    const auto second = sendSecondTo(pool, upstream.endpoint());
     CHECK((second.result == AttemptResult::Answered || second.result == AttemptResult::Broken));
 }
 
@@ -180,6 +191,30 @@
     CHECK(pool.connectionCount(upstream.endpoint()) == 0);
 }
 
+TEST_CASE("a refused request is not sent again on the connection that refused it", "[http]")
+{
+    // Its response has the same id as the refusal, so a late copy of the refusal would be taken for it while the request
+    // runs. With a share of one, the idle connection has to make room for another.
+    for (const std::uint32_t share : { 4U, 1U }) {
+        std::atomic<int> copies { 0 };
+        RawUpstream upstream { [&](Connection& connection, int number) {
+            const std::string refusal = "HTTP/1.1 503 Busy\r\nTeaselturn-Request-Id: id\r\nTeaselturn-Refused: yes\r\nContent-Length: 0\r\n\r\n";
+            for (int i = 0; !RawUpstream::readRequest(connection).empty(); ++i) {
+                if (i > 0) {
+                    ++copies;
+                    RawUpstream::respond(connection, refusal);
+                }
+                RawUpstream::respond(connection, number == 0 && i == 0 ? refusal : validResponse);
+            }
+        } };
+        UpstreamConnectionPool pool;
+        CHECK(sendTo(pool, upstream.endpoint(), 10s, share).result == AttemptResult::RefusedByLoad);
+        CHECK(sendTo(pool, upstream.endpoint(), 10s, share).result == AttemptResult::Answered);
+        CHECK(copies == 0);
+        CHECK(pool.connectionCount(upstream.endpoint()) == std::min(share, 2U));
+    }
+}
+
 TEST_CASE("the pool respects the connection share", "[http]")
 {
     RawUpstream upstream { [&](Connection& connection, int) {
--- a/tests/node/gateway/GatewayTest.cpp
+++ b/tests/node/gateway/GatewayTest.cpp
@@ -1,8 +1,7 @@
 #include "node/gateway/Gateway.h"
 
 #include "adapters/http/HttpClient.h"
-#include "core/registry/RegistryFixture.h"
-#include "platform/CallerHeaders.h"
+#include "node/gateway/LoopbackGateway.h"
 
 #include <atomic>
 #include <catch2/catch.hpp>
@@ -54,62 +53,19 @@
 };
 
 /// A gateway with one route, to a service with one fake upstream.
-struct GatewayFixture {
-    Reactor reactor { 2 };
-    std::unique_ptr<Logger> logger { std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error })) };
+struct GatewayFixture : LoopbackGateway {
     FakeUpstream upstream;
-    Gateway<platform::CallerHeaders> gateway { reactor, *logger, { "z1", {}, 1, 200, 100, milliseconds { 10'000 } } };
-    RegistryState state;
 
     GatewayFixture(FakeUpstream::ResponseFunction makeResponse, RequestKind kind)
         : upstream(this->reactor, std::move(makeResponse))
     {
-        REQUIRE(applyNext(this->state, ChangeItems { { serviceItem("a", false), routeItem("r", "a", 1, kind) }, {} }) == ResultCode::Ok);
-        auto registered = announcement("u", "a");
-        registered.endpoint = this->upstream.endpoint();
-        REQUIRE(applyNext(this->state, registered) == ResultCode::Ok);
-        this->gateway.executeEffects(this->gateway.applyState(this->state));
-        REQUIRE(this->gateway.listen({ "127.0.0.1", 0 }));
-        this->reactor.start();
+        this->apply(ChangeItems { { serviceItem("a", false), routeItem("r", "a", 1, kind) }, {} });
+        this->addUpstream("u", "a", this->upstream.endpoint());
+        this->start();
     }
     ~GatewayFixture() { this->reactor.stop(); }
-
-    /// Sends raw bytes and reads until responseCount responses are complete, the connection ends, or 10 s pass
-    /// without data.
-    std::string sendAndReceive(const std::string& bytes, int responseCount)
-    {
-        const auto address = toSocketAddress(this->gateway.localEndpoint());
-        REQUIRE(address);
-        const FileDescriptor socket { ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0) };
-        REQUIRE(connect(socket.number(), address->pointer(), address->length) == 0);
-        const timeval receiveTimeout { 10, 0 };
-        setsockopt(socket.number(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
-        REQUIRE(send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
-        std::string received;
-        MessageReader<ReceivedResponse> reader { {} };
-        std::string unread;
-        while (responseCount > 0) {
-            char buffer[4'096];
-            const auto count = recv(socket.number(), buffer, sizeof buffer, 0);
-            if (count <= 0) {
-                break;
-            }
-            received.append(buffer, static_cast<std::size_t>(count));
-            unread.append(buffer, static_cast<std::size_t>(count));
-            while (reader.read(unread) == ReadProgress::Complete) {
-                static_cast<void>(reader.take());
-                --responseCount;
-            }
-        }
-        return received;
-    }
 };
 
-std::string callerRequest(const std::string& id, const std::string& path = "/r/x", const std::string& deadline = "2000")
-{
-    return "GET " + path + " HTTP/1.1\r\nHost: host.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: " + deadline + "\r\n\r\n";
-}
-
 }
 
 TEST_CASE("a request is forwarded to its upstream and the response to its caller")
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -137,15 +137,19 @@
 {
     const HttpHeader id { "Request-Id", "id-1" };
     const HttpHeader signature { "Upstream-Signature", "s" };
-    CHECK(CallerHeaders::classifyResponse(response(200, { id, signature }), info) == AttemptOutcome::Answered);
-    CHECK(CallerHeaders::classifyResponse(response(200, { id }), info) == AttemptOutcome::Lost);
-    CHECK(CallerHeaders::classifyResponse(response(200, { signature }), info) == AttemptOutcome::Lost);
-    CHECK(CallerHeaders::classifyResponse(response(200, { { "Request-Id", "id-0" }, signature }), info) == AttemptOutcome::Lost);
-    CHECK(CallerHeaders::classifyResponse(response(200, { id, signature, { "Content-Encoding", "gzip" } }), info) == AttemptOutcome::Lost);
-    CHECK(CallerHeaders::classifyResponse(response(500, { id, signature }), info) == AttemptOutcome::Failed);
-    CHECK(CallerHeaders::classifyResponse(response(503, { id, { "Not-Executed", "1" } }), info) == AttemptOutcome::Overloaded);
-    CHECK(CallerHeaders::classifyResponse(response(421, {}), info) == AttemptOutcome::Misdirected);
-    CHECK(CallerHeaders::classifyResponse(response(503, { { "Request-Id", "id-0" }, { "Not-Executed", "1" } }), info) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(200, { id, signature }), info, true) == AttemptOutcome::Answered);
+    CHECK(CallerHeaders::classifyResponse(response(200, { id }), info, true) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(200, { signature }), info, true) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(200, { { "Request-Id", "id-0" }, signature }), info, true) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(200, { id, signature, { "Content-Encoding", "gzip" } }), info, true) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(500, { id, signature }), info, true) == AttemptOutcome::Failed);
+    CHECK(CallerHeaders::classifyResponse(response(503, { id, { "Not-Executed", "1" } }), info, true) == AttemptOutcome::Overloaded);
+    CHECK(CallerHeaders::classifyResponse(response(421, {}), info, true) == AttemptOutcome::Misdirected);
+    // A response without an id belongs to the request only if its connection carried no other.
+    CHECK(CallerHeaders::classifyResponse(response(421, {}), info, false) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(503, { { "Not-Executed", "1" } }), info, false) == AttemptOutcome::Lost);
+    CHECK(CallerHeaders::classifyResponse(response(503, { id, { "Not-Executed", "1" } }), info, false) == AttemptOutcome::Overloaded);
+    CHECK(CallerHeaders::classifyResponse(response(503, { { "Request-Id", "id-0" }, { "Not-Executed", "1" } }), info, true) == AttemptOutcome::Lost);
 }
 
 TEST_CASE("refusals, unknown outcomes and rejections have distinct statuses")
