Report the events of a connection in their order

Cause: a connection decides under its lock and calls its handlers after the release, on whichever worker saw the event. With two workers, the end of an idle connection, caused by bytes behind a complete response, could reach the gateway before that response. There the attempt still belonged to the connection, so it ended as "not sent" and was sent to another upstream.

Ruled out: a response that is parsed twice or judged damaged.

Handler calls are now queued under the lock that orders the events and run one at a time (HandlerQueue), so the end of a connection is reported after its response, and "closed while idle" again means that nothing of an attempt was sent. HttpListener had the same race between a request and its caller's disconnect and uses the same queue. The cancellation of an attempt closes a connection only if that carries the attempt.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -103,12 +103,12 @@
 
 void HttpListener::handleEvents(const ConnectionPointer& connection, std::uint32_t events)
 {
-    PendingCallbacks callbacks;
     {
         const MutexLock lock { connection->mutex };
         if (connection->isClosed) {
             return;
         }
+        PendingCallbacks callbacks;
         auto state = connection->stream.flush();
         // The input of a caller that sends faster than its requests are answered stays in the socket.
         connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
@@ -127,8 +127,9 @@
         } else {
             this->close(*connection, callbacks);
         }
+        this->queueHandlers(*connection, std::move(callbacks));
     }
-    this->invokeHandlers(callbacks);
+    connection->handlerCalls.run();
 }
 
 void HttpListener::continueReading(const ConnectionPointer& connection, std::uint32_t events)
@@ -231,6 +232,13 @@
     this->connections.erase(&connection);
 }
 
+void HttpListener::queueHandlers(Connection& connection, PendingCallbacks callbacks)
+{
+    if (!callbacks.requests.empty() || !callbacks.disconnected.empty()) {
+        connection.handlerCalls.push([this, callbacks = std::move(callbacks)]() mutable { this->invokeHandlers(callbacks); });
+    }
+}
+
 void HttpListener::invokeHandlers(PendingCallbacks& callbacks)
 {
     if (!callbacks.disconnected.empty()) {
@@ -261,12 +269,12 @@
         connection = std::move(found->second);
         this->requests.erase(found);
     }
-    PendingCallbacks callbacks;
     {
         const MutexLock lock { connection->mutex };
         if (connection->isClosed) {
             return;
         }
+        PendingCallbacks callbacks;
         const auto exchange = std::ranges::find(connection->exchanges, id, &Exchange::id);
         if (exchange != connection->exchanges.end()) {
             exchange->response = std::move(response);
@@ -278,8 +286,9 @@
                 this->continueReading(connection, EPOLLIN);
             }
         }
+        this->queueHandlers(*connection, std::move(callbacks));
     }
-    this->invokeHandlers(callbacks);
+    connection->handlerCalls.run();
 }
 
 void HttpListener::closeTimedOut(Instant now)
@@ -290,30 +299,32 @@
         currentLimits = this->limits;
     }
     for (const auto& connection : this->allConnections()) {
-        PendingCallbacks callbacks;
         {
             const MutexLock lock { connection->mutex };
+            PendingCallbacks callbacks;
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
                 this->close(*connection, callbacks);
             }
+            this->queueHandlers(*connection, std::move(callbacks));
         }
-        this->invokeHandlers(callbacks);
+        connection->handlerCalls.run();
     }
 }
 
 void HttpListener::closeIdle()
 {
     for (const auto& connection : this->allConnections()) {
-        PendingCallbacks callbacks;
         {
             const MutexLock lock { connection->mutex };
+            PendingCallbacks callbacks;
             if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0) {
                 this->close(*connection, callbacks);
             }
+            this->queueHandlers(*connection, std::move(callbacks));
         }
-        this->invokeHandlers(callbacks);
+        connection->handlerCalls.run();
     }
 }
 
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/MessageReader.h"
+#include "adapters/reactor/HandlerQueue.h"
 #include "adapters/reactor/Reactor.h"
 #include "adapters/reactor/TcpStream.h"
 #include "core/Mutex.h"
@@ -32,8 +33,9 @@
 using HttpRequestId = StrongId<struct HttpRequestIdTag, std::uint64_t>;
 
 /// HTTP/1.1 server on a reactor. A request that waits for its response occupies no thread. Pipelined requests are
-/// passed to the handler as they arrive, and their responses are written in order. Thread-safe; handlers are called
-/// without locks held.
+/// passed to the handler as they arrive, and their responses are written in order. Thread-safe. Handlers are called
+/// without locks held; those of one connection are called one at a time and in the order of its events, so that a
+/// disconnect is reported after its request.
 class HttpListener {
 public:
     /// Called with a complete request. Any thread may call respond() for it later.
@@ -82,6 +84,8 @@
     };
 
     struct Connection {
+        /// Filled under the mutex, so that its order is that of the events.
+        HandlerQueue handlerCalls;
         Mutex mutex;
         TcpStream stream ABSL_GUARDED_BY(mutex);
         std::uint64_t watchId ABSL_GUARDED_BY(mutex) {};
@@ -104,7 +108,7 @@
     };
     using ConnectionPointer = std::shared_ptr<Connection>;
 
-    /// Arguments of handler calls, collected under a connection's lock and delivered after its release.
+    /// Arguments of handler calls, collected while a connection's lock is held.
     struct PendingCallbacks {
         std::vector<std::pair<HttpRequestId, ReceivedRequest>> requests;
         std::vector<HttpRequestId> disconnected;
@@ -118,6 +122,8 @@
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void close(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Queues the handler calls. The caller runs them after it has released the connection's lock.
+    void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
     void closeTimedOut(Instant now);
     std::vector<ConnectionPointer> allConnections();
--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -54,7 +54,6 @@
 
 void UpstreamConnection::send(std::string_view bytes, bool isHead)
 {
-    std::function<void()> next;
     {
         const MutexLock lock { this->mutex };
         this->hasRequest = true;
@@ -64,17 +63,15 @@
         if (this->phase == Phase::Connecting) {
             this->request = bytes;
         } else if (this->phase == Phase::Closed) {
-            next = [this] { this->handlers.failed(this->id, ConnectionFailure::NotConnected); };
+            this->fail(ConnectionFailure::NotConnected);
         } else {
             this->phase = Phase::Busy;
             if (this->stream.write(bytes) != StreamState::Open) {
-                next = this->fail(ConnectionFailure::Broken);
+                this->fail(ConnectionFailure::Broken);
             }
         }
     }
-    if (next) {
-        next();
-    }
+    this->handlerCalls.run();
 }
 
 void UpstreamConnection::close()
@@ -98,59 +95,56 @@
 
 void UpstreamConnection::connectTimedOut()
 {
-    std::function<void()> next;
     {
         const MutexLock lock { this->mutex };
         if (this->phase == Phase::Connecting) {
-            next = this->fail(ConnectionFailure::NotConnected);
+            this->fail(ConnectionFailure::NotConnected);
         }
     }
-    if (next) {
-        next();
-    }
+    this->handlerCalls.run();
 }
 
 void UpstreamConnection::handleEvents(std::uint32_t events)
 {
-    std::function<void()> next;
     {
         const MutexLock lock { this->mutex };
-        next = this->processEvents(events);
-    }
-    if (next) {
-        next();
+        this->processEvents(events);
     }
+    this->handlerCalls.run();
 }
 
-std::function<void()> UpstreamConnection::processEvents(std::uint32_t events)
+void UpstreamConnection::processEvents(std::uint32_t events)
 {
     if (this->phase == Phase::Closed) {
-        return {};
+        return;
     }
     if (this->phase == Phase::Connecting) {
         if ((events & (EPOLLERR | EPOLLHUP)) != 0 || !this->stream.isConnected()) {
-            return this->fail(ConnectionFailure::NotConnected);
+            this->fail(ConnectionFailure::NotConnected);
+            return;
         }
         if ((events & EPOLLOUT) == 0) {
-            return {};
+            return;
         }
         this->reactor.cancel(this->connectTimer);
         this->phase = this->hasRequest ? Phase::Busy : Phase::Idle;
         if (this->hasRequest && this->stream.write(std::exchange(this->request, {})) != StreamState::Open) {
-            return this->fail(ConnectionFailure::Broken);
+            this->fail(ConnectionFailure::Broken);
+            return;
         }
     }
     if (this->stream.flush() != StreamState::Open) {
-        return this->fail(ConnectionFailure::Broken);
+        this->fail(ConnectionFailure::Broken);
+        return;
     }
     if ((events & (EPOLLIN | disconnectEvents)) == 0) {
-        return {};
+        return;
     }
     auto state = this->stream.read(this->input);
     if (state == StreamState::Open && (events & disconnectEvents) != 0) {
         state = this->stream.read(this->input);
     }
-    auto next = this->readResponse(state);
+    this->readResponse(state);
     if (this->phase != Phase::Closed && this->stream.hasUnreadInput()) {
         // Continues later, so that a fast sender neither fills the memory nor occupies a worker.
         this->reactor.after(Duration::zero(), [weak = this->weak_from_this(), events](Instant) {
@@ -159,25 +153,31 @@
             }
         });
     }
-    return next;
 }
 
-std::function<void()> UpstreamConnection::readResponse(StreamState state)
+void UpstreamConnection::readResponse(StreamState state)
 {
     if (this->phase == Phase::Idle) {
         // Bytes without an outstanding request could be taken for the response to the next one, so the connection is
         // closed.
-        return state == StreamState::Open && this->input.empty() ? std::function<void()> {} : this->fail(ConnectionFailure::Malformed);
+        if (state != StreamState::Open || !this->input.empty()) {
+            this->fail(ConnectionFailure::Malformed);
+        }
+        return;
     }
     auto progress = this->reader.read(this->input);
     if (progress == ReadProgress::Incomplete && state == StreamState::Ended) {
         progress = this->reader.readEnd();
     }
     if (progress == ReadProgress::Incomplete) {
-        return state == StreamState::Open ? std::function<void()> {} : this->fail(ConnectionFailure::Broken);
+        if (state != StreamState::Open) {
+            this->fail(ConnectionFailure::Broken);
+        }
+        return;
     }
     if (progress != ReadProgress::Complete) {
-        return this->fail(state == StreamState::Open ? ConnectionFailure::Malformed : ConnectionFailure::Broken);
+        this->fail(state == StreamState::Open ? ConnectionFailure::Malformed : ConnectionFailure::Broken);
+        return;
     }
     auto response = this->reader.take();
     const bool isReusable = state == StreamState::Open && response.keepsAlive && this->input.empty();
@@ -186,16 +186,17 @@
     if (!isReusable) {
         this->closeStream();
     }
-    return [self = this->shared_from_this(), response = std::move(response), isReusable]() mutable { self->handlers.answered(self->id, std::move(response), isReusable); };
+    this->handlerCalls.push([this, response = std::move(response), isReusable]() mutable { this->handlers.answered(this->id, std::move(response), isReusable); });
 }
 
-std::function<void()> UpstreamConnection::fail(ConnectionFailure failure)
+void UpstreamConnection::fail(ConnectionFailure failure)
 {
     this->closeStream();
     if (std::exchange(this->hasRequest, false)) {
-        return [self = this->shared_from_this(), failure] { self->handlers.failed(self->id, failure); };
+        this->handlerCalls.push([this, failure] { this->handlers.failed(this->id, failure); });
+    } else {
+        this->handlerCalls.push([this] { this->handlers.closedIdle(this->id); });
     }
-    return [self = this->shared_from_this()] { self->handlers.closedIdle(self->id); };
 }
 
 }
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/MessageReader.h"
+#include "adapters/reactor/HandlerQueue.h"
 #include "adapters/reactor/Reactor.h"
 #include "adapters/reactor/TcpStream.h"
 #include "core/Mutex.h"
@@ -26,7 +27,8 @@
     Malformed,
 };
 
-/// A connection to an upstream that carries one request at a time. Thread-safe; handlers are called without locks held.
+/// A connection to an upstream that carries one request at a time. Thread-safe. Handlers are called without locks held,
+/// one at a time and in the order of the connection's events: closedIdle() follows the return of answered().
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
     struct Handlers {
@@ -34,7 +36,8 @@
         /// @param isReusable True if the connection can carry another request.
         std::function<void(ConnectionId connection, ReceivedResponse response, bool isReusable)> answered;
         std::function<void(ConnectionId connection, ConnectionFailure failure)> failed;
-        /// Called if the connection ended or received bytes while it carried no request.
+        /// Called if the connection ended or received bytes while it carried no request. A request that was assigned to the
+        /// connection since the last response was not sent.
         std::function<void(ConnectionId connection)> closedIdle;
     };
 
@@ -74,15 +77,17 @@
     void startWatching();
     void handleEvents(std::uint32_t events);
     void connectTimedOut();
-    /// @return The handler call to run after the lock is released; empty if there is none.
-    std::function<void()> processEvents(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    std::function<void()> readResponse(StreamState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    std::function<void()> fail(ConnectionFailure failure) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    // These queue handler calls, which the caller runs after it has released the lock.
+    void processEvents(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void readResponse(StreamState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void fail(ConnectionFailure failure) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void closeStream() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     Reactor& reactor;
     const ConnectionId id;
     const Handlers& handlers;
+    /// Filled under the mutex, so that its order is that of the events.
+    HandlerQueue handlerCalls;
 
     Mutex mutex;
     TcpStream stream ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -187,7 +187,8 @@
         } else if (const auto* cancellation = std::get_if<CancelAttempt>(&decision)) {
             const auto found = this->pendingRequests.find(cancellation->id);
             const auto connection = found == this->pendingRequests.end() ? this->connections.end() : this->connections.find(found->second.connection);
-            if (connection != this->connections.end()) {
+            // The connection of an earlier attempt may carry another request by now.
+            if (connection != this->connections.end() && connection->second.pendingId == cancellation->id) {
                 effects.connectionsToClose.push_back(std::move(connection->second.connection));
                 this->connections.erase(connection);
             }
