Refuse late requests of a planned stop, and answer all that are left

Reported by operators of similar systems: requests that arrived late in the grace period of a planned stop were passed on and cut off without an answer when the process ended (LOST). It could happen here.

Cause: a connection on which a part of a request had arrived when the port closed stayed open, and the request was taken with its whole deadline. What was open at the end of the grace period got no response, not even "not run" for a request that was never sent.

From the moment at which the port closes, a request that may outlast the process is refused at once. At the end of the grace period, open requests end as "not run" if they were not sent, otherwise as unknown. Before the port closes, the load balancer still sends callers here and requests are served as before.

--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -321,6 +321,21 @@
     this->dispatchQueued(now, service, decisions);
 }
 
+void Dispatcher::endAll(Instant now, DispatchDecisions& decisions)
+{
+    std::vector<PendingRequestId> ids;
+    std::ranges::transform(this->pendingRequests, std::back_inserter(ids), [](const auto& item) { return item.first; });
+    for (const auto id : ids) {
+        auto& pending = *this->pendingRequests.at(id);
+        if (pending.isSent) {
+            this->recordAttemptEnd(now, pending, std::nullopt);
+            ++pending.possibleRuns;
+            decisions.push_back(CancelAttempt { id });
+        }
+        this->refuseOrFail(now, pending, ResultCode::RequestDraining, decisions);
+    }
+}
+
 void Dispatcher::advance(Instant now, DispatchDecisions& decisions)
 {
     while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -36,6 +36,12 @@
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
     void setEntryCount(std::uint32_t count) noexcept { this->entryVmCount = std::max(1U, count); }
 
+    /// Refuses from now on new requests that may still be in progress when the process ends.
+    void refuseRequestsBeyond(Instant processEnd) noexcept { this->processEnd = processEnd; }
+    /// Ends every pending request, because the process ends: refuses those that certainly did not run, and fails the others
+    /// with RequestOutcomeUnknown.
+    void endAll(Instant now, DispatchDecisions& decisions);
+
     /// Refuses, sends or queues a new request.
     void submit(Instant now, DispatchRequest request, DispatchDecisions& decisions);
     /// Records the size of a response. Called before attemptEnded() reports the outcome of the same attempt.
@@ -222,6 +228,8 @@
     DispatchOptions options;
     BandwidthBudget linkBudget;
     std::uint32_t entryVmCount { 1 };
+    /// When the process ends; empty if it is not stopping.
+    std::optional<Instant> processEnd;
     std::uint64_t lastSequenceNumber {};
     LogIndex itemsIndex;
     LogIndex upstreamsIndex;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -247,6 +247,9 @@
     if (pending.expiresAt <= now) {
         return ResultCode::RequestDeadlineExceeded;
     }
+    if (this->processEnd && pending.expiresAt > *this->processEnd) {
+        return ResultCode::RequestDraining;
+    }
     if (this->pendingRequests.size() > maxPendingRequests) {
         return ResultCode::QueueFull;
     }
@@ -341,8 +344,8 @@
     this->jitterState ^= this->jitterState >> 7;
     this->jitterState ^= this->jitterState << 17;
     const auto jitter = 0.5 + static_cast<double>(this->jitterState % 1'000) / 1'000;
-    if (reason == ResultCode::RequestLinkFull) {
-        // Callers retry at another entry VM, whose link usually has capacity.
+    if (reason == ResultCode::RequestLinkFull || reason == ResultCode::RequestDraining) {
+        // Callers retry at another entry VM, which usually has capacity and is not stopping.
         return scaled(minRetryAfter, 2 * jitter);
     }
     if (const auto* range = this->findRange(pending)) {
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -44,9 +44,13 @@
     /// Opens the ports and starts the timers. Messages may arrive before it returns.
     Status open();
 
-    /// Reports not ready to the load balancer, serves requests until it has removed this VM, then drains and stops.
+    /// Reports not ready to the load balancer, serves requests until it has removed this VM, then drains and stops. A
+    /// request without a response at the end of the grace period gets one that says whether it may have run.
     void beginStop();
 
+    /// @return The port for callers, which the operating system chose if the settings name port 0.
+    Endpoint front() const { return this->gateway.localEndpoint(); }
+
     /// Replaces the seeds after a change of the settings.
     void setSeeds(std::span<const NodeId> seeds);
 
@@ -74,6 +78,7 @@
     HttpListener readiness;
     std::unique_ptr<PeerTransport> transport;
     std::atomic<bool> isStopping { false };
+    std::atomic<bool> hasEndedRequests { false };
     std::atomic<bool> hasStopped { false };
     Instant drainDeadline;
 
@@ -195,7 +200,7 @@
     this->gateway.beginDrain();
     this->drainDeadline = this->reactor.now() + this->options.gracePeriod;
     this->reactor.after(balancerRemovalTime, [this](Instant) {
-        this->gateway.stopListening();
+        this->gateway.stopAccepting(this->drainDeadline);
         this->reactor.every(drainInterval, [this](Instant) { this->drain(); });
     });
 }
@@ -206,10 +211,13 @@
     this->gateway.closeIdle();
     const auto open = this->gateway.openRequests();
     const bool isPastDeadline = this->reactor.now() >= this->drainDeadline;
+    if (open > 0 && isPastDeadline && !this->hasEndedRequests.exchange(true)) {
+        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open } });
+        // The process ends at the next call, when the responses have been written.
+        this->gateway.endOpenRequests();
+        return;
+    }
     if ((open == 0 || isPastDeadline) && !this->hasStopped.exchange(true)) {
-        if (open > 0) {
-            this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open } });
-        }
         this->onStopped();
     }
 }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -68,7 +68,10 @@
 
     /// Sends `Connection: close` with each response from now on; new connections are still accepted.
     void beginDrain() { this->listener.beginDrain(); }
-    void stopListening() { this->listener.stopListening(); }
+    /// Closes the port, and refuses requests that arrive from now on and may still be in progress when the process ends.
+    void stopAccepting(Instant processEnd);
+    /// Responds to all open requests, because the process ends. The responses are sent asynchronously.
+    void endOpenRequests();
     void closeIdle() { this->listener.closeIdle(); }
     std::size_t openRequests() { return this->listener.openRequests(); }
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -91,6 +91,28 @@
     this->dispatcher.setEntryCount(count);
 }
 
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::stopAccepting(Instant processEnd)
+{
+    this->listener.stopListening();
+    const MutexLock lock { this->mutex };
+    this->dispatcher.refuseRequestsBeyond(processEnd);
+}
+
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::endOpenRequests()
+{
+    Effects effects;
+    {
+        const MutexLock lock { this->mutex };
+        const auto now = this->reactor.now();
+        DispatchDecisions decisions;
+        this->dispatcher.endAll(now, decisions);
+        this->applyDecisions(now, decisions, effects);
+    }
+    this->executeEffects(std::move(effects));
+}
+
 template <CallerProtocol Protocol>
 std::vector<ServiceKeyLoad> Gateway<Protocol>::takeKeyLoads()
 {
