Bound the bytes of all messages that a process holds

Reported by operators of similar systems: bytes without end in a head or a body filled the memory of the machine that had called, and the requests of its other clients ended with it (LOST). Each part of a message was bounded here, the sum was not: 300 connections could hold 8 MiB each.

Messages above 16 KiB take their bytes from one budget for each process, from the first byte read to the last byte sent on: a quarter of the memory that the settings state for an entry VM, 64 MiB for control requests of a member. A response without room is cut off and ends as unknown, with a metric; a request without room is refused before it is passed on. Buffers of large reads are freed once they are consumed, and the allocator returns large blocks to the system.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -12,6 +12,7 @@
     /// A connection fails if the caller leaves sent bytes unacknowledged for this long.
     constexpr std::chrono::milliseconds callerUserTimeout { 5'000 };
     constexpr std::chrono::milliseconds timeoutCheckInterval { 250 };
+    constexpr unsigned statusUnavailable = 503;
     constexpr std::size_t disconnectEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
 
     unsigned errorStatusOf(ReadProgress progress) noexcept
@@ -158,6 +159,12 @@
     while (!connection->closesAfterResponses && !connection->input.empty() && connection->exchanges.size() < maxPipelinedRequests) {
         connection->reader.setLimits(this->readLimits());
         const auto progress = connection->reader.read(connection->input);
+        shrinkInput(connection->input);
+        if ((progress == ReadProgress::Incomplete || progress == ReadProgress::Complete) && !this->reserveBuffer(*connection)) {
+            // The request was not passed on, so "not run" is true.
+            this->queueErrorResponse(*connection, statusUnavailable);
+            return;
+        }
         if (progress == ReadProgress::Incomplete) {
             // lastActiveAt is not updated here: the timeout of a head counts from its first byte.
             return;
@@ -167,6 +174,7 @@
             return;
         }
         auto request = connection->reader.take();
+        request.reservation = std::move(connection->reservation);
         connection->lastActiveAt = this->reactor.now();
         connection->closesAfterResponses = !request.keepsAlive || this->isDraining;
         const auto id = this->registerRequest(connection);
@@ -175,9 +183,14 @@
     }
 }
 
+bool HttpListener::reserveBuffer(Connection& connection)
+{
+    return this->buffers == nullptr || BufferReservation::grow(connection.reservation, *this->buffers, connection.reader.bodyBytes());
+}
+
 void HttpListener::queueErrorResponse(Connection& connection, unsigned status)
 {
-    connection.exchanges.push_back({ {}, OutgoingResponse { status, {}, {}, true } });
+    connection.exchanges.push_back({ {}, OutgoingResponse { status, {}, {}, true, {} } });
     connection.closesAfterResponses = true;
     connection.input.clear();
 }
@@ -186,7 +199,7 @@
 {
     std::string out;
     while (!connection.exchanges.empty() && connection.exchanges.front().response) {
-        const auto response = std::move(*connection.exchanges.front().response);
+        auto response = std::move(*connection.exchanges.front().response);
         connection.exchanges.pop_front();
         const bool isLastResponse = (connection.closesAfterResponses && connection.exchanges.empty()) || response.closesConnection || (this->isDraining && connection.exchanges.empty());
         appendStatusLine(out, response.status);
@@ -196,6 +209,9 @@
             connection.closesAfterResponses = true;
         }
         appendBody(out, response.body, true);
+        if (response.reservation) {
+            connection.unsentReservations.push_back(std::move(response.reservation));
+        }
         connection.lastActiveAt = this->reactor.now();
         if (isLastResponse) {
             // The response closes the connection, so later pipelined requests get no response.
@@ -209,6 +225,9 @@
         this->close(connection, callbacks);
         return;
     }
+    if (connection.stream.unsentBytes() == 0) {
+        connection.unsentReservations.clear();
+    }
     if (connection.closesAfterResponses && connection.exchanges.empty() && connection.stream.unsentBytes() == 0) {
         this->close(connection, callbacks);
     }
@@ -226,6 +245,8 @@
         }
     }
     connection.exchanges.clear();
+    connection.reservation.reset();
+    connection.unsentReservations.clear();
     this->reactor.remove(connection.stream.descriptor(), connection.watchId);
     connection.stream.close();
     const MutexLock lock { this->mutex };
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -27,6 +27,8 @@
     std::string headerLines;
     std::string body;
     bool closesConnection {};
+    /// Reservation of the body's bytes; null if they are not counted.
+    std::shared_ptr<BufferReservation> reservation;
 };
 
 /// Identifies a request. Ids are unique within a process.
@@ -69,6 +71,9 @@
     /// Sets the maximum number of open connections; those beyond it are closed on arrival. Call it before listen().
     /// Each connection holds a descriptor.
     void setMaxConnections(std::size_t count) noexcept { this->maxConnections = count; }
+    /// Sets the budget of the requests. Call it before listen(). Without one, only the size of each request is limited.
+    /// @param budget Must outlive the requests.
+    void setBuffers(BufferBudget& budget) noexcept { this->buffers = &budget; }
 
     /// Sends the response to a request. Does nothing if the request has ended.
     void respond(HttpRequestId id, OutgoingResponse response);
@@ -91,6 +96,10 @@
         std::uint64_t watchId ABSL_GUARDED_BY(mutex) {};
         std::string input ABSL_GUARDED_BY(mutex);
         MessageReader<ReceivedRequest> reader ABSL_GUARDED_BY(mutex);
+        /// Reservation of the request that is being read.
+        std::shared_ptr<BufferReservation> reservation ABSL_GUARDED_BY(mutex);
+        /// Reservations of responses that are not completely sent.
+        std::vector<std::shared_ptr<BufferReservation>> unsentReservations ABSL_GUARDED_BY(mutex);
         /// Requests whose responses have not been written, in the order of arrival.
         std::deque<Exchange> exchanges ABSL_GUARDED_BY(mutex);
         Instant lastActiveAt ABSL_GUARDED_BY(mutex);
@@ -119,6 +128,8 @@
     /// Handles the events again later.
     void continueReading(const ConnectionPointer& connection, std::uint32_t events);
     void readRequests(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// @return False if the budget has no room for the request that is being read.
+    bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void close(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
@@ -138,6 +149,7 @@
     std::atomic<bool> isDraining { false };
     /// The default leaves as many descriptors of the smallest VM to connections to upstreams.
     std::size_t maxConnections { 2'000 };
+    BufferBudget* buffers {};
 
     /// Lock order: after a connection's mutex.
     Mutex mutex;
--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -131,6 +131,12 @@
     return !error && this->parser->content.is_done() ? ReadProgress::Complete : ReadProgress::Malformed;
 }
 
+template <typename Message>
+std::size_t MessageReader<Message>::bodyBytes() const noexcept
+{
+    return this->parser ? this->parser->content.get().body().size() : 0;
+}
+
 template <typename Message>
 Message MessageReader<Message>::take()
 {
--- a/src/adapters/http/MessageReader.h
+++ b/src/adapters/http/MessageReader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/BufferBudget.h"
 #include "adapters/http/HttpTypes.h"
 #include "teaselturn/Result.h"
 
@@ -28,6 +29,8 @@
     std::string body;
     /// True if the connection may carry another request.
     bool keepsAlive {};
+    /// Null if the message is too small to be counted.
+    std::shared_ptr<BufferReservation> reservation;
 
     /// @return The value of the first header of that name, or an empty view.
     std::string_view header(std::string_view name) const noexcept;
@@ -39,6 +42,8 @@
     std::vector<HttpHeader> headers;
     std::string body;
     bool keepsAlive {};
+    /// Null if the message is too small to be counted.
+    std::shared_ptr<BufferReservation> reservation;
 
     std::string_view header(std::string_view name) const noexcept;
 };
@@ -78,6 +83,9 @@
     /// Returns the message and prepares for the next one. Requires that the last read returned Complete.
     Message take();
 
+    /// @return Body bytes of the message that is being read.
+    std::size_t bodyBytes() const noexcept;
+
     /// @return True if a message was partly read.
     bool isWithinMessage() const noexcept { return this->parser != nullptr; }
 
--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -12,21 +12,22 @@
 
 }
 
-Result<std::shared_ptr<UpstreamConnection>> UpstreamConnection::open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers)
+Result<std::shared_ptr<UpstreamConnection>> UpstreamConnection::open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers)
 {
     auto socket = startConnect(address, userTimeout);
     if (!socket) {
         return socket.failure();
     }
-    std::shared_ptr<UpstreamConnection> connection { new UpstreamConnection { reactor, id, std::move(*socket), handlers } };
+    std::shared_ptr<UpstreamConnection> connection { new UpstreamConnection { reactor, id, std::move(*socket), handlers, buffers } };
     connection->startWatching();
     return connection;
 }
 
-UpstreamConnection::UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers)
+UpstreamConnection::UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers)
     : reactor(reactor)
     , id(id)
     , handlers(handlers)
+    , buffers(buffers)
     , stream(std::move(socket))
     , reader({ maxResponseHeadBytes, limits::maxBodyBytes })
 {
@@ -166,12 +167,15 @@
         return;
     }
     auto progress = this->reader.read(this->input);
+    shrinkInput(this->input);
     if (progress == ReadProgress::Incomplete && state == StreamState::Ended) {
         progress = this->reader.readEnd();
     }
     if (progress == ReadProgress::Incomplete) {
         if (state != StreamState::Open) {
             this->fail(ConnectionFailure::Broken);
+        } else if (!BufferReservation::grow(this->reservation, this->buffers, this->reader.bodyBytes() + this->input.size())) {
+            this->fail(ConnectionFailure::BufferExhausted);
         }
         return;
     }
@@ -179,7 +183,12 @@
         this->fail(state == StreamState::Open ? ConnectionFailure::Malformed : ConnectionFailure::Broken);
         return;
     }
+    if (!BufferReservation::grow(this->reservation, this->buffers, this->reader.bodyBytes())) {
+        this->fail(ConnectionFailure::BufferExhausted);
+        return;
+    }
     auto response = this->reader.take();
+    response.reservation = std::move(this->reservation);
     const bool isReusable = state == StreamState::Open && response.keepsAlive && this->input.empty();
     this->hasRequest = false;
     this->phase = Phase::Idle;
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -25,6 +25,8 @@
     Broken,
     /// The received bytes are not a valid response.
     Malformed,
+    /// The response exceeds the process's budget for buffered bytes.
+    BufferExhausted,
 };
 
 /// A connection to an upstream that carries one request at a time. Thread-safe. Handlers are called without locks held,
@@ -44,8 +46,9 @@
     /// Starts a non-blocking connect.
     /// @param reactor Must outlive the connection.
     /// @param handlers Must outlive the connection.
+    /// @param buffers Budget of the responses. Must outlive them.
     /// @return The connection, or PeerUnreachable.
-    static Result<std::shared_ptr<UpstreamConnection>> open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers);
+    static Result<std::shared_ptr<UpstreamConnection>> open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers);
 
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection&) = delete;
@@ -72,7 +75,7 @@
         Closed,
     };
 
-    UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers);
+    UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers);
 
     void startWatching();
     void handleEvents(std::uint32_t events);
@@ -86,6 +89,7 @@
     Reactor& reactor;
     const ConnectionId id;
     const Handlers& handlers;
+    BufferBudget& buffers;
     /// Filled under the mutex, so that its order is that of the events.
     HandlerQueue handlerCalls;
 
@@ -95,6 +99,8 @@
     TimerId connectTimer ABSL_GUARDED_BY(mutex);
     MessageReader<ReceivedResponse> reader ABSL_GUARDED_BY(mutex);
     std::string input ABSL_GUARDED_BY(mutex);
+    /// Reservation of the response that is being read.
+    std::shared_ptr<BufferReservation> reservation ABSL_GUARDED_BY(mutex);
     Phase phase ABSL_GUARDED_BY(mutex) { Phase::Connecting };
     bool hasRequest ABSL_GUARDED_BY(mutex) {};
     /// IdleConnection until the connection is established.
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -75,6 +75,13 @@
     return getsockopt(this->socket.number(), SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == 0;
 }
 
+void shrinkInput(std::string& input)
+{
+    if (input.capacity() > readBytes && input.size() < input.capacity() / 2) {
+        input.shrink_to_fit();
+    }
+}
+
 FileDescriptor acceptConnection(const FileDescriptor& listener, std::chrono::milliseconds userTimeout)
 {
     FileDescriptor socket { accept4(listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) };
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -54,6 +54,9 @@
     bool stoppedAtLimit {};
 };
 
+/// Frees the memory of a large read after its bytes have been consumed, so that idle connections hold no large buffers.
+void shrinkInput(std::string& input);
+
 /// Accepts a connection as a non-blocking socket with TCP_NODELAY.
 /// @param userTimeout The connection fails if sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
 /// @return The socket, or an empty descriptor if no connection is waiting.
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -20,6 +20,8 @@
     std::vector<NodeId> seeds;
     std::vector<std::uint8_t> clusterKey;
     DispatchOptions dispatch;
+    /// Limit of the bytes of requests and responses that are held at once.
+    std::size_t bufferBytes { BufferBudget::defaultLimit };
     /// Maximum time between beginStop() and the end of the process.
     std::chrono::milliseconds gracePeriod { 5'000 };
 };
@@ -35,7 +37,7 @@
         , logger(logger)
         , options(std::move(options))
         , onStopped(std::move(onStopped))
-        , gateway(reactor, logger, this->options.dispatch)
+        , gateway(reactor, logger, this->options.dispatch, this->options.bufferBytes)
         , readiness(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleStatusRequest(requestId, request); }, {} })
         , replica(this->options.seeds, BinaryRegistryCodec {})
     {
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -28,7 +28,8 @@
 class Gateway {
 public:
     /// The references must outlive the gateway. The reactor's workers must end before the gateway is destroyed.
-    Gateway(Reactor& reactor, Logger& logger, DispatchOptions options);
+    /// @param bufferBytes Limit of the bytes of requests and responses that are held at once.
+    Gateway(Reactor& reactor, Logger& logger, DispatchOptions options, std::size_t bufferBytes = BufferBudget::defaultLimit);
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
 
@@ -125,6 +126,8 @@
     Logger& logger;
     GatewayCounters counters;
     UpstreamConnection::Handlers connectionHandlers;
+    /// Destroyed after the messages that it counts.
+    BufferBudget buffers;
 
     Mutex mutex;
     LogRateLimiter logRateLimiter ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -18,6 +18,8 @@
     Counter attempts;
     Counter connectionsOpened;
     Counter responsesDropped;
+    /// Responses cut off because the budget for buffered bytes was exhausted.
+    Counter responsesOverBudget;
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -44,7 +44,7 @@
 }
 
 template <CallerProtocol Protocol>
-Gateway<Protocol>::Gateway(Reactor& reactor, Logger& logger, DispatchOptions options)
+Gateway<Protocol>::Gateway(Reactor& reactor, Logger& logger, DispatchOptions options, std::size_t bufferBytes)
     : reactor(reactor)
     , logger(logger)
     , connectionHandlers {
@@ -52,9 +52,11 @@
         [this](ConnectionId connection, ConnectionFailure failure) { this->handleConnectionFailure(connection, failure); },
         [this](ConnectionId connection) { this->handleConnectionClosed(connection); },
     }
+    , buffers(bufferBytes)
     , dispatcher(std::move(options))
     , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); } })
 {
+    this->listener.setBuffers(this->buffers);
     reactor.every(gateway::connectionExpiryInterval, [this](Instant) { this->closeExpiredConnections(); });
 }
 
@@ -236,7 +238,7 @@
         return nullptr;
     }
     const ConnectionId id { ++this->lastConnectionId };
-    auto opened = UpstreamConnection::open(this->reactor, id, *address, this->connectionHandlers);
+    auto opened = UpstreamConnection::open(this->reactor, id, *address, this->connectionHandlers, this->buffers);
     if (!opened) {
         return nullptr;
     }
@@ -309,6 +311,7 @@
         }
     }
     response.body = std::move(received.body);
+    response.reservation = std::move(received.reservation);
     return response;
 }
 
@@ -338,6 +341,9 @@
             // The response is damaged or belongs to another request, so later bytes of the connection are not trusted.
             this->counters.responsesDropped.add();
             isReusable = false;
+            if (pending != this->pendingRequests.end()) {
+                this->logOutcome(LogEvent::ResponseDropped, pending->second, ResultCode::ResponseMismatched, now);
+            }
         }
         if (isReusable && !connection->second.carried.isFull()) {
             const auto idleTime = gateway::parseKeepAliveTimeout(response.header("Keep-Alive"));
@@ -374,6 +380,9 @@
         const auto pendingId = connection->second.pendingId;
         effects.connectionsToClose.push_back(std::move(connection->second.connection));
         this->connections.erase(connection);
+        if (failure == ConnectionFailure::BufferExhausted) {
+            this->counters.responsesOverBudget.add();
+        }
         const auto outcome = failure == ConnectionFailure::NotConnected ? AttemptOutcome::NotSent : AttemptOutcome::Lost;
         this->endAttempt(this->reactor.now(), pendingId, outcome, effects);
     }
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -6,12 +6,16 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <malloc.h>
 #include <thread>
 
 using namespace teaselturn;
 
 namespace {
 
+/// Blocks of at least this size are returned to the system when they are freed.
+constexpr int minMappedBlockBytes = 128 * 1'024;
+
 int reportFailure(const Failure& failure)
 {
     std::fprintf(stderr, "teaselturnd: %s\n", failure.describe().c_str());
@@ -53,6 +57,8 @@
 
 int main(int count, char** arguments)
 {
+    // Without a fixed threshold, glibc raises it with each large block that is freed, and keeps the memory of large messages.
+    mallopt(M_MMAP_THRESHOLD, minMappedBlockBytes);
     const auto line = parseCommandLine(count, arguments);
     if (!line) {
         std::fprintf(stderr, "teaselturnd: %s\n%s", line.failure().describe().c_str(), daemonUsage);
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -66,6 +66,8 @@
     const RegistryDaemonOptions options;
     std::function<void()> onFailure;
     SteadyClock clock;
+    /// Budget of control requests. Destroyed after them.
+    BufferBudget buffers { BufferBudget::defaultLimit };
     HttpListener listener;
     std::unique_ptr<PeerTransport> transport;
     std::unique_ptr<Node> node;
@@ -131,6 +133,7 @@
     this->node = std::move(*newNode);
     this->isOpen = true;
     this->listener.setMaxConnections(registry::maxControlConnections);
+    this->listener.setBuffers(this->buffers);
     if (auto opened = this->listener.listen(this->options.control); !opened) {
         return opened;
     }
--- a/tests/adapters/http/HandlerOrderTest.cpp
+++ b/tests/adapters/http/HandlerOrderTest.cpp
@@ -40,11 +40,12 @@
         [](ConnectionId, ConnectionFailure) {},
         [&](ConnectionId) { hasReportedEnd.Notify(); },
     };
+    BufferBudget buffers { 1'024 * 1'024 };
     Reactor reactor { 2 };
     reactor.start();
     const auto address = toSocketAddress(upstream.endpoint());
     REQUIRE(address);
-    const auto connection = UpstreamConnection::open(reactor, ConnectionId { 1 }, *address, handlers);
+    const auto connection = UpstreamConnection::open(reactor, ConnectionId { 1 }, *address, handlers, buffers);
     REQUIRE(connection);
     (*connection)->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
     CHECK(hasReportedEnd.WaitForNotificationWithTimeout(2 * testTimeout));
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -183,13 +183,15 @@
 {
     const auto settings = readPlatformSettings(R"({"node_name":"n","serves":["control_plane"],"ip":"10.1.0.37","zone":"z","zones":{"z":"r"},
         "listen":{"control":"10.1.0.37:8544"},"internal_port_range":[7540,7555],"seeds":["10.1.0.37:8544","10.2.0.36:8544"],"bootstrap":true,
-        "limits":{"cpu_cores":2},"data_dir":"/data/x","fault_tolerance":{"machines":2},"bounds":["drain_s=2.5","hold_max_s=10","retry_budget_ratio=0.2","budget_slack=58"],"later":[1]})");
+        "limits":{"cpu_cores":2,"memory_mb":260,"bandwidth_mbps":2.5},"data_dir":"/data/x","fault_tolerance":{"machines":2},"bounds":["drain_s=2.5","hold_max_s=10","retry_budget_ratio=0.2","budget_slack=58"],"later":[1]})");
     REQUIRE(settings);
     CHECK(settings->servesControl);
     CHECK(!settings->servesCallers);
     CHECK(settings->control == Endpoint { "10.1.0.37", 8'544 });
     CHECK(settings->seeds.size() == 2);
     CHECK(settings->cores == 2);
+    CHECK(settings->memoryBytes == 260'000'000);
+    CHECK(settings->linkBytesPerSecond == 312'500);
     CHECK(settings->tolerableLosses == 2);
     CHECK(settings->drain == std::chrono::milliseconds { 2'500 });
     CHECK(settings->retryRatioPerMille == 200);
