--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -61,12 +61,15 @@
     std::unique_ptr<Logger> logger { std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error })) };
     absl::Notification hasStopped;
     EntryDaemon<platform::CallerHeaders> daemon;
+    /// Port for callers, which the daemon closes later.
+    Endpoint front;
 
     EntryFixture(std::chrono::milliseconds routeTimeout, std::chrono::milliseconds gracePeriod)
         : member(makeLog(this->upstream.endpoint(), routeTimeout))
         , daemon(this->reactor, *this->logger, makeOptions(this->member.port(), gracePeriod), [this] { this->hasStopped.Notify(); })
     {
         REQUIRE(this->daemon.open());
+        this->front = this->daemon.front();
         this->reactor.start();
     }
     ~EntryFixture() { this->reactor.stop(); }
@@ -97,7 +100,7 @@
     /// Opens a connection and repeats a request for an unknown path until the routes are known.
     std::unique_ptr<Connection> connectCaller() const
     {
-        auto connection = Connection::connect(this->daemon.front(), RawUpstream::soon());
+        auto connection = Connection::connect(this->front, RawUpstream::soon());
         REQUIRE(connection);
         for (int i = 0; i < 1'000; ++i) {
             RawUpstream::respond(**connection, callerRequest("probe", "/unknown"));
@@ -121,7 +124,7 @@
     /// Waits until the entry VM no longer accepts connections.
     void waitUntilClosed() const
     {
-        for (int i = 0; i < 1'000 && Connection::connect(this->daemon.front(), RawUpstream::soon()); ++i) {
+        for (int i = 0; i < 1'000 && Connection::connect(this->front, RawUpstream::soon()); ++i) {
             std::this_thread::sleep_for(milliseconds { 10 });
         }
     }
