Stop the transport of an entry VM before its state is destroyed

ThreadSanitizer reported a race in the new test of planned stops: at the end of the process, EntryDaemon destroyed its copy of the registry while the transport's thread still handed messages to it. The destructor now ends the transport's thread first.

--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -43,6 +43,11 @@
     {
     }
 
+    /// Ends the transport's thread first, whose handler uses the other members.
+    ~EntryDaemon() { this->transport.reset(); }
+    EntryDaemon(const EntryDaemon&) = delete;
+    EntryDaemon& operator=(const EntryDaemon&) = delete;
+
     /// Opens the ports and starts the timers. Messages may arrive before it returns.
     Status open();
 
