Report connections that are closed before their caller has a whole response

Callers saw responses reset in the middle around a planned stop, and neither log nor metrics of an entry VM told whether the close after the last response, the close of idle connections, a time limit or the end of the process had cut them (docs/incidents/responses-reset-in-a-planned-stop.md).

A listener now counts closed connections by reason, and asks the kernel for the unread and unacknowledged bytes of each that it closes itself. If there are any, it counts the connection as cut and logs ResponseCut (3010) with the request id. No logic changes.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -39,7 +39,7 @@
     PendingCallbacks ignored;
     for (const auto& connection : this->allConnections()) {
         const MutexLock lock { connection->mutex };
-        this->close(*connection, ignored);
+        this->close(*connection, CloseReason::Stopped, ignored);
     }
 }
 
@@ -126,7 +126,7 @@
                 this->continueReading(connection, events);
             }
         } else {
-            this->close(*connection, callbacks);
+            this->close(*connection, state == StreamState::Ended ? CloseReason::CallerEnded : CloseReason::CallerReset, callbacks);
         }
         this->queueHandlers(*connection, std::move(callbacks));
     }
@@ -209,6 +209,7 @@
             connection.closesAfterResponses = true;
         }
         appendBody(out, response.body, true);
+        connection.lastRequestName = std::move(response.requestName);
         if (response.reservation) {
             connection.unsentReservations.push_back(std::move(response.reservation));
         }
@@ -222,23 +223,25 @@
         }
     }
     if (!out.empty() && connection.stream.write(out) != StreamState::Open) {
-        this->close(connection, callbacks);
+        this->close(connection, CloseReason::CallerReset, callbacks);
         return;
     }
     if (connection.stream.unsentBytes() == 0) {
         connection.unsentReservations.clear();
     }
     if (connection.closesAfterResponses && connection.exchanges.empty() && connection.stream.unsentBytes() == 0) {
-        this->close(connection, callbacks);
+        this->close(connection, CloseReason::LastResponse, callbacks);
     }
 }
 
-void HttpListener::close(Connection& connection, PendingCallbacks& callbacks)
+void HttpListener::close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
 {
     if (connection.isClosed) {
         return;
     }
     connection.isClosed = true;
+    this->counters.closedFor(reason).add();
+    this->reportIfCut(connection, reason);
     for (const auto& exchange : connection.exchanges) {
         if (exchange.id != HttpRequestId {} && !exchange.response) {
             callbacks.disconnected.push_back(exchange.id);
@@ -253,6 +256,31 @@
     this->connections.erase(&connection);
 }
 
+void HttpListener::reportIfCut(const Connection& connection, CloseReason reason)
+{
+    if (reason == CloseReason::CallerEnded || reason == CloseReason::CallerReset) {
+        return;
+    }
+    const auto inKernel = connection.stream.kernelBuffers();
+    const auto unsent = connection.stream.unsentBytes();
+    if (unsent == 0 && inKernel.unread == 0 && inKernel.unacknowledged == 0) {
+        return;
+    }
+    this->counters.cut.add();
+    if (this->logger == nullptr) {
+        return;
+    }
+    std::uint64_t skippedLines = 0;
+    {
+        const MutexLock lock { this->mutex };
+        if (!this->logRateLimiter.tryAcquire(this->reactor.now())) {
+            return;
+        }
+        skippedLines = this->logRateLimiter.takeSkipped();
+    }
+    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", inKernel.unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", skippedLines } });
+}
+
 void HttpListener::queueHandlers(Connection& connection, PendingCallbacks callbacks)
 {
     if (!callbacks.requests.empty() || !callbacks.disconnected.empty()) {
@@ -326,7 +354,7 @@
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
-                this->close(*connection, callbacks);
+                this->close(*connection, CloseReason::TimedOut, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
@@ -341,7 +369,7 @@
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
             if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0) {
-                this->close(*connection, callbacks);
+                this->close(*connection, CloseReason::Idle, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "adapters/http/ListenerCounters.h"
 #include "adapters/http/MessageReader.h"
+#include "adapters/log/LogRateLimiter.h"
+#include "adapters/log/Logger.h"
 #include "adapters/reactor/HandlerQueue.h"
 #include "adapters/reactor/Reactor.h"
 #include "adapters/reactor/TcpStream.h"
@@ -27,6 +30,8 @@
     std::string headerLines;
     std::string body;
     bool closesConnection {};
+    /// Names the request in log lines. May be empty.
+    std::string requestName;
     /// Reservation of the body's bytes; null if they are not counted.
     std::shared_ptr<BufferReservation> reservation;
 };
@@ -75,12 +80,17 @@
     /// @param budget Must outlive the requests.
     void setBuffers(BufferBudget& budget) noexcept { this->buffers = &budget; }
 
+    /// Logs connections that are cut. Call it before listen(). Without a logger, they are only counted.
+    /// @param target Must outlive the listener.
+    void setLogger(Logger& target) noexcept { this->logger = &target; }
+
     /// Sends the response to a request. Does nothing if the request has ended.
     void respond(HttpRequestId id, OutgoingResponse response);
 
     /// @return The number of requests without a response, and of connections with unsent bytes of one.
     std::size_t openRequests();
     Endpoint localEndpoint() const { return boundEndpoint(this->listener); }
+    const ListenerCounters& statistics() const noexcept { return this->counters; }
 
 private:
     struct Exchange {
@@ -103,6 +113,8 @@
         /// Requests whose responses have not been written, in the order of arrival.
         std::deque<Exchange> exchanges ABSL_GUARDED_BY(mutex);
         Instant lastActiveAt ABSL_GUARDED_BY(mutex);
+        /// Name of the request whose response was written last.
+        std::string lastRequestName ABSL_GUARDED_BY(mutex);
         /// If true, no further request is read and the connection closes after the responses of the open requests.
         bool closesAfterResponses ABSL_GUARDED_BY(mutex) {};
         bool isClosed ABSL_GUARDED_BY(mutex) {};
@@ -132,7 +144,9 @@
     bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
-    void close(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Reports a connection that is about to be closed while its caller may not have received a whole response.
+    void reportIfCut(const Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Queues the handler calls. The caller runs them after it has released the connection's lock.
     void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
@@ -150,10 +164,13 @@
     /// The default leaves as many descriptors of the smallest VM to connections to upstreams.
     std::size_t maxConnections { 2'000 };
     BufferBudget* buffers {};
+    Logger* logger {};
+    ListenerCounters counters;
 
     /// Lock order: after a connection's mutex.
     Mutex mutex;
     CallerLimits limits ABSL_GUARDED_BY(mutex);
+    LogRateLimiter logRateLimiter ABSL_GUARDED_BY(mutex);
     std::uint64_t lastRequestId ABSL_GUARDED_BY(mutex) {};
     absl::flat_hash_map<HttpRequestId, ConnectionPointer> requests ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<Connection*, ConnectionPointer> connections ABSL_GUARDED_BY(mutex);
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -1,9 +1,12 @@
 #include "adapters/reactor/TcpStream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace teaselturn {
@@ -68,6 +71,15 @@
     return StreamState::Open;
 }
 
+KernelBuffers TcpStream::kernelBuffers() const noexcept
+{
+    int unread = 0;
+    int unacknowledged = 0;
+    ioctl(this->socket.number(), SIOCINQ, &unread);
+    ioctl(this->socket.number(), SIOCOUTQ, &unacknowledged);
+    return { static_cast<std::size_t>(std::max(unread, 0)), static_cast<std::size_t>(std::max(unacknowledged, 0)) };
+}
+
 bool TcpStream::isConnected() const
 {
     int error = 0;
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -18,6 +18,14 @@
     Broken,
 };
 
+/// Bytes of a connection that the kernel holds.
+struct KernelBuffers {
+    /// Received and not read. Closing the socket then resets the connection.
+    std::size_t unread {};
+    /// Written and not acknowledged by the peer. A reset drops them.
+    std::size_t unacknowledged {};
+};
+
 /// A non-blocking TCP connection with a buffer of unsent bytes. Not thread-safe.
 class TcpStream {
 public:
@@ -41,6 +49,9 @@
     StreamState flush();
     std::size_t unsentBytes() const noexcept { return this->backlog.size() - this->sentBytes; }
 
+    /// @return What the kernel holds for this connection.
+    KernelBuffers kernelBuffers() const noexcept;
+
     /// @return False if a pending connect has failed.
     bool isConnected() const;
 
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -113,6 +113,7 @@
     if (auto opened = this->gateway.listen(this->options.front); !opened) {
         return opened;
     }
+    this->readiness.setLogger(this->logger);
     if (auto opened = this->readiness.listen(this->options.readiness); !opened) {
         return opened;
     }
@@ -134,7 +135,7 @@
 {
     OutgoingResponse response;
     if (request.target == "/metrics") {
-        response.body = this->gateway.statistics().text();
+        response.body = this->gateway.metricsText();
     } else {
         response.status = !this->isStopping && this->gateway.hasRoutes() ? 200 : 503;
     }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -3,6 +3,7 @@
 #include "adapters/http/CarriedRequests.h"
 #include "adapters/http/HttpListener.h"
 #include "adapters/http/UpstreamConnection.h"
+#include "adapters/log/LogRateLimiter.h"
 #include "adapters/log/Logger.h"
 #include "core/Mutex.h"
 #include "core/dispatch/Dispatcher.h"
@@ -10,7 +11,6 @@
 #include "node/gateway/CallerProtocol.h"
 #include "node/gateway/GatewayCounters.h"
 #include "node/gateway/IdleConnectionPool.h"
-#include "node/gateway/LogRateLimiter.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -77,6 +77,8 @@
     std::size_t openRequests() { return this->listener.openRequests(); }
 
     const GatewayCounters& statistics() const noexcept { return this->counters; }
+    /// @return The metrics in the Prometheus text format.
+    std::string metricsText() const { return this->counters.text(this->listener.statistics()); }
     Endpoint localEndpoint() const { return this->listener.localEndpoint(); }
 
 private:
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -7,9 +7,9 @@
 
 namespace teaselturn {
 
-std::string GatewayCounters::text() const
+std::string GatewayCounters::text(const ListenerCounters& callers) const
 {
-    const std::array<std::pair<std::string_view, const Counter*>, 10> rows { {
+    const std::array<std::pair<std::string_view, const Counter*>, 11> rows { {
         { "teaselturn_requests_received_total", &this->received },
         { "teaselturn_requests_delivered_total", &this->delivered },
         { "teaselturn_requests_refused_total", &this->refused },
@@ -20,12 +20,18 @@
         { "teaselturn_upstream_connections_total", &this->connectionsOpened },
         { "teaselturn_answers_dropped_total", &this->responsesDropped },
         { "teaselturn_responses_over_budget_total", &this->responsesOverBudget },
+        { "teaselturn_caller_connections_cut_total", &callers.cut },
     } };
     std::string out;
     for (const auto& [name, counter] : rows) {
         writeMetricHead(out, name, "counter", name);
         writeSample(out, name, "", counter->value());
     }
+    constexpr std::string_view closedName = "teaselturn_caller_connections_closed_total";
+    writeMetricHead(out, closedName, "counter", "Connections of callers that ended, by reason.");
+    for (std::size_t i = 0; i < closeReasonNames.size(); ++i) {
+        writeSample(out, closedName, writeLabel("reason", closeReasonNames[i]), callers.closed[i].value());
+    }
     constexpr std::string_view latencyName = "teaselturn_request_latency_seconds";
     writeMetricHead(out, latencyName, "summary", "Time from the whole request to the whole answer.");
     for (const auto* quantile : { "0.5", "0.9", "0.99" }) {
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/ListenerCounters.h"
 #include "core/metrics/Counter.h"
 #include "core/metrics/LatencyHistogram.h"
 
@@ -23,8 +24,9 @@
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
 
-    /// @return The counters in the Prometheus text format.
-    std::string text() const;
+    /// @param callers Counters of the listener for callers.
+    /// @return All counters in the Prometheus text format.
+    std::string text(const ListenerCounters& callers) const;
 };
 
 }
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -57,6 +57,7 @@
     , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); } })
 {
     this->listener.setBuffers(this->buffers);
+    this->listener.setLogger(logger);
     reactor.every(gateway::connectionExpiryInterval, [this](Instant) { this->closeExpiredConnections(); });
 }
 
@@ -226,6 +227,7 @@
 void Gateway<Protocol>::respond(Instant, PendingRequestId id, OutgoingResponse response, Effects& effects)
 {
     const auto found = this->pendingRequests.find(id);
+    response.requestName = std::move(found->second.info.requestId);
     effects.responses.push_back({ found->second.requestId, std::move(response) });
     this->pendingRequests.erase(found);
 }
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -134,6 +134,7 @@
     this->isOpen = true;
     this->listener.setMaxConnections(registry::maxControlConnections);
     this->listener.setBuffers(this->buffers);
+    this->listener.setLogger(this->logger);
     if (auto opened = this->listener.listen(this->options.control); !opened) {
         return opened;
     }
