Add failing tests of responses that are reset in the middle

A caller with a small receive buffer reads slowly and goes on sending on its connection. Two related cases fail too: the idle timeout cuts a response that is being read, and a caller that ends its sending direction loses the rest of its response.

--- /dev/null
+++ b/tests/adapters/http/HttpListenerCloseTest.cpp
@@ -0,0 +1,178 @@
+#include "adapters/http/HttpListener.h"
+
+#include "adapters/http/RawUpstream.h"
+#include "adapters/http/SlowCaller.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+
+using namespace teaselturn;
+
+namespace {
+
+/// Fits into the kernel's send buffer on loopback, but not into the receive buffer of a SlowCaller.
+constexpr std::size_t sendBufferBody = 1'024 * 1'024;
+/// Does not fit into the kernel's send buffer.
+constexpr std::size_t longBody = 16 * 1'024 * 1'024;
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A listener whose requests wait until the test responds to them with a long body.
+struct LongResponses {
+    const std::string body;
+    Mutex mutex;
+    std::vector<HttpRequestId> waiting ABSL_GUARDED_BY(mutex);
+    Reactor reactor { 2 };
+    HttpListener listener { reactor, { [this](HttpRequestId id, const ReceivedRequest&) { this->add(id); }, {} } };
+
+    explicit LongResponses(std::size_t bodyBytes = sendBufferBody)
+        : body(bodyBytes, 'x')
+    {
+        REQUIRE(this->listener.listen({ "127.0.0.1", 0 }));
+        this->reactor.start();
+    }
+    ~LongResponses() { this->reactor.stop(); }
+
+    void add(HttpRequestId id)
+    {
+        const MutexLock lock { this->mutex };
+        this->waiting.push_back(id);
+    }
+
+    /// Responds to the oldest request that waits, once there is one.
+    void respond()
+    {
+        REQUIRE(waitUntil([this] {
+            const MutexLock lock { this->mutex };
+            return !this->waiting.empty();
+        }));
+        HttpRequestId id;
+        {
+            const MutexLock lock { this->mutex };
+            id = this->waiting.front();
+            this->waiting.erase(this->waiting.begin());
+        }
+        this->listener.respond(id, { 200, {}, this->body, false, "one", {} });
+    }
+
+    /// @return True once the condition holds, false after 10 s.
+    static bool waitUntil(const std::function<bool()>& condition)
+    {
+        for (int i = 0; i < 1'000; ++i) {
+            if (condition()) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+        }
+        return false;
+    }
+};
+
+}
+
+TEST_CASE("a caller that pipelines gets its whole last response in a planned stop")
+{
+    // The socket was closed once the kernel had the response. The next request then reset the connection, and the bytes in the
+    // send buffer were lost.
+    LongResponses server;
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.listener.beginDrain();
+    server.respond();
+    caller.readAtLeast(1);
+    for (int i = 0; i < 3; ++i) {
+        CHECK(caller.send(request));
+        caller.readAtLeast(caller.received.size() + 1);
+    }
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(server.listener.statistics().cut.value() == 0);
+}
+
+TEST_CASE("a caller that sends without pause gets its whole last response in a planned stop")
+{
+    // Closing a socket with unread bytes resets the connection at once.
+    LongResponses server;
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.listener.beginDrain();
+    server.respond();
+    caller.readAtLeast(1);
+    std::atomic<bool> hasEnded { false };
+    std::thread sender { [&] {
+        while (!hasEnded && caller.send(request)) {
+            std::this_thread::sleep_for(std::chrono::milliseconds { 1 });
+        }
+    } };
+    caller.readToEnd();
+    hasEnded = true;
+    sender.join();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(server.listener.statistics().cut.value() == 0);
+}
+
+TEST_CASE("closing idle connections does not cut a response that the kernel still holds")
+{
+    // The connection has no open request any more, but its caller has not received the response yet.
+    LongResponses server;
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.respond();
+    caller.readAtLeast(1);
+    REQUIRE(LongResponses::waitUntil([&] { return server.listener.openRequests() == 0; }));
+    server.listener.closeIdle();
+    CHECK(caller.send(request));
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(server.listener.statistics().cut.value() == 0);
+}
+
+TEST_CASE("a response that closes its connection is not cut in calm")
+{
+    // Requests with "Connection: close" and malformed requests close their connection at any time.
+    LongResponses server;
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+    server.respond();
+    caller.readAtLeast(1);
+    CHECK(caller.send(request));
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(server.listener.statistics().cut.value() == 0);
+}
+
+TEST_CASE("a response that its caller reads slower than the idle timeout is not cut")
+{
+    // The idle timeout counted from the moment at which the response was decided, whether or not it was sent.
+    LongResponses server { longBody };
+    CallerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds { 200 };
+    server.listener.setLimits(limits);
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.respond();
+    constexpr std::size_t readBytes = 256 * 1'024;
+    while (caller.received.size() < longBody && caller.readSome()) {
+        caller.readAtLeast(caller.received.size() + readBytes);
+        std::this_thread::sleep_for(std::chrono::milliseconds { 20 });
+    }
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(server.listener.statistics().cut.value() == 0);
+}
+
+TEST_CASE("a caller that ends its sending direction gets the rest of its response")
+{
+    // The part of the response that the kernel had not taken was dropped.
+    LongResponses server { longBody };
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.respond();
+    caller.readAtLeast(1);
+    caller.endSending();
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+}
--- /dev/null
+++ b/tests/adapters/http/SlowCaller.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "adapters/peer/Socket.h"
+
+#include <array>
+#include <catch2/catch.hpp>
+#include <cerrno>
+#include <string>
+#include <string_view>
+#include <sys/socket.h>
+
+/// A caller whose kernel buffers little, so that most of a long response waits in the send buffer of the server until the
+/// caller reads it.
+class SlowCaller {
+public:
+    /// How a connection ended.
+    enum class End {
+        Orderly,
+        Reset,
+        TimedOut,
+    };
+
+    explicit SlowCaller(const teaselturn::Endpoint& server)
+        : socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        constexpr int receiveBufferBytes = 16 * 1'024;
+        setsockopt(this->socket.number(), SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+        const timeval receiveTimeout { 10, 0 };
+        setsockopt(this->socket.number(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
+        const auto address = teaselturn::toSocketAddress(server);
+        REQUIRE(address);
+        REQUIRE(connect(this->socket.number(), address->pointer(), address->length) == 0);
+    }
+
+    /// @return True if the kernel took all bytes.
+    bool send(std::string_view bytes) const
+    {
+        return ::send(this->socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size());
+    }
+
+    /// Ends the sending direction; the receiving direction stays open.
+    void endSending() const { shutdown(this->socket.number(), SHUT_WR); }
+
+    /// Reads once.
+    /// @return False if the connection has ended, or nothing arrived for 10 s.
+    bool readSome()
+    {
+        std::array<char, 4'096> buffer {};
+        const auto count = recv(this->socket.number(), buffer.data(), buffer.size(), 0);
+        if (count > 0) {
+            this->received.append(buffer.data(), static_cast<std::size_t>(count));
+        } else if (count == 0) {
+            this->end = End::Orderly;
+        } else {
+            this->end = errno == EAGAIN || errno == EWOULDBLOCK ? End::TimedOut : End::Reset;
+        }
+        return count > 0;
+    }
+
+    /// Reads until so many bytes have arrived, or the connection has ended.
+    void readAtLeast(std::size_t bytes)
+    {
+        while (this->received.size() < bytes && this->readSome()) {
+        }
+    }
+
+    void readToEnd()
+    {
+        while (this->readSome()) {
+        }
+    }
+
+    /// @return The bytes behind the first head.
+    std::string_view receivedBody() const
+    {
+        constexpr std::string_view headEnd = "\r\n\r\n";
+        const auto position = this->received.find(headEnd);
+        return position == std::string::npos ? std::string_view {} : std::string_view { this->received }.substr(position + headEnd.size());
+    }
+
+    std::string received;
+    End end { End::TimedOut };
+
+private:
+    teaselturn::FileDescriptor socket;
+};
--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -1,6 +1,7 @@
 #include "node/gateway/EntryDaemon.h"
 
 #include "adapters/http/RawUpstream.h"
+#include "adapters/http/SlowCaller.h"
 #include "node/gateway/LoopbackGateway.h"
 
 #include <absl/synchronization/notification.h>
@@ -49,11 +50,13 @@
     std::unique_ptr<PeerTransport> transport;
 };
 
-/// An entry VM with one route to an upstream that reads requests and never responds.
+/// An entry VM with one route to an upstream that reads requests and never responds, unless it has a response.
 struct EntryFixture {
     std::atomic<int> received { 0 };
+    const std::string response;
     RawUpstream upstream { [this](Connection& connection, int) {
         this->received += RawUpstream::readRequest(connection).empty() ? 0 : 1;
+        RawUpstream::respond(connection, this->response);
         RawUpstream::waitForClose(connection);
     } };
     FakeMember member;
@@ -64,8 +67,9 @@
     /// Port for callers, which the daemon closes later.
     Endpoint front;
 
-    EntryFixture(std::chrono::milliseconds routeTimeout, std::chrono::milliseconds gracePeriod)
-        : member(makeLog(this->upstream.endpoint(), routeTimeout))
+    EntryFixture(std::chrono::milliseconds routeTimeout, std::chrono::milliseconds gracePeriod, std::string response = {})
+        : response(std::move(response))
+        , member(makeLog(this->upstream.endpoint(), routeTimeout))
         , daemon(this->reactor, *this->logger, makeOptions(this->member.port(), gracePeriod), [this] { this->hasStopped.Notify(); })
     {
         REQUIRE(this->daemon.open());
@@ -165,3 +169,23 @@
     fixture.reactor.stop();
     CHECK(fixture.receive(*caller).starts_with("HTTP/1.1 502"));
 }
+
+TEST_CASE("the process of a planned stop does not end before its callers have received their responses")
+{
+    // The process ended while the kernel held most of a response. Bytes that the caller sent afterwards reset the connection.
+    const std::string body(1'024 * 1'024, 'x');
+    EntryFixture fixture { milliseconds { 5'000 }, milliseconds { 15'000 },
+        "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nUpstream-Signature: s\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body };
+    static_cast<void>(fixture.connectCaller());
+    SlowCaller caller { fixture.front };
+    REQUIRE(caller.send(callerRequest("one", "/r/x", "5000")));
+    caller.readAtLeast(1);
+    fixture.daemon.beginStop();
+    fixture.waitUntilClosed();
+    CHECK_FALSE(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Milliseconds(500)));
+    CHECK(caller.send(callerRequest("two")));
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Seconds(20)));
+}
