Close connections of callers without a reset

Cause: a listener called close() as soon as the kernel had taken the last byte of a response. The kernel resets a connection that is closed with unread input, and one on which input arrives after close(); the reset drops what the send buffer holds. Callers that pipeline send such input as a rule, and a link of 2.5 Mbit/s keeps a response of 30 KB in the send buffer for 0.1 s.

GracefulClose ends the sending direction only, discards input, and lets the owner close the socket when the caller has ended its direction too, when a caller that has acknowledged everything does not close for 2 s, or when one acknowledges nothing for 5 s. HttpListener uses it for the last response of a connection, for idle connections and for time limits, so for callers, control requests, readiness and metrics alike.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -11,7 +11,6 @@
     constexpr std::size_t maxPipelinedRequests = 16;
     /// A connection fails if the caller leaves sent bytes unacknowledged for this long.
     constexpr std::chrono::milliseconds callerUserTimeout { 5'000 };
-    constexpr std::chrono::milliseconds timeoutCheckInterval { 250 };
     constexpr unsigned statusUnavailable = 503;
     constexpr std::size_t disconnectEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
 
@@ -28,7 +27,7 @@
 HttpListener::HttpListener(Reactor& reactor, Handlers handlers)
     : reactor(reactor)
     , handlers(std::move(handlers))
-    , timeoutTimer(reactor.every(timeoutCheckInterval, [this](Instant now) { this->closeTimedOut(now); }))
+    , timeoutTimer(reactor.every(GracefulClose::checkInterval, [this](Instant now) { this->closeTimedOut(now); }))
 {
 }
 
@@ -110,6 +109,12 @@
             return;
         }
         PendingCallbacks callbacks;
+        if (connection->closing) {
+            if (connection->closing->discardInput()) {
+                this->close(*connection, connection->closeReason, callbacks);
+            }
+            return;
+        }
         auto state = connection->stream.flush();
         // The input of a caller that sends faster than its requests are answered stays in the socket.
         connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
@@ -122,7 +127,7 @@
         if (state == StreamState::Open) {
             this->readRequests(connection, callbacks);
             this->writeResponses(*connection, callbacks);
-            if (!connection->isClosed && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
+            if (!connection->isClosed && !connection->closing && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
                 this->continueReading(connection, events);
             }
         } else {
@@ -230,18 +235,12 @@
         connection.unsentReservations.clear();
     }
     if (connection.closesAfterResponses && connection.exchanges.empty() && connection.stream.unsentBytes() == 0) {
-        this->close(connection, CloseReason::LastResponse, callbacks);
+        this->beginClose(connection, CloseReason::LastResponse, callbacks);
     }
 }
 
-void HttpListener::close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
+void HttpListener::cancelRequests(Connection& connection, PendingCallbacks& callbacks)
 {
-    if (connection.isClosed) {
-        return;
-    }
-    connection.isClosed = true;
-    this->counters.closedFor(reason).add();
-    this->reportIfCut(connection, reason);
     for (const auto& exchange : connection.exchanges) {
         if (exchange.id != HttpRequestId {} && !exchange.response) {
             callbacks.disconnected.push_back(exchange.id);
@@ -250,6 +249,31 @@
     connection.exchanges.clear();
     connection.reservation.reset();
     connection.unsentReservations.clear();
+}
+
+void HttpListener::beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
+{
+    if (connection.isClosed || connection.closing) {
+        return;
+    }
+    cancelRequests(connection, callbacks);
+    connection.input = {};
+    connection.closeReason = reason;
+    connection.closing.emplace(connection.stream.descriptor().number(), this->reactor.now());
+    if (connection.closing->discardInput()) {
+        this->close(connection, reason, callbacks);
+    }
+}
+
+void HttpListener::close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
+{
+    if (connection.isClosed) {
+        return;
+    }
+    connection.isClosed = true;
+    this->counters.closedFor(reason).add();
+    this->reportIfCut(connection, reason);
+    cancelRequests(connection, callbacks);
     this->reactor.remove(connection.stream.descriptor(), connection.watchId);
     connection.stream.close();
     const MutexLock lock { this->mutex };
@@ -261,7 +285,7 @@
     if (reason == CloseReason::CallerEnded || reason == CloseReason::CallerReset) {
         return;
     }
-    const auto inKernel = connection.stream.kernelBuffers();
+    const auto inKernel = kernelBuffers(connection.stream.descriptor().number());
     const auto unsent = connection.stream.unsentBytes();
     if (unsent == 0 && inKernel.unread == 0 && inKernel.unacknowledged == 0) {
         return;
@@ -320,7 +344,7 @@
     }
     {
         const MutexLock lock { connection->mutex };
-        if (connection->isClosed) {
+        if (connection->isClosed || connection->closing) {
             return;
         }
         PendingCallbacks callbacks;
@@ -329,7 +353,7 @@
             exchange->response = std::move(response);
         }
         this->writeResponses(*connection, callbacks);
-        if (!connection->isClosed) {
+        if (!connection->isClosed && !connection->closing) {
             this->readRequests(connection, callbacks);
             if (std::exchange(connection->isReadPaused, false)) {
                 this->continueReading(connection, EPOLLIN);
@@ -351,10 +375,16 @@
         {
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
+            if (connection->closing) {
+                if (connection->closing->isExpired(now)) {
+                    this->close(*connection, connection->closeReason, callbacks);
+                }
+                continue;
+            }
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
-                this->close(*connection, CloseReason::TimedOut, callbacks);
+                this->beginClose(*connection, CloseReason::TimedOut, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
@@ -369,7 +399,7 @@
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
             if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0) {
-                this->close(*connection, CloseReason::Idle, callbacks);
+                this->beginClose(*connection, CloseReason::Idle, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
@@ -388,4 +418,14 @@
     return this->requests.size() + unsent;
 }
 
+std::size_t HttpListener::closingConnections()
+{
+    std::size_t count = 0;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        count += connection->closing && !connection->isClosed ? 1 : 0;
+    }
+    return count;
+}
+
 }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -4,6 +4,7 @@
 #include "adapters/http/MessageReader.h"
 #include "adapters/log/LogRateLimiter.h"
 #include "adapters/log/Logger.h"
+#include "adapters/reactor/GracefulClose.h"
 #include "adapters/reactor/HandlerQueue.h"
 #include "adapters/reactor/Reactor.h"
 #include "adapters/reactor/TcpStream.h"
@@ -89,6 +90,8 @@
 
     /// @return The number of requests without a response, and of connections with unsent bytes of one.
     std::size_t openRequests();
+    /// @return The number of connections whose sending direction has ended and whose callers may not have received everything.
+    std::size_t closingConnections();
     Endpoint localEndpoint() const { return boundEndpoint(this->listener); }
     const ListenerCounters& statistics() const noexcept { return this->counters; }
 
@@ -118,6 +121,9 @@
         /// If true, no further request is read and the connection closes after the responses of the open requests.
         bool closesAfterResponses ABSL_GUARDED_BY(mutex) {};
         bool isClosed ABSL_GUARDED_BY(mutex) {};
+        /// Set once the sending direction has ended.
+        std::optional<GracefulClose> closing ABSL_GUARDED_BY(mutex);
+        CloseReason closeReason ABSL_GUARDED_BY(mutex) {};
         /// True while input is left in the socket because the caller sent more requests than may be open.
         bool isReadPaused ABSL_GUARDED_BY(mutex) {};
 
@@ -144,7 +150,11 @@
     bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Ends the sending direction of a connection without unsent bytes. It closes when its caller has ended too.
+    void beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Closes the socket.
     void close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    static void cancelRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Reports a connection that is about to be closed while its caller may not have received a whole response.
     void reportIfCut(const Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Queues the handler calls. The caller runs them after it has released the connection's lock.
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -71,12 +71,12 @@
     return StreamState::Open;
 }
 
-KernelBuffers TcpStream::kernelBuffers() const noexcept
+KernelBuffers kernelBuffers(int descriptor) noexcept
 {
     int unread = 0;
     int unacknowledged = 0;
-    ioctl(this->socket.number(), SIOCINQ, &unread);
-    ioctl(this->socket.number(), SIOCOUTQ, &unacknowledged);
+    ioctl(descriptor, SIOCINQ, &unread);
+    ioctl(descriptor, SIOCOUTQ, &unacknowledged);
     return { static_cast<std::size_t>(std::max(unread, 0)), static_cast<std::size_t>(std::max(unacknowledged, 0)) };
 }
 
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -26,6 +26,9 @@
     std::size_t unacknowledged {};
 };
 
+/// @return What the kernel holds for a connected socket.
+KernelBuffers kernelBuffers(int descriptor) noexcept;
+
 /// A non-blocking TCP connection with a buffer of unsent bytes. Not thread-safe.
 class TcpStream {
 public:
@@ -49,9 +52,6 @@
     StreamState flush();
     std::size_t unsentBytes() const noexcept { return this->backlog.size() - this->sentBytes; }
 
-    /// @return What the kernel holds for this connection.
-    KernelBuffers kernelBuffers() const noexcept;
-
     /// @return False if a pending connect has failed.
     bool isConnected() const;
 
