Let callers receive their responses before a stopped entry VM ends

Callers of an entry VM in a planned stop could lose the end of a response when the process ended: it waited until the kernel had taken all bytes, not until the callers had them, and the kernel answers bytes that arrive after the end with a reset, which drops the send buffer.

--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -22,7 +22,7 @@
     DispatchOptions dispatch;
     /// Limit of the bytes of requests and responses that are held at once.
     std::size_t bufferBytes { BufferBudget::defaultLimit };
-    /// Maximum time between beginStop() and the end of the process.
+    /// Time between beginStop() and the end of requests in progress. The process ends EntryDaemon::deliveryTime later at most.
     std::chrono::milliseconds gracePeriod { 5'000 };
 };
 
@@ -61,6 +61,9 @@
     /// Replaces the seeds after a change of the settings.
     void setSeeds(std::span<const NodeId> seeds);
 
+    /// Time after the grace period in which callers may receive what was sent to them.
+    static constexpr std::chrono::milliseconds deliveryTime { 200 };
+
 private:
     /// The load balancer removes a VM after two failed health checks, which it sends once a second.
     static constexpr std::chrono::milliseconds balancerRemovalTime { 2'600 };
@@ -218,14 +221,16 @@
 {
     this->gateway.closeIdle();
     const auto open = this->gateway.openRequests();
-    const bool isPastDeadline = this->reactor.now() >= this->drainDeadline;
-    if (open > 0 && isPastDeadline && !this->hasEndedRequests.exchange(true)) {
-        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open } });
-        // The process ends at the next call, when the responses have been written.
+    const auto closing = this->gateway.closingConnections();
+    const auto now = this->reactor.now();
+    if (open > 0 && now >= this->drainDeadline && !this->hasEndedRequests.exchange(true)) {
+        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open }, { "closing", closing } });
         this->gateway.endOpenRequests();
         return;
     }
-    if ((open == 0 || isPastDeadline) && !this->hasStopped.exchange(true)) {
+    // The kernel resets connections whose callers send after the end of the process, so it waits until they have closed.
+    const bool isDrained = open == 0 && closing == 0;
+    if ((isDrained || now >= this->drainDeadline + deliveryTime) && !this->hasStopped.exchange(true)) {
         this->onStopped();
     }
 }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -75,6 +75,7 @@
     void endOpenRequests();
     void closeIdle() { this->listener.closeIdle(); }
     std::size_t openRequests() { return this->listener.openRequests(); }
+    std::size_t closingConnections() { return this->listener.closingConnections(); }
 
     const GatewayCounters& statistics() const noexcept { return this->counters; }
     /// @return The metrics in the Prometheus text format.
