Do not close a connection for idleness while its response is being sent

A caller that reads a long response slowly lost the rest of it in calm: the idle timeout counted from the moment at which the response was decided, and closed the connection although bytes of it were unsent.

A connection with unsent bytes is not idle, and the timeout counts from the moment at which the kernel has taken them all.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -115,7 +115,11 @@
             }
             return;
         }
+        const bool wasSending = connection->stream.unsentBytes() > 0;
         auto state = connection->stream.flush();
+        if (wasSending && connection->stream.unsentBytes() == 0) {
+            connection->lastActiveAt = this->reactor.now();
+        }
         // The input of a caller that sends faster than its requests are answered stays in the socket.
         connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
         if (state == StreamState::Open && !connection->isReadPaused && (events & (EPOLLIN | disconnectEvents)) != 0) {
@@ -383,7 +387,8 @@
             }
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
-            if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
+            // TCP_USER_TIMEOUT bounds the time of a caller that stops reading a response.
+            if (connection->exchanges.empty() && connection->stream.unsentBytes() == 0 && now - connection->lastActiveAt > timeout) {
                 this->beginClose(*connection, CloseReason::TimedOut, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
