Send the rest of a response to a caller that has ended its sending direction

A caller that ends its sending direction after its request and reads a long response slowly lost what the kernel had not taken: the listener took the end of the input for the end of the connection.

The unsent bytes of responses are now sent before the connection closes. If the caller has closed it whole, sending fails and the connection closes then. Requests without a response are still cancelled at once.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -134,6 +134,9 @@
             if (!connection->isClosed && !connection->closing && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
                 this->continueReading(connection, events);
             }
+        } else if (state == StreamState::Ended && connection->stream.unsentBytes() > 0) {
+            // The caller may have ended its sending direction only. If it has closed, sending the rest fails.
+            cancelRequests(*connection, callbacks);
         } else {
             this->close(*connection, state == StreamState::Ended ? CloseReason::CallerEnded : CloseReason::CallerReset, callbacks);
         }
@@ -252,7 +255,6 @@
     }
     connection.exchanges.clear();
     connection.reservation.reset();
-    connection.unsentReservations.clear();
 }
 
 void HttpListener::beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
@@ -278,6 +280,7 @@
     this->counters.closedFor(reason).add();
     this->reportIfCut(connection, reason);
     cancelRequests(connection, callbacks);
+    connection.unsentReservations.clear();
     this->reactor.remove(connection.stream.descriptor(), connection.watchId);
     connection.stream.close();
     const MutexLock lock { this->mutex };
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -154,6 +154,7 @@
     void beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Closes the socket.
     void close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Reports the requests without a response as disconnected.
     static void cancelRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Reports a connection that is about to be closed while its caller may not have received a whole response.
     void reportIfCut(const Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
