Accept the connections that wait when a listener closes its port

Callers that had connected and sent a request while the workers were busy were reset when a planned stop closed the port: the kernel resets the connections of a listening socket's queue with it. The listening socket could also be closed while another worker accepted on it.

stopListening() accepts what waits before it closes the port, and a mutex orders the two.

Evidence: "a request on a connection that waits to be accepted is served if the port closes" failed before and passes now.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -59,14 +59,21 @@
     if (!opened) {
         return opened.failure();
     }
+    const MutexLock lock { this->listenerMutex };
     this->listener = std::move(*opened);
-    this->listenerWatchId = this->reactor.add(this->listener, [this](std::uint32_t) { this->accept(); });
+    this->listenerWatchId = this->reactor.add(this->listener, [this](std::uint32_t) {
+        const MutexLock handlerLock { this->listenerMutex };
+        this->accept();
+    });
     return success();
 }
 
 void HttpListener::stopListening()
 {
+    const MutexLock lock { this->listenerMutex };
     if (this->listener) {
+        // The kernel resets connections that are not accepted when the port closes.
+        this->accept();
         this->reactor.remove(this->listener, this->listenerWatchId);
         this->listener = FileDescriptor {};
     }
@@ -86,6 +93,9 @@
 
 void HttpListener::accept()
 {
+    if (!this->listener) {
+        return;
+    }
     while (auto socket = acceptConnection(this->listener, callerUserTimeout)) {
         auto connection = std::make_shared<Connection>(std::move(socket), this->readLimits());
         const MutexLock connectionLock { connection->mutex };
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -66,7 +66,7 @@
     /// Starts to accept connections.
     /// @return ListenFailed if the endpoint cannot be bound.
     Status listen(const Endpoint& endpoint);
-    /// Stops accepting connections.
+    /// Accepts the connections that callers have opened so far, then closes the port.
     void stopListening();
     /// Sends "Connection: close" with later responses. Idle connections stay open until closeIdle().
     void beginDrain() noexcept { this->isDraining = true; }
@@ -92,7 +92,12 @@
     std::size_t openRequests();
     /// @return The number of connections whose sending direction has ended and whose callers may not have received everything.
     std::size_t closingConnections();
-    Endpoint localEndpoint() const { return boundEndpoint(this->listener); }
+    /// @return The address that the listener was bound to.
+    Endpoint localEndpoint() const
+    {
+        const MutexLock lock { this->listenerMutex };
+        return boundEndpoint(this->listener);
+    }
     const ListenerCounters& statistics() const noexcept { return this->counters; }
 
 private:
@@ -141,7 +146,7 @@
         std::vector<HttpRequestId> disconnected;
     };
 
-    void accept();
+    void accept() ABSL_EXCLUSIVE_LOCKS_REQUIRED(listenerMutex);
     void handleEvents(const ConnectionPointer& connection, std::uint32_t events);
     /// Handles the events again later.
     void continueReading(const ConnectionPointer& connection, std::uint32_t events);
@@ -168,8 +173,10 @@
 
     Reactor& reactor;
     Handlers handlers;
-    FileDescriptor listener;
-    std::uint64_t listenerWatchId {};
+    /// Lock order: before a connection's mutex.
+    mutable Mutex listenerMutex;
+    FileDescriptor listener ABSL_GUARDED_BY(listenerMutex);
+    std::uint64_t listenerWatchId ABSL_GUARDED_BY(listenerMutex) {};
     TimerId timeoutTimer;
     std::atomic<bool> isDraining { false };
     /// The default leaves as many descriptors of the smallest VM to connections to upstreams.
--- a/tests/adapters/http/HttpListenerCloseTest.cpp
+++ b/tests/adapters/http/HttpListenerCloseTest.cpp
@@ -3,6 +3,7 @@
 #include "adapters/http/RawUpstream.h"
 #include "adapters/http/SlowCaller.h"
 
+#include <absl/synchronization/notification.h>
 #include <atomic>
 #include <catch2/catch.hpp>
 
@@ -176,3 +177,51 @@
     CHECK(caller.receivedBody().size() == server.body.size());
     CHECK(caller.end == SlowCaller::End::Orderly);
 }
+
+namespace {
+
+/// A listener with one worker, which the request of a caller blocks until the test releases it, so that later input stays
+/// in the kernel. All requests get an empty response.
+struct BlockedListener {
+    absl::Notification isBlocked;
+    absl::Notification isReleased;
+    Reactor reactor { 1 };
+    HttpListener listener { reactor, { [this](HttpRequestId id, const ReceivedRequest& received) {
+                                          if (received.target == "/block") {
+                                              this->isBlocked.Notify();
+                                              this->isReleased.WaitForNotification();
+                                          }
+                                          this->listener.respond(id, {});
+                                      },
+                                         {} } };
+
+    BlockedListener()
+    {
+        REQUIRE(this->listener.listen({ "127.0.0.1", 0 }));
+        this->reactor.start();
+    }
+    ~BlockedListener()
+    {
+        if (!this->isReleased.HasBeenNotified()) {
+            this->isReleased.Notify();
+        }
+        this->reactor.stop();
+    }
+};
+
+}
+
+TEST_CASE("a request on a connection that waits to be accepted is served if the port closes")
+{
+    // Closing the port resets connections in its queue.
+    BlockedListener server;
+    SlowCaller blocking { server.listener.localEndpoint() };
+    REQUIRE(blocking.send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n"));
+    server.isBlocked.WaitForNotification();
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    server.listener.stopListening();
+    server.isReleased.Notify();
+    caller.readAtLeast(1);
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+}
