Serve requests that have arrived when idle connections are closed

A request that the kernel had received and no worker had read yet got no response in a planned stop: its connection passed for an idle one.

Evidence: "a request that has arrived is served if idle connections are closed before it is read" failed before and passes now.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -410,13 +410,18 @@
     }
 }
 
+bool HttpListener::hasUnreadInput(const Connection& connection)
+{
+    return !connection.closing && kernelBuffers(connection.stream.descriptor().number()).unread > 0;
+}
+
 void HttpListener::closeIdle()
 {
     for (const auto& connection : this->allConnections()) {
         {
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
-            if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0) {
+            if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0 && !hasUnreadInput(*connection)) {
                 this->beginClose(*connection, CloseReason::Idle, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -70,7 +70,8 @@
     void stopListening();
     /// Sends "Connection: close" with later responses. Idle connections stay open until closeIdle().
     void beginDrain() noexcept { this->isDraining = true; }
-    /// Closes connections that have no open request, no partly received one and no unsent bytes of a response.
+    /// Closes connections that have no open request, no partly received one, no unread input and no unsent bytes of a
+    /// response.
     void closeIdle();
 
     void setLimits(const CallerLimits& limits);
@@ -167,6 +168,8 @@
     void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
     void closeTimedOut(Instant now);
+    /// @return True if a request may have arrived that no worker has read yet.
+    static bool hasUnreadInput(const Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     std::vector<ConnectionPointer> allConnections();
     HttpRequestId registerRequest(const ConnectionPointer& connection);
     ReadLimits readLimits();
--- a/tests/adapters/http/HttpListenerCloseTest.cpp
+++ b/tests/adapters/http/HttpListenerCloseTest.cpp
@@ -211,6 +211,24 @@
 
 }
 
+TEST_CASE("a request that has arrived is served if idle connections are closed before it is read")
+{
+    // Its connection passed for an idle one, and the request got no response.
+    BlockedListener server;
+    SlowCaller blocking { server.listener.localEndpoint() };
+    SlowCaller caller { server.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    caller.readAtLeast(1);
+    const auto firstBytes = caller.received.size();
+    REQUIRE(blocking.send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n"));
+    server.isBlocked.WaitForNotification();
+    REQUIRE(caller.send(request));
+    server.listener.closeIdle();
+    server.isReleased.Notify();
+    caller.readAtLeast(firstBytes + 1);
+    CHECK(caller.received.size() == 2 * firstBytes);
+}
+
 TEST_CASE("a request on a connection that waits to be accepted is served if the port closes")
 {
     // Closing the port resets connections in its queue.
