Close connections of the product's own front end without a reset

Callers of the product's own front end, and of the administration API, could lose the end of a response: after the last response of a connection, and in a drain after 500 ms without a request, the server ended the sending direction, discarded what had arrived, and closed the socket at once. Input that came later reset the connection, the same cause as in the entry VMs of the platform.

A closing connection now stays with the server's thread until its caller has ended too or GracefulClose reaches a limit; drain() waits for it. Connection uses the address parsing of Socket.h, of which it had a copy.

--- a/src/adapters/http/Connection.cpp
+++ b/src/adapters/http/Connection.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/Connection.h"
 
 #include "adapters/clock/SteadyClock.h"
+#include "adapters/peer/Socket.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -22,31 +23,6 @@
     constexpr std::size_t inputBufferBytes = 16 * 1024;
     constexpr int listenBacklog = 1024;
 
-    struct SocketAddress {
-        sockaddr_storage storage {};
-        socklen_t length {};
-    };
-
-    bool parseAddress(std::string_view address, std::uint16_t port, SocketAddress& result)
-    {
-        const std::string text { address };
-        auto* v4 = reinterpret_cast<sockaddr_in*>(&result.storage);
-        if (inet_pton(AF_INET, text.c_str(), &v4->sin_addr) == 1) {
-            v4->sin_family = AF_INET;
-            v4->sin_port = htons(port);
-            result.length = sizeof(sockaddr_in);
-            return true;
-        }
-        auto* v6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
-        if (inet_pton(AF_INET6, text.c_str(), &v6->sin6_addr) == 1) {
-            v6->sin6_family = AF_INET6;
-            v6->sin6_port = htons(port);
-            result.length = sizeof(sockaddr_in6);
-            return true;
-        }
-        return false;
-    }
-
     void setNoDelay(int descriptor) noexcept
     {
         const int on = 1;
@@ -81,16 +57,16 @@
 
 Result<std::unique_ptr<Connection>> Connection::connect(const Endpoint& endpoint, Instant deadline)
 {
-    SocketAddress address;
-    if (!parseAddress(endpoint.address, endpoint.port, address)) {
-        return { ResultCode::HttpUnreachable, "\"" + endpoint.address + "\" is not an IP address" };
+    const auto address = toSocketAddress(endpoint);
+    if (!address) {
+        return { ResultCode::HttpUnreachable, address.failure().detail };
     }
-    const int descriptor = ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int descriptor = ::socket(address->storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (descriptor < 0) {
         return { ResultCode::HttpUnreachable, systemMessage(errno) };
     }
     auto connection = std::make_unique<Connection>(descriptor, endpoint.address);
-    if (::connect(descriptor, reinterpret_cast<sockaddr*>(&address.storage), address.length) == 0) {
+    if (::connect(descriptor, address->pointer(), address->length) == 0) {
         return connection;
     }
     if (errno != EINPROGRESS) {
@@ -273,24 +249,21 @@
     return ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void Connection::finishSending() noexcept
+GracefulClose Connection::finishSending(Instant now) noexcept
 {
     if (this->tls) {
         SSL_shutdown(this->tls.get());
     }
-    ::shutdown(this->descriptor, SHUT_WR);
-    constexpr int maxReads = 64;
-    char discarded[4096];
-    for (int i = 0; i<maxReads&& ::recv(this->descriptor, discarded, sizeof discarded, MSG_DONTWAIT)> 0; ++i) {
-    }
+    return GracefulClose { this->descriptor, now };
 }
 
 Result<int> listenOn(std::string_view address, std::uint16_t& port)
 {
-    SocketAddress parsed;
-    if (!parseAddress(address, port, parsed)) {
-        return { ResultCode::ListenFailed, "\"" + std::string { address } + "\" is not an IP address" };
+    const auto found = toSocketAddress({ std::string { address }, port });
+    if (!found) {
+        return { ResultCode::ListenFailed, found.failure().detail };
     }
+    auto parsed = *found;
     const int descriptor = ::socket(parsed.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
     if (descriptor < 0 || setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0
--- a/src/adapters/http/Connection.h
+++ b/src/adapters/http/Connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/reactor/GracefulClose.h"
 #include "teaselturn/Result.h"
 #include "teaselturn/Types.h"
 
@@ -60,9 +61,9 @@
     /// @return True if the connection is open and no bytes have arrived, so that it can carry another request.
     bool isIdle() const noexcept;
 
-    /// Shuts down the sending direction and discards input that has already arrived. Closing a socket with unread input
-    /// resets the connection, and the peer could lose a response just written.
-    void finishSending() noexcept;
+    /// Ends the sending direction.
+    /// @return The rest of the close. It must not outlive the connection.
+    GracefulClose finishSending(Instant now) noexcept;
 
     int socketDescriptor() const noexcept { return this->descriptor; }
     std::string_view remoteIp() const noexcept { return this->remoteAddress; }
--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -21,6 +21,8 @@
 namespace {
 
     constexpr std::uint32_t requestEvents = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
+    /// Edge-triggered, since input beyond GracefulClose::maxDiscardedBytes stays unread.
+    constexpr std::uint32_t closingEvents = EPOLLIN | EPOLLRDHUP | EPOLLET;
     /// Maximum time between two checks for idle connections.
     constexpr std::chrono::seconds maxPollInterval { 60 };
     /// Maximum requests of one connection that a worker serves before it serves other connections.
@@ -196,8 +198,8 @@
         }
         this->accept(now);
         this->submitWaiting();
-        if (now >= nextCheck || this->isDraining) {
-            nextCheck = this->closeIdle(now);
+        if (now >= nextCheck || this->isDraining || this->isCloseCheckDue.exchange(false)) {
+            nextCheck = this->closeDue(now);
             if (this->listenerCloseAt && *this->listenerCloseAt > now) {
                 nextCheck = std::min(nextCheck, *this->listenerCloseAt);
             }
@@ -253,9 +255,20 @@
 
 void HttpServer::startServing(int descriptor)
 {
+    // Destroyed after the lock is released.
+    std::unique_ptr<Connection> closed;
     const MutexLock lock { this->mutex };
     const auto entry = this->connections.find(descriptor);
-    if (entry != this->connections.end() && !entry->second.isBeingServed) {
+    if (entry == this->connections.end()) {
+        return;
+    }
+    if (entry->second.closing) {
+        if (entry->second.closing->discardInput()) {
+            closed = std::move(entry->second.connection);
+            this->connections.erase(entry);
+            this->changed.notifyAll();
+        }
+    } else if (!entry->second.isBeingServed) {
         entry->second.isBeingServed = true;
         this->readyConnections.push_back(descriptor);
     }
@@ -277,11 +290,7 @@
 
 void HttpServer::serve(int descriptor, Connection& connection)
 {
-    const bool canKeep = this->serveRequests(connection);
-    if (!canKeep) {
-        connection.finishSending();
-    }
-    this->finishServing(descriptor, canKeep);
+    this->finishServing(descriptor, this->serveRequests(connection));
 }
 
 bool HttpServer::serveRequests(Connection& connection)
@@ -313,9 +322,13 @@
     const MutexLock lock { this->mutex };
     auto& entry = this->connections.at(descriptor);
     if (!canKeep) {
-        closed = std::move(entry.connection);
-        this->connections.erase(descriptor);
-        this->changed.notifyAll();
+        if (this->beginClose(descriptor, entry, now)) {
+            closed = std::move(entry.connection);
+            this->connections.erase(descriptor);
+            this->changed.notifyAll();
+        } else {
+            this->isCloseCheckDue = true;
+        }
     } else if (entry.connection->hasBufferedInput()) {
         this->readyConnections.push_back(descriptor);
     } else {
@@ -323,12 +336,19 @@
         entry.idleSince = now;
         this->watch(descriptor, EPOLL_CTL_MOD, requestEvents);
     }
-    if (!this->readyConnections.empty() || !this->isListenerWatched || this->isDraining) {
+    if (!this->readyConnections.empty() || !this->isListenerWatched || this->isDraining || this->isCloseCheckDue) {
         this->wake();
     }
 }
 
-Instant HttpServer::closeIdle(Instant now)
+bool HttpServer::beginClose(int descriptor, Entry& entry, Instant now)
+{
+    entry.closing.emplace(entry.connection->finishSending(now));
+    this->watch(descriptor, EPOLL_CTL_MOD, closingEvents);
+    return entry.closing->discardInput();
+}
+
+Instant HttpServer::closeDue(Instant now)
 {
     if (this->isDraining && this->drainSince == Instant {}) {
         this->drainSince = now;
@@ -341,12 +361,15 @@
         for (auto entry = this->connections.begin(); entry != this->connections.end();) {
             auto& [descriptor, state] = *entry;
             const auto due = std::max(state.idleSince, this->drainSince) + idleTime;
-            if (!state.isBeingServed && due <= now && state.connection->isIdle()) {
+            const bool isIdle = !state.closing && !state.isBeingServed && due <= now && state.connection->isIdle();
+            if ((isIdle && this->beginClose(descriptor, state, now)) || (state.closing && state.closing->isExpired(now))) {
                 closed.push_back(std::move(state.connection));
                 entry = this->connections.erase(entry);
                 continue;
             }
-            if (!state.isBeingServed) {
+            if (state.closing) {
+                next = std::min<Instant>(next, now + GracefulClose::checkInterval);
+            } else if (!state.isBeingServed) {
                 next = std::min(next, std::max<Instant>(due, now + std::chrono::milliseconds { 1 }));
             }
             ++entry;
@@ -355,9 +378,6 @@
             this->changed.notifyAll();
         }
     }
-    for (const auto& connection : closed) {
-        connection->finishSending();
-    }
     return next;
 }
 
--- a/src/adapters/http/HttpServer.h
+++ b/src/adapters/http/HttpServer.h
@@ -72,7 +72,10 @@
         std::unique_ptr<Connection> connection;
         Instant idleSince;
         bool isBeingServed {};
+        /// Set once the sending direction has ended.
+        std::optional<GracefulClose> closing;
     };
+    using Entries = std::unordered_map<int, Entry>;
     struct TlsDeleter {
         void operator()(ssl_ctx_st* context) const noexcept;
     };
@@ -89,7 +92,12 @@
     void serve(int descriptor, Connection& connection);
     bool serveRequests(Connection& connection);
     void finishServing(int descriptor, bool canKeep);
-    Instant closeIdle(Instant now);
+    /// Ends the sending direction of a connection.
+    /// @return True if its caller has ended too, so that it may be closed.
+    bool beginClose(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Closes connections that are idle or whose close is complete or has reached its limit.
+    /// @return When to call it again.
+    Instant closeDue(Instant now);
     void closeListener() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void watch(int descriptor, int operation, std::uint32_t events) const;
     void wake() const;
@@ -105,6 +113,8 @@
     int wakeDescriptor { -1 };
     std::atomic<bool> isDraining {};
     std::atomic<bool> isStopping {};
+    /// Set when a worker has begun to close a connection.
+    std::atomic<bool> isCloseCheckDue {};
     /// Accessed only by the server's thread.
     Instant drainSince;
     /// Set when the drain begins. Accessed only by the server's thread.
@@ -114,7 +124,7 @@
     ConditionVariable changed;
     int listener ABSL_GUARDED_BY(mutex) { -1 };
     bool isListenerWatched ABSL_GUARDED_BY(mutex) {};
-    std::unordered_map<int, Entry> connections ABSL_GUARDED_BY(mutex);
+    Entries connections ABSL_GUARDED_BY(mutex);
     /// Connections with a request to be submitted to the pool. Bounded by the number of connections.
     std::deque<int> readyConnections ABSL_GUARDED_BY(mutex);
     std::vector<std::unique_ptr<ServerCodec>> codecs ABSL_GUARDED_BY(mutex);
