Do not accept chunked bodies that end behind a chunk's CR

The product's own front end accepted a chunked response whose connection ended between the CR and the LF behind a chunk as complete, with the chunks so far as its body, and callers got it with a length. Requests of callers were run with a part of their body in the same way. The library takes a line that an orderly end cuts off for a whole one, and a chunk without its line end for the last one.

The end of a connection is now an error for the library, like a reset. A caller that ends its connection within the first line of a request gets no 400 any more.

Evidence: "an exchange whose response ends early ..." (cuts of 70 and 94 of 100 bytes, and 79 of 85) and "HTTP server does not handle a request that ends early ..." (56 and 81 of 87 bytes) failed before and pass now.

--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -85,7 +85,9 @@
             std::size_t count = 0;
             this->status = this->connection.read({ target, isHead ? 1 : std::min(size, budget) }, count, this->deadline);
             if (this->status != IoStatus::Ok) {
-                return this->status == IoStatus::Closed ? 0 : -1;
+                // The library takes a line that is cut off by an orderly end (0) for a whole one, and a chunk without the
+                // line end behind it for the last one. No accepted message is delimited by the end of its connection.
+                return -1;
             }
             this->received += count;
             budget -= count;
--- a/tests/adapters/http/CutResponseTest.cpp
+++ b/tests/adapters/http/CutResponseTest.cpp
@@ -1,4 +1,5 @@
 #include "CutResponses.h"
+#include "adapters/http/HttpCodec.h"
 #include "adapters/http/MessageReader.h"
 
 #include <catch2/catch.hpp>
@@ -56,3 +57,30 @@
         }
     }
 }
+
+TEST_CASE("an exchange whose response ends early is not complete, whichever byte is the last", "[http]")
+{
+    // Guards against a short or empty body that is passed on as a whole one. A response without a length is never complete.
+    const auto end = GENERATE(ConnectionEnd::Orderly, ConnectionEnd::Reset);
+    auto samples = sampleResponses("X-Name: value\r\n");
+    for (auto& sample : bodylessResponses()) {
+        samples.push_back(std::move(sample));
+    }
+    CuttingUpstream upstream;
+    for (const auto& sample : samples) {
+        const auto bytes = sample.bytes();
+        for (std::size_t size = 0; size <= bytes.size(); ++size) {
+            INFO(sample.name << ", " << size << " of " << bytes.size() << " bytes, " << (end == ConnectionEnd::Reset ? "reset" : "orderly end"));
+            upstream.setResponse(bytes.substr(0, size), end);
+            const auto connection = Connection::connect(upstream.endpoint(), RawUpstream::soon()).value();
+            const auto result = exchange(*connection, { sample.method, "/", {}, {}, {} }, MessageLimits {}, RawUpstream::soon());
+            const bool isWhole = size == bytes.size() && !sample.isDelimitedByEnd;
+            if (end == ConnectionEnd::Orderly || !isWhole) {
+                CHECK((result.status == ExchangeStatus::Complete) == isWhole);
+            }
+            if (result.status == ExchangeStatus::Complete) {
+                CHECK(result.response.body == sample.body);
+            }
+        }
+    }
+}
--- a/tests/adapters/http/HttpServerTest.cpp
+++ b/tests/adapters/http/HttpServerTest.cpp
@@ -111,6 +111,33 @@
     }
 }
 
+TEST_CASE("HTTP server does not handle a request that ends early, whichever byte is the last", "[http]")
+{
+    // Guards against running a request with a part of its body.
+    WorkerPool workers { 2, 16 };
+    std::atomic<int> handled { 0 };
+    const auto server = serve(workers, [&](const HttpRequest& request) {
+        ++handled;
+        return echo(request);
+    });
+    const std::string requests[] = {
+        "GET /x HTTP/1.1\r\nHost: h\r\nKey: value\r\n\r\n",
+        "POST /x HTTP/1.1\r\nContent-Length: 12\r\nKey: value\r\n\r\n0123456789ab",
+        "POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n0123\r\n08;name=value\r\n456789ab\r\n0\r\n\r\n",
+    };
+    for (const auto& request : requests) {
+        for (std::size_t size = 0; size <= request.size(); ++size) {
+            INFO(size << " of " << request.size() << " bytes of " << request);
+            handled = 0;
+            auto connection = Connection::connect({ "127.0.0.1", server->port() }, RawUpstream::soon()).value();
+            REQUIRE(connection->write(std::string_view { request }.substr(0, size), RawUpstream::soon()) == IoStatus::Ok);
+            REQUIRE(::shutdown(connection->socketDescriptor(), SHUT_WR) == 0);
+            RawUpstream::waitForClose(*connection);
+            CHECK(handled == (size == request.size() ? 1 : 0));
+        }
+    }
+}
+
 TEST_CASE("HTTP server responds to pipelined requests in order", "[http]")
 {
     WorkerPool workers { 2, 16 };
