Reject malformed chunks in the product's own front end

The library takes a chunk that is not followed by CR LF for the last one, and the number at the beginning of a line for the chunk's size. A response whose chunk is longer or shorter than its size was complete with a part of its body, and callers got it with a length. A request of this kind was run with a part of its body, and the bytes behind it were read as the next request of the connection (request smuggling).

ChunkFraming checks the sizes and line ends while the library reads them. Spaces behind a size, which some servers send, and extensions are accepted as before.

--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/HttpCodec.h"
 
 #include "adapters/clock/SteadyClock.h"
+#include "adapters/http/ChunkFraming.h"
 
 #include <algorithm>
 #include <charconv>
@@ -91,6 +92,9 @@
             }
             this->received += count;
             budget -= count;
+            if (this->chunks && !this->chunks->accept({ target, count })) {
+                return -1;
+            }
             if (isHead && this->escaper.accept(*target)) {
                 this->escapeRest = 2;
             }
@@ -113,6 +117,9 @@
             return !this->isOutputBroken;
         }
 
+        /// Declares that the bytes after those read so far are a chunked body. Reading fails where it is malformed.
+        void expectChunks() { this->chunks.emplace(); }
+
         void restartDeadline(Instant later) noexcept { this->deadline = later; }
         IoStatus lastStatus() const noexcept { return this->status; }
         std::uint64_t receivedBytes() const noexcept { return this->received; }
@@ -125,6 +132,7 @@
         Connection& connection;
         HeadEscaper escaper;
         int escapeRest {};
+        std::optional<ChunkFraming> chunks;
         std::size_t headBudget;
         std::size_t bodyBudget;
         bool isOverBudget {};
@@ -243,6 +251,7 @@
         }
         if (framing.isChunked && this->current.rejectionStatus == 0) {
             request.set_header("Transfer-Encoding", "chunked");
+            this->current.stream->expectChunks();
         } else {
             // Without a length, the library would read until the connection closes.
             const auto length = this->current.rejectionStatus == 0 ? framing.length.value_or(0) : 0;
@@ -413,6 +422,7 @@
         std::size_t maxBodyBytes {};
         bool hasHead {};
         bool isCompleteAfterHead {};
+        bool isChunked {};
         bool isRejected {};
 
         /// @return False if the library must not read a body.
@@ -431,6 +441,7 @@
                 return false;
             }
             // A response that is delimited by the end of the connection cannot be distinguished from a truncated one.
+            this->isChunked = framing.isChunked;
             this->isRejected = !framing.isChunked && !framing.length;
             return !this->isRejected;
         }
@@ -446,7 +457,7 @@
         }
     };
 
-    httplib::Request toLibrary(const HttpRequest& request, ResponseObserver& observer)
+    httplib::Request toLibrary(const HttpRequest& request, ResponseObserver& observer, ConnectionStream& stream)
     {
         httplib::Request result;
         result.method = request.method;
@@ -457,8 +468,13 @@
             }
         }
         result.body = request.body;
-        result.response_handler = [&observer, method = request.method](
-                                      const httplib::Response& response) { return observer.head(method, response); };
+        result.response_handler = [&observer, &stream, method = request.method](const httplib::Response& response) {
+            const bool hasBody = observer.head(method, response);
+            if (hasBody && observer.isChunked) {
+                stream.expectChunks();
+            }
+            return hasBody;
+        };
         result.content_receiver = [&observer](const char* bytes, std::size_t count, std::uint64_t, std::uint64_t) {
             return observer.append(bytes, count);
         };
@@ -485,7 +501,7 @@
     ResponseObserver observer;
     observer.maxBodyBytes = limits.maxBodyBytes;
     ConnectionStream stream { connection, limits, deadline };
-    auto outgoing = toLibrary(request, observer);
+    auto outgoing = toLibrary(request, observer, stream);
     httplib::Response response;
     auto error = httplib::Error::Success;
     const auto sentBefore = connection.sentBytes();
