Do not show a part of an administration API response as a whole one

teaselturnctl accepted a response without a length at whichever byte its connection ended, and a chunked one that ended behind a chunk's CR. Daemons send a length with every response, so the cases that were tested come from other servers, such as a proxy in front of a daemon. The commands now fail unless the body has the declared length.

Evidence: "a response of the administration API that ends early is a failure ..." failed before (33 checks: 3 cuts of chunked bodies, 13 of a body without a length, and whole chunked bodies, which have no length) and passes now, with all of ctl-tests.

--- a/src/ctl/AdminClient.cpp
+++ b/src/ctl/AdminClient.cpp
@@ -30,6 +30,11 @@
             const auto code = response.body.size() > maxResponseBytes ? ResultCode::HttpUnexpectedResponse : ResultCode::HttpUnreachable;
             return { code, to.address + " port " + std::to_string(to.port) + ": " + httplib::to_string(result.error()) };
         }
+        // The library also accepts a chunked body that ends behind a chunk's CR, and takes the end of the connection for the
+        // end of a body without a length. The administration API sends a length with every response.
+        if (result->get_header_value("Content-Length") != std::to_string(response.body.size())) {
+            return { ResultCode::HttpUnreachable, to.address + " port " + std::to_string(to.port) + ": the response is incomplete" };
+        }
         response.status = result->status;
         return response;
     }
