Pass on headers behind an interim response unchanged

In the product's own front end, %XX in a header behind a 100 response was decoded, so that its value changed and could contain line breaks: the escaping that prevents this ended at the interim response's empty line. The limit for heads ended there as well.

Evidence: "headers behind an interim response arrive unchanged" failed before ("a%41%0d%0a" arrived as "aA" with a line break) and passes now, with all tests of HTTP in adapters-tests.

--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -29,6 +29,11 @@
         bool accept(char byte) noexcept
         {
             if (byte == '\n') {
+                if (this->isLineEmpty && !this->isFirstLine && this->matchedBytes == interimLine.size()) {
+                    // The library skips the head of an interim response and reads another one.
+                    *this = {};
+                    return false;
+                }
                 this->isHeadDone = this->isLineEmpty && !this->isFirstLine;
                 this->isFirstLine = false;
                 this->isLineEmpty = true;
@@ -37,13 +42,30 @@
             if (byte != '\r') {
                 this->isLineEmpty = false;
             }
+            if (this->isFirstLine) {
+                this->matchInterim(byte);
+            }
             return byte == '%' && !this->isFirstLine;
         }
 
     private:
+        /// Beginning of an interim response. The question mark stands for any byte.
+        static constexpr std::string_view interimLine { "HTTP/1.? 100" };
+
+        void matchInterim(char byte) noexcept
+        {
+            if (this->mayBeInterim && this->matchedBytes < interimLine.size()) {
+                const char expected = interimLine[this->matchedBytes];
+                this->mayBeInterim = expected == '?' || expected == byte;
+                this->matchedBytes += this->mayBeInterim ? 1 : 0;
+            }
+        }
+
         bool isFirstLine { true };
         bool isLineEmpty { true };
         bool isHeadDone {};
+        bool mayBeInterim { true };
+        std::size_t matchedBytes {};
     };
 
     /// Adapts a Connection to the library's stream interface. Limits the input and buffers the output until the next
--- a/tests/adapters/http/UpstreamConnectionPoolTest.cpp
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -109,6 +109,20 @@
     }
 }
 
+TEST_CASE("headers behind an interim response arrive unchanged", "[http]")
+{
+    // The library decodes %XX in header values, which are escaped for it only in what passes for the head.
+    RawUpstream upstream { [&](Connection& connection, int) {
+        RawUpstream::readRequest(connection);
+        RawUpstream::respond(connection, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nX-Name: a%41%0d%0a\r\nContent-Length: 3\r\n\r\n%41");
+    } };
+    UpstreamConnectionPool pool;
+    const auto report = sendTo(pool, upstream.endpoint());
+    REQUIRE(report.result == AttemptResult::Answered);
+    CHECK(report.response.header("X-Name") == "a%41%0d%0a");
+    CHECK(report.response.body == "%41");
+}
+
 TEST_CASE("a refused connection is the only failure that proves nothing was sent", "[http]")
 {
     std::uint16_t port = 0;
