--- a/tests/node/gateway/CutResponseTest.cpp
+++ b/tests/node/gateway/CutResponseTest.cpp
@@ -46,3 +46,23 @@
         fixture.reactor.stop();
     }
 }
+
+TEST_CASE("a large response without length is forwarded whole after an orderly end, and not at all after a reset")
+{
+    // The gateway reads it in several rounds. Guards against an end that is seen before the bytes, and a reset taken for one.
+    const auto end = GENERATE(ConnectionEnd::Orderly, ConnectionEnd::Reset);
+    const std::string body(900'000, 'x');
+    CuttingUpstream upstream;
+    upstream.setResponse("HTTP/1.1 200 OK\r\nRequest-Id: one\r\nUpstream-Signature: signed\r\n\r\n" + body, end);
+    LoopbackGateway fixture;
+    fixture.apply(ChangeItems { { serviceItem("s", false), routeItem("r", "s") }, {} });
+    fixture.addUpstream("u", "s", upstream.endpoint());
+    fixture.start();
+    auto received = fixture.sendAndReceive(callerRequest("one"), 1);
+    fixture.reactor.stop();
+    MessageReader<ReceivedResponse> reader { {} };
+    REQUIRE(reader.read(received) == ReadProgress::Complete);
+    const auto response = reader.take();
+    CHECK(response.status == (end == ConnectionEnd::Orderly ? 200 : 502));
+    CHECK(response.body.size() == (end == ConnectionEnd::Orderly ? body.size() : 0));
+}
