--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/HttpCodec.h"
 
 #include "adapters/clock/SteadyClock.h"
+#include "adapters/http/ChunkFraming.h"
 
 #include <algorithm>
 #include <charconv>
@@ -28,6 +29,11 @@
         bool accept(char byte) noexcept
         {
             if (byte == '\n') {
+                if (this->isLineEmpty && !this->isFirstLine && this->matchedBytes == interimLine.size()) {
+                    // The library skips the head of an interim response and reads another one.
+                    *this = {};
+                    return false;
+                }
                 this->isHeadDone = this->isLineEmpty && !this->isFirstLine;
                 this->isFirstLine = false;
                 this->isLineEmpty = true;
@@ -36,13 +42,30 @@
             if (byte != '\r') {
                 this->isLineEmpty = false;
             }
+            if (this->isFirstLine) {
+                this->matchInterim(byte);
+            }
             return byte == '%' && !this->isFirstLine;
         }
 
     private:
+        /// Beginning of an interim response. The question mark stands for any byte.
+        static constexpr std::string_view interimLine { "HTTP/1.? 100" };
+
+        void matchInterim(char byte) noexcept
+        {
+            if (this->mayBeInterim && this->matchedBytes < interimLine.size()) {
+                const char expected = interimLine[this->matchedBytes];
+                this->mayBeInterim = expected == '?' || expected == byte;
+                this->matchedBytes += this->mayBeInterim ? 1 : 0;
+            }
+        }
+
         bool isFirstLine { true };
         bool isLineEmpty { true };
         bool isHeadDone {};
+        bool mayBeInterim { true };
+        std::size_t matchedBytes {};
     };
 
     /// Adapts a Connection to the library's stream interface. Limits the input and buffers the output until the next
@@ -85,10 +108,15 @@
             std::size_t count = 0;
             this->status = this->connection.read({ target, isHead ? 1 : std::min(size, budget) }, count, this->deadline);
             if (this->status != IoStatus::Ok) {
-                return this->status == IoStatus::Closed ? 0 : -1;
+                // The library takes a line that is cut off by an orderly end (0) for a whole one, and a chunk without the
+                // line end behind it for the last one. No accepted message is delimited by the end of its connection.
+                return -1;
             }
             this->received += count;
             budget -= count;
+            if (this->chunks && !this->chunks->accept({ target, count })) {
+                return -1;
+            }
             if (isHead && this->escaper.accept(*target)) {
                 this->escapeRest = 2;
             }
@@ -111,6 +139,9 @@
             return !this->isOutputBroken;
         }
 
+        /// Declares that the bytes after those read so far are a chunked body. Reading fails where it is malformed.
+        void expectChunks() { this->chunks.emplace(); }
+
         void restartDeadline(Instant later) noexcept { this->deadline = later; }
         IoStatus lastStatus() const noexcept { return this->status; }
         std::uint64_t receivedBytes() const noexcept { return this->received; }
@@ -123,6 +154,7 @@
         Connection& connection;
         HeadEscaper escaper;
         int escapeRest {};
+        std::optional<ChunkFraming> chunks;
         std::size_t headBudget;
         std::size_t bodyBudget;
         bool isOverBudget {};
@@ -241,6 +273,7 @@
         }
         if (framing.isChunked && this->current.rejectionStatus == 0) {
             request.set_header("Transfer-Encoding", "chunked");
+            this->current.stream->expectChunks();
         } else {
             // Without a length, the library would read until the connection closes.
             const auto length = this->current.rejectionStatus == 0 ? framing.length.value_or(0) : 0;
@@ -411,6 +444,7 @@
         std::size_t maxBodyBytes {};
         bool hasHead {};
         bool isCompleteAfterHead {};
+        bool isChunked {};
         bool isRejected {};
 
         /// @return False if the library must not read a body.
@@ -429,6 +463,7 @@
                 return false;
             }
             // A response that is delimited by the end of the connection cannot be distinguished from a truncated one.
+            this->isChunked = framing.isChunked;
             this->isRejected = !framing.isChunked && !framing.length;
             return !this->isRejected;
         }
@@ -444,7 +479,7 @@
         }
     };
 
-    httplib::Request toLibrary(const HttpRequest& request, ResponseObserver& observer)
+    httplib::Request toLibrary(const HttpRequest& request, ResponseObserver& observer, ConnectionStream& stream)
     {
         httplib::Request result;
         result.method = request.method;
@@ -455,8 +490,13 @@
             }
         }
         result.body = request.body;
-        result.response_handler = [&observer, method = request.method](
-                                      const httplib::Response& response) { return observer.head(method, response); };
+        result.response_handler = [&observer, &stream, method = request.method](const httplib::Response& response) {
+            const bool hasBody = observer.head(method, response);
+            if (hasBody && observer.isChunked) {
+                stream.expectChunks();
+            }
+            return hasBody;
+        };
         result.content_receiver = [&observer](const char* bytes, std::size_t count, std::uint64_t, std::uint64_t) {
             return observer.append(bytes, count);
         };
@@ -483,7 +523,7 @@
     ResponseObserver observer;
     observer.maxBodyBytes = limits.maxBodyBytes;
     ConnectionStream stream { connection, limits, deadline };
-    auto outgoing = toLibrary(request, observer);
+    auto outgoing = toLibrary(request, observer, stream);
     httplib::Response response;
     auto error = httplib::Error::Success;
     const auto sentBefore = connection.sentBytes();
