Do not end a stopped entry VM while a request is being received

Such a connection is not idle, but neither the count of open requests nor that of closing connections had it, so that the process ended 50 ms after it had closed its port.

closeIdle() leaves only connections that are not idle, so the process waits until none is left, within the grace period.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -441,14 +441,10 @@
     return this->requests.size() + unsent;
 }
 
-std::size_t HttpListener::closingConnections()
+std::size_t HttpListener::connectionCount()
 {
-    std::size_t count = 0;
-    for (const auto& connection : this->allConnections()) {
-        const MutexLock lock { connection->mutex };
-        count += connection->closing && !connection->isClosed ? 1 : 0;
-    }
-    return count;
+    const MutexLock lock { this->mutex };
+    return this->connections.size();
 }
 
 }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -91,8 +91,11 @@
 
     /// @return The number of requests without a response, and of connections with unsent bytes of one.
     std::size_t openRequests();
-    /// @return The number of connections whose sending direction has ended and whose callers may not have received everything.
-    std::size_t closingConnections();
+    /// @return The number of open connections. After closeIdle(), those that are not idle: requests are open, arriving or
+    /// unread, or the caller may not have received everything.
+    std::size_t connectionCount();
+    /// @return The number of connections whose sending direction has ended and whose caller has not ended them.
+    std::size_t closingConnections() const noexcept { return this->closingCount; }
     /// @return The address that the listener was bound to.
     Endpoint localEndpoint() const
     {
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -221,16 +221,15 @@
 {
     this->gateway.closeIdle();
     const auto open = this->gateway.openRequests();
-    const auto closing = this->gateway.closingConnections();
+    const auto connections = this->gateway.connectionCount();
     const auto now = this->reactor.now();
     if (open > 0 && now >= this->drainDeadline && !this->hasEndedRequests.exchange(true)) {
-        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open }, { "closing", closing } });
+        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open }, { "connections", connections } });
         this->gateway.endOpenRequests();
         return;
     }
-    // The kernel resets connections whose callers send after the end of the process, so it waits until they have closed.
-    const bool isDrained = open == 0 && closing == 0;
-    if ((isDrained || now >= this->drainDeadline + deliveryTime) && !this->hasStopped.exchange(true)) {
+    // Requests may be arriving, and the kernel resets connections whose callers send after the end of the process.
+    if ((connections == 0 || now >= this->drainDeadline + deliveryTime) && !this->hasStopped.exchange(true)) {
         this->onStopped();
     }
 }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -75,7 +75,8 @@
     void endOpenRequests();
     void closeIdle() { this->listener.closeIdle(); }
     std::size_t openRequests() { return this->listener.openRequests(); }
-    std::size_t closingConnections() { return this->listener.closingConnections(); }
+    /// @return The number of callers' connections; after closeIdle(), those that are not idle.
+    std::size_t connectionCount() { return this->listener.connectionCount(); }
 
     const GatewayCounters& statistics() const noexcept { return this->counters; }
     /// @return The metrics in the Prometheus text format.
--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -189,3 +189,17 @@
     CHECK(caller.end == SlowCaller::End::Orderly);
     CHECK(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Seconds(20)));
 }
+
+TEST_CASE("the process of a planned stop does not end while a request is being received")
+{
+    // Neither openRequests() nor closingConnections() counts it, so that the process ended 50 ms after it had closed its port.
+    EntryFixture fixture { milliseconds { 5'000 }, milliseconds { 15'000 } };
+    const auto caller = fixture.connectCaller();
+    RawUpstream::respond(*caller, "POST /unknown HTTP/1.1\r\nHost: h\r\nRequest-Id: one\r\nDeadline-Ms: 5000\r\nContent-Length: 10\r\n\r\n12345");
+    fixture.daemon.beginStop();
+    fixture.waitUntilClosed();
+    CHECK_FALSE(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Milliseconds(500)));
+    RawUpstream::respond(*caller, "67890");
+    CHECK(fixture.receive(*caller).starts_with("HTTP/1.1 404"));
+    CHECK(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Seconds(10)));
+}
