--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -409,6 +409,10 @@
         connection->handlerCalls.run();
     }
 }
+            // An error response may have been queued.
+            this->writeResponses(connection, callbacks);
+        }
+        if (!connection->isClosed && !connection->closing) {
 
 bool HttpListener::hasUnreadInput(const Connection& connection)
 {
