Do not reset callers that read slowly but steadily

Connections of callers have no TCP_USER_TIMEOUT any more. A connection with unsent bytes closes if its caller acknowledges nothing for the idle timeout of the operator's limits.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -9,8 +9,6 @@
 
     /// Maximum requests without a response per connection. Bytes of further requests stay unread.
     constexpr std::size_t maxPipelinedRequests = 16;
-    /// A connection fails if the caller leaves sent bytes unacknowledged for this long.
-    constexpr std::chrono::milliseconds callerUserTimeout { 5'000 };
     constexpr unsigned statusUnavailable = 503;
     constexpr std::size_t disconnectEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
 
@@ -96,7 +94,10 @@
     if (!this->listener) {
         return;
     }
-    while (auto socket = acceptConnection(this->listener, callerUserTimeout)) {
+    while (auto socket = acceptConnection(this->listener)) {
+        if (this->connectionCount() >= this->maxConnections && this->closingCount > 0) {
+            this->closeDelivered();
+        }
         auto connection = std::make_shared<Connection>(std::move(socket), this->readLimits());
         const MutexLock connectionLock { connection->mutex };
         connection->lastActiveAt = this->reactor.now();
@@ -400,9 +401,13 @@
             }
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
-            // TCP_USER_TIMEOUT bounds the time of a caller that stops reading a response.
-            if (connection->exchanges.empty() && connection->stream.unsentBytes() == 0 && now - connection->lastActiveAt > timeout) {
-                this->beginClose(*connection, CloseReason::TimedOut, callbacks);
+            recordDelivery(*connection, now);
+            if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
+                if (connection->stream.unsentBytes() > 0) {
+                    this->close(*connection, CloseReason::TimedOut, callbacks);
+                } else {
+                    this->beginClose(connection, CloseReason::TimedOut, callbacks);
+                }
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
@@ -421,6 +426,18 @@
 
 void HttpListener::closeIdle()
 {
+void HttpListener::recordDelivery(Connection& connection, Instant now)
+{
+    if (connection.stream.unsentBytes() == 0) {
+        return;
+    }
+    const auto undelivered = connection.stream.unsentBytes() + kernelBuffers(connection.stream.descriptor().number()).unacknowledged;
+    if (undelivered != connection.undeliveredBytes) {
+        connection.undeliveredBytes = undelivered;
+        connection.lastActiveAt = now;
+    }
+}
+
     for (const auto& connection : this->allConnections()) {
         {
             const MutexLock lock { connection->mutex };
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -125,6 +125,8 @@
         /// Requests whose responses have not been written, in the order of arrival.
         std::deque<Exchange> exchanges ABSL_GUARDED_BY(mutex);
         Instant lastActiveAt ABSL_GUARDED_BY(mutex);
+        /// Bytes of responses that the caller had not acknowledged at the last check.
+        std::size_t undeliveredBytes ABSL_GUARDED_BY(mutex) {};
         /// Name of the request whose response was written last.
         std::string lastRequestName ABSL_GUARDED_BY(mutex);
         /// If true, no further request is read and the connection closes after the responses of the open requests.
@@ -175,6 +177,8 @@
     static bool hasUnreadInput(const Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     std::vector<ConnectionPointer> allConnections();
     HttpRequestId registerRequest(const ConnectionPointer& connection);
+    /// Counts a connection as active if its caller has acknowledged more of a response since the last call.
+    static void recordDelivery(Connection& connection, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     ReadLimits readLimits();
 
     Reactor& reactor;
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -94,14 +94,12 @@
     }
 }
 
-FileDescriptor acceptConnection(const FileDescriptor& listener, std::chrono::milliseconds userTimeout)
+FileDescriptor acceptConnection(const FileDescriptor& listener)
 {
     FileDescriptor socket { accept4(listener.number(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC) };
     if (socket) {
         const int one = 1;
-        const auto timeout = static_cast<unsigned>(userTimeout.count());
         setsockopt(socket.number(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-        setsockopt(socket.number(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
     }
     return socket;
 }
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -68,9 +68,9 @@
 /// Frees the memory of a large read after its bytes have been consumed, so that idle connections hold no large buffers.
 void shrinkInput(std::string& input);
 
-/// Accepts a connection as a non-blocking socket with TCP_NODELAY.
-/// @param userTimeout The connection fails if sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
+/// Accepts a connection as a non-blocking socket with TCP_NODELAY. TCP_USER_TIMEOUT is not set: it also ends connections
+/// whose peer reads all the time, if the window is smaller than a segment.
 /// @return The socket, or an empty descriptor if no connection is waiting.
-FileDescriptor acceptConnection(const FileDescriptor& listener, std::chrono::milliseconds userTimeout);
+FileDescriptor acceptConnection(const FileDescriptor& listener);
 
 }
