Tell callers that end or reset their connections from cut ones

The end and the reset of a closing connection were reported alike, so that ResponseCut named connections that their callers had ended or reset, or whose only unacknowledged byte was the server's own end. A caller that still sent a request that was too large was reset 2 s after its 413. A part of a request was kept for the time of the close after its reservation was released.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -112,6 +112,17 @@
     }
 }
 
+void HttpListener::closeDelivered()
+{
+    PendingCallbacks ignored;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        if (!connection->isClosed && connection->closing && connection->closing->undeliveredBytes() == 0) {
+            this->close(*connection, connection->closeReason, ignored);
+        }
+    }
+}
+
 void HttpListener::handleEvents(const ConnectionPointer& connection, std::uint32_t events)
 {
     {
@@ -121,9 +132,7 @@
         }
         PendingCallbacks callbacks;
         if (connection->closing) {
-            if (connection->closing->discardInput()) {
-                this->close(*connection, connection->closeReason, callbacks);
-            }
+            this->continueClose(connection, callbacks);
             return;
         }
         const bool wasSending = connection->stream.unsentBytes() > 0;
@@ -141,13 +150,13 @@
         }
         if (state == StreamState::Open) {
             this->readRequests(connection, callbacks);
-            this->writeResponses(*connection, callbacks);
+            this->writeResponses(connection, callbacks);
             if (!connection->isClosed && !connection->closing && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
                 this->continueReading(connection, events);
             }
         } else if (state == StreamState::Ended && connection->stream.unsentBytes() > 0) {
             // The caller may have ended its sending direction only. If it has closed, sending the rest fails.
-            cancelRequests(*connection, callbacks);
+            this->cancelRequests(*connection, callbacks);
         } else {
             this->close(*connection, state == StreamState::Ended ? CloseReason::CallerEnded : CloseReason::CallerReset, callbacks);
         }
@@ -218,8 +227,9 @@
     connection.input.clear();
 }
 
-void HttpListener::writeResponses(Connection& connection, PendingCallbacks& callbacks)
+void HttpListener::writeResponses(const ConnectionPointer& pointer, PendingCallbacks& callbacks)
 {
+    auto& connection = *pointer;
     std::string out;
     while (!connection.exchanges.empty() && connection.exchanges.front().response) {
         auto response = std::move(*connection.exchanges.front().response);
@@ -253,7 +263,7 @@
         connection.unsentReservations.clear();
     }
     if (connection.closesAfterResponses && connection.exchanges.empty() && connection.stream.unsentBytes() == 0) {
-        this->beginClose(connection, CloseReason::LastResponse, callbacks);
+        this->beginClose(pointer, CloseReason::LastResponse, callbacks);
     }
 }
 
@@ -265,20 +275,38 @@
         }
     }
     connection.exchanges.clear();
+    // Frees the part of a request that was read, with its reservation.
+    connection.reader = MessageReader<ReceivedRequest> { this->readLimits() };
     connection.reservation.reset();
 }
 
-void HttpListener::beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
+void HttpListener::beginClose(const ConnectionPointer& connection, CloseReason reason, PendingCallbacks& callbacks)
 {
-    if (connection.isClosed || connection.closing) {
+    if (connection->isClosed || connection->closing) {
         return;
     }
-    cancelRequests(connection, callbacks);
-    connection.input = {};
-    connection.closeReason = reason;
-    connection.closing.emplace(connection.stream.descriptor().number(), this->reactor.now());
-    if (connection.closing->discardInput()) {
-        this->close(connection, reason, callbacks);
+    this->cancelRequests(*connection, callbacks);
+    connection->input = {};
+    connection->closeReason = reason;
+    connection->closing.emplace(connection->stream.descriptor().number(), this->reactor.now());
+    ++this->closingCount;
+    this->continueClose(connection, callbacks);
+}
+
+void HttpListener::continueClose(const ConnectionPointer& connection, PendingCallbacks& callbacks)
+{
+    switch (connection->closing->discardInput()) {
+    case GracefulClose::PeerState::Open:
+        break;
+    case GracefulClose::PeerState::Sending:
+        this->continueReading(connection, EPOLLIN);
+        break;
+    case GracefulClose::PeerState::Ended:
+        this->close(*connection, connection->closeReason, callbacks);
+        break;
+    case GracefulClose::PeerState::Reset:
+        this->close(*connection, CloseReason::CallerReset, callbacks);
+        break;
     }
 }
 
@@ -288,9 +316,12 @@
         return;
     }
     connection.isClosed = true;
+    if (connection.closing) {
+        --this->closingCount;
+    }
     this->counters.closedFor(reason).add();
     this->reportIfCut(connection, reason);
-    cancelRequests(connection, callbacks);
+    this->cancelRequests(connection, callbacks);
     connection.unsentReservations.clear();
     this->reactor.remove(connection.stream.descriptor(), connection.watchId);
     connection.stream.close();
@@ -298,14 +329,19 @@
     this->connections.erase(&connection);
 }
 
-void HttpListener::reportIfCut(const Connection& connection, CloseReason reason)
+void HttpListener::reportIfCut(Connection& connection, CloseReason reason)
 {
     if (reason == CloseReason::CallerEnded || reason == CloseReason::CallerReset) {
         return;
     }
+    // After the caller has ended, nothing can reset the connection, and the kernel sends the rest.
+    if (connection.closing && connection.closing->discardInput() == GracefulClose::PeerState::Ended) {
+        return;
+    }
     const auto inKernel = kernelBuffers(connection.stream.descriptor().number());
     const auto unsent = connection.stream.unsentBytes();
-    if (unsent == 0 && inKernel.unread == 0 && inKernel.unacknowledged == 0) {
+    const auto unacknowledged = connection.closing ? connection.closing->undeliveredBytes() : inKernel.unacknowledged;
+    if (unsent == 0 && inKernel.unread == 0 && unacknowledged == 0) {
         return;
     }
     this->counters.cut.add();
@@ -320,7 +356,7 @@
         }
         skippedLines = this->logRateLimiter.takeSkipped();
     }
-    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", inKernel.unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", skippedLines } });
+    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", skippedLines } });
 }
 
 void HttpListener::queueHandlers(Connection& connection, PendingCallbacks callbacks)
@@ -370,9 +406,13 @@
         if (exchange != connection->exchanges.end()) {
             exchange->response = std::move(response);
         }
-        this->writeResponses(*connection, callbacks);
+        this->writeResponses(connection, callbacks);
         if (!connection->isClosed && !connection->closing) {
             this->readRequests(connection, callbacks);
+            // An error response may have been queued.
+            this->writeResponses(connection, callbacks);
+        }
+        if (!connection->isClosed && !connection->closing) {
             if (std::exchange(connection->isReadPaused, false)) {
                 this->continueReading(connection, EPOLLIN);
             }
@@ -382,6 +422,18 @@
     connection->handlerCalls.run();
 }
 
+void HttpListener::recordDelivery(Connection& connection, Instant now)
+{
+    if (connection.stream.unsentBytes() == 0) {
+        return;
+    }
+    const auto undelivered = connection.stream.unsentBytes() + kernelBuffers(connection.stream.descriptor().number()).unacknowledged;
+    if (undelivered != connection.undeliveredBytes) {
+        connection.undeliveredBytes = undelivered;
+        connection.lastActiveAt = now;
+    }
+}
+
 void HttpListener::closeTimedOut(Instant now)
 {
     CallerLimits currentLimits;
@@ -393,6 +445,9 @@
         {
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
+            if (connection->isClosed) {
+                continue;
+            }
             if (connection->closing) {
                 if (connection->closing->isExpired(now)) {
                     this->close(*connection, connection->closeReason, callbacks);
@@ -414,10 +469,6 @@
         connection->handlerCalls.run();
     }
 }
-            // An error response may have been queued.
-            this->writeResponses(connection, callbacks);
-        }
-        if (!connection->isClosed && !connection->closing) {
 
 bool HttpListener::hasUnreadInput(const Connection& connection)
 {
@@ -426,24 +477,12 @@
 
 void HttpListener::closeIdle()
 {
-void HttpListener::recordDelivery(Connection& connection, Instant now)
-{
-    if (connection.stream.unsentBytes() == 0) {
-        return;
-    }
-    const auto undelivered = connection.stream.unsentBytes() + kernelBuffers(connection.stream.descriptor().number()).unacknowledged;
-    if (undelivered != connection.undeliveredBytes) {
-        connection.undeliveredBytes = undelivered;
-        connection.lastActiveAt = now;
-    }
-}
-
     for (const auto& connection : this->allConnections()) {
         {
             const MutexLock lock { connection->mutex };
             PendingCallbacks callbacks;
             if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0 && !hasUnreadInput(*connection)) {
-                this->beginClose(*connection, CloseReason::Idle, callbacks);
+                this->beginClose(connection, CloseReason::Idle, callbacks);
             }
             this->queueHandlers(*connection, std::move(callbacks));
         }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -160,25 +160,29 @@
     /// @return False if the budget has no room for the request that is being read.
     bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
-    void writeResponses(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void writeResponses(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
     /// Ends the sending direction of a connection without unsent bytes. It closes when its caller has ended too.
-    void beginClose(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void beginClose(const ConnectionPointer& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// Discards input of a connection whose sending direction has ended, and closes it if its caller has ended too.
+    void continueClose(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// Closes connections whose callers have acknowledged everything and have not ended them, to make room for new ones.
+    void closeDelivered();
     /// Closes the socket.
     void close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Reports the requests without a response as disconnected.
-    static void cancelRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void cancelRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Reports a connection that is about to be closed while its caller may not have received a whole response.
-    void reportIfCut(const Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void reportIfCut(Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Queues the handler calls. The caller runs them after it has released the connection's lock.
     void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
     void closeTimedOut(Instant now);
+    /// Counts a connection as active if its caller has acknowledged more of a response since the last call.
+    static void recordDelivery(Connection& connection, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// @return True if a request may have arrived that no worker has read yet.
     static bool hasUnreadInput(const Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     std::vector<ConnectionPointer> allConnections();
     HttpRequestId registerRequest(const ConnectionPointer& connection);
-    /// Counts a connection as active if its caller has acknowledged more of a response since the last call.
-    static void recordDelivery(Connection& connection, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     ReadLimits readLimits();
 
     Reactor& reactor;
@@ -194,6 +198,7 @@
     BufferBudget* buffers {};
     Logger* logger {};
     ListenerCounters counters;
+    std::atomic<std::size_t> closingCount {};
 
     /// Lock order: after a connection's mutex.
     Mutex mutex;
--- a/src/adapters/reactor/GracefulClose.cpp
+++ b/src/adapters/reactor/GracefulClose.cpp
@@ -1,5 +1,6 @@
 #include "adapters/reactor/GracefulClose.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <sys/socket.h>
@@ -8,37 +9,59 @@
 
 GracefulClose::GracefulClose(int descriptor, Instant now) noexcept
     : descriptor(descriptor)
+    , begunAt(now)
     , lastProgressAt(now)
-    , unacknowledgedBytes(kernelBuffers(descriptor).unacknowledged)
+    , lastCheckAt(now)
+    , checkedUndelivered(kernelBuffers(descriptor).unacknowledged)
 {
     // Fails if the connection was reset; discardInput() reports that.
     ::shutdown(descriptor, SHUT_WR);
 }
 
-bool GracefulClose::discardInput() noexcept
+GracefulClose::PeerState GracefulClose::discardInput() noexcept
 {
     std::array<char, 16 * 1024> discarded;
-    while (this->discardedBytes < maxDiscardedBytes) {
+    for (std::size_t total = 0; this->discardedBytes < maxDiscardedBytes;) {
+        if (total >= maxBytesPerCall) {
+            return PeerState::Sending;
+        }
         const auto count = recv(this->descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT);
         if (count == 0) {
-            return true;
+            return PeerState::Ended;
         }
         if (count < 0 && errno != EINTR) {
-            return errno != EAGAIN && errno != EWOULDBLOCK;
+            return errno == EAGAIN || errno == EWOULDBLOCK ? PeerState::Open : PeerState::Reset;
         }
-        this->discardedBytes += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        const auto bytes = static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+        total += bytes;
+        this->discardedBytes += bytes;
     }
-    return false;
+    return PeerState::Open;
+}
+
+std::size_t GracefulClose::undeliveredBytes() const noexcept
+{
+    // The kernel counts the end of the sending direction as a byte.
+    constexpr std::size_t endBytes = 1;
+    return std::max(kernelBuffers(this->descriptor).unacknowledged, endBytes) - endBytes;
 }
 
 bool GracefulClose::isExpired(Instant now) noexcept
 {
-    const auto unacknowledged = kernelBuffers(this->descriptor).unacknowledged;
-    if (unacknowledged < this->unacknowledgedBytes) {
-        this->unacknowledgedBytes = unacknowledged;
+    if (now - this->begunAt >= totalTimeout) {
+        return true;
+    }
+    if (now - this->lastCheckAt < checkInterval) {
+        return false;
+    }
+    this->lastCheckAt = now;
+    const auto undelivered = this->undeliveredBytes();
+    if (undelivered < this->checkedUndelivered || this->discardedBytes > this->checkedBytes) {
+        this->checkedUndelivered = undelivered;
+        this->checkedBytes = this->discardedBytes;
         this->lastProgressAt = now;
     }
-    return now - this->lastProgressAt >= (unacknowledged > 0 ? progressTimeout : peerCloseTimeout);
+    return now - this->lastProgressAt >= (undelivered > 0 ? progressTimeout : peerCloseTimeout);
 }
 
 }
--- a/src/adapters/reactor/GracefulClose.h
+++ b/src/adapters/reactor/GracefulClose.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 
 namespace teaselturn {
 
@@ -14,32 +15,56 @@
 /// reached. Not thread-safe.
 class GracefulClose {
 public:
-    /// How long a peer that has acknowledged everything may keep its direction open.
+    /// How long a peer that has acknowledged everything and sends nothing may keep its direction open.
     static constexpr std::chrono::milliseconds peerCloseTimeout { 2'000 };
     /// How long a peer that has not acknowledged everything may go without acknowledging more.
-    static constexpr std::chrono::milliseconds progressTimeout { 5'000 };
+    static constexpr std::chrono::milliseconds progressTimeout { 15'000 };
+    /// How long a close may take in all.
+    static constexpr std::chrono::milliseconds totalTimeout { 60'000 };
     /// Input beyond this stays unread, which stops the peer from sending more.
     static constexpr std::size_t maxDiscardedBytes = 16 * 1024 * 1024;
+    /// Bytes that one call discards, so that a fast sender does not occupy a thread.
+    static constexpr std::size_t maxBytesPerCall = 256 * 1024;
     /// Owners call isExpired() this often.
     static constexpr std::chrono::milliseconds checkInterval { 250 };
 
+    /// What discardInput() found.
+    enum class PeerState : std::uint8_t {
+        /// The socket has no more input, or more than may be discarded.
+        Open,
+        /// There may be more input; the caller must call again.
+        Sending,
+        /// The peer has ended its direction. Closing the socket cannot reset the connection any more.
+        Ended,
+        /// The connection was reset or has failed.
+        Reset,
+    };
+
     /// Ends the sending direction.
     /// @param descriptor A connected socket whose bytes have all been written. Must stay open for the lifetime of this object.
     GracefulClose(int descriptor, Instant now) noexcept;
 
-    /// Discards input until the socket would block. Must be called after construction and then for each event of the socket.
-    /// @return True if the peer has ended its direction or reset the connection, so that the socket may be closed.
-    bool discardInput() noexcept;
+    /// Discards input. Must be called after construction and then for each event of the socket.
+    /// @return The state of the peer. After Ended and Reset the socket may be closed.
+    PeerState discardInput() noexcept;
+
+    /// @return Bytes written before the close that the peer has not acknowledged.
+    std::size_t undeliveredBytes() const noexcept;
 
     /// @return True if a limit is reached. Closing the socket may then reset the connection.
     bool isExpired(Instant now) noexcept;
 
 private:
     int descriptor;
-    /// When the peer last acknowledged more bytes.
+    Instant begunAt;
+    /// When the peer last acknowledged or sent more bytes.
     Instant lastProgressAt;
-    std::size_t unacknowledgedBytes;
+    Instant lastCheckAt;
+    /// undeliveredBytes() at the last check.
+    std::size_t checkedUndelivered;
     std::size_t discardedBytes {};
+    /// discardedBytes at the last check.
+    std::size_t checkedBytes {};
 };
 
 }
--- a/tests/adapters/http/SlowCaller.h
+++ b/tests/adapters/http/SlowCaller.h
@@ -41,6 +41,9 @@
     /// Ends the sending direction; the receiving direction stays open.
     void endSending() const { shutdown(this->socket.number(), SHUT_WR); }
 
+    /// Closes the connection.
+    void close() { this->socket = teaselturn::FileDescriptor {}; }
+
     /// Reads once.
     /// @return False if the connection has ended, or nothing arrived for 10 s.
     bool readSome()
