End the transport's thread before a registry member is destroyed

Cause: the members of RegistryDaemon were destroyed in reverse order of their declaration, so the table of control requests, its mutex and the node were gone while the transport's thread still passed messages to the node and, through it, results to respond().

Change: PeerTransport::stop() ends the thread and waits for a running handler; the destructor of RegistryDaemon calls it first. The reactor's workers have ended by then, so nothing else uses the node, the listener or the data folder. The pointer to the transport stays valid, because handlers send through it.

--- a/src/adapters/peer/PeerTransport.cpp
+++ b/src/adapters/peer/PeerTransport.cpp
@@ -113,9 +113,16 @@
 
 PeerTransport::~PeerTransport()
 {
-    this->isStopping = true;
-    this->wake();
-    this->thread.join();
+    this->stop();
+}
+
+void PeerTransport::stop()
+{
+    if (this->thread.joinable()) {
+        this->isStopping = true;
+        this->wake();
+        this->thread.join();
+    }
 }
 
 void PeerTransport::tick()
--- a/src/adapters/peer/PeerTransport.h
+++ b/src/adapters/peer/PeerTransport.h
@@ -33,11 +33,15 @@
 
     class Builder;
 
-    /// Stops the thread. No handler runs afterwards.
+    /// Calls stop().
     ~PeerTransport();
     PeerTransport(const PeerTransport&) = delete;
     PeerTransport& operator=(const PeerTransport&) = delete;
 
+    /// Ends the transport's thread and waits until a running handler has returned. No handler runs afterwards. Must not be
+    /// called from a handler.
+    void stop();
+
     /// Sends a message without blocking. A message to this process itself is queued for its handler without encoding.
     /// Any thread may call it; callers should hold no lock of the lock order.
     void send(NodeId to, const PeerMessage& message);
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -48,6 +48,16 @@
     {
     }
 
+    /// Ends the transport's thread first, whose handler uses the other members. The reactor must have stopped.
+    ~RegistryDaemon()
+    {
+        if (this->transport) {
+            this->transport->stop();
+        }
+    }
+    RegistryDaemon(const RegistryDaemon&) = delete;
+    RegistryDaemon& operator=(const RegistryDaemon&) = delete;
+
     /// Opens the data folder and the ports, and starts the timers.
     Status open();
 
