Keep the pointer to the transport until its thread has ended

Cause: ~EntryDaemon() and ~Daemon() called transport.reset(), which sets the pointer to null before it destroys the transport. A handler that ran meanwhile used the null pointer: EntryDaemon sends the next request of the feed through it, and Daemon sets the list of peers. The entry VM ended with SIGSEGV at the end of a planned stop if the feed replied just then.

Change: both call PeerTransport::stop(), which leaves the pointer valid.

Measured: the new test, in which the feed replies without pause, failed with SIGSEGV in three of three runs before and passed in three of three after.

--- a/src/node/Daemon.cpp
+++ b/src/node/Daemon.cpp
@@ -49,7 +49,10 @@
     if (this->ledger) {
         this->ledger->stop();
     }
-    this->transport.reset();
+    // Its handler uses the pointer to the transport, so the pointer is reset later.
+    if (this->transport) {
+        this->transport->stop();
+    }
 }
 
 Status Daemon::open()
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -43,8 +43,14 @@
     {
     }
 
-    /// Ends the transport's thread first, whose handler uses the other members.
-    ~EntryDaemon() { this->transport.reset(); }
+    /// Ends the transport's thread first, whose handler uses the other members, the pointer to the transport among them.
+    /// The reactor must have stopped.
+    ~EntryDaemon()
+    {
+        if (this->transport) {
+            this->transport->stop();
+        }
+    }
     EntryDaemon(const EntryDaemon&) = delete;
     EntryDaemon& operator=(const EntryDaemon&) = delete;
 
--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -19,8 +19,10 @@
 /// A registry member that feeds a fixed log to entry VMs.
 class FakeMember {
 public:
-    explicit FakeMember(std::vector<LogEntry> entries)
+    /// @param repliesAtOnce Reply to feed requests also if there is nothing new, so that requests and replies never pause.
+    explicit FakeMember(std::vector<LogEntry> entries, bool repliesAtOnce = false)
         : entries(std::move(entries))
+        , repliesAtOnce(repliesAtOnce)
         , transport(std::move(*PeerTransport::Builder {}
                                    .identity(*nodeAtAddress(memberAddress), BootId { 1 })
                                    .listenOn({ memberAddress, 0 })
@@ -40,12 +42,13 @@
         this->isStarted.WaitForNotification();
         if (const auto* probe = std::get_if<MemberProbe>(&message)) {
             this->transport->send(from, MemberProbeReply { probe->sequence });
-        } else if (const auto* request = std::get_if<FeedRequest>(&message); request != nullptr && request->appliedIndex < this->entries.back().index) {
+        } else if (const auto* request = std::get_if<FeedRequest>(&message); request != nullptr && (this->repliesAtOnce || request->appliedIndex < this->entries.back().index)) {
             this->transport->send(from, FeedReply { request->sequence, this->entries.back().index, this->entries, 0, 0, {}, {} });
         }
     }
 
     const std::vector<LogEntry> entries;
+    const bool repliesAtOnce;
     absl::Notification isStarted;
     std::unique_ptr<PeerTransport> transport;
 };
@@ -189,3 +192,20 @@
     CHECK(caller.end == SlowCaller::End::Orderly);
     CHECK(fixture.hasStopped.WaitForNotificationWithTimeout(absl::Seconds(20)));
 }
+
+TEST_CASE("an entry VM that receives replies of the feed while it is destroyed does not crash")
+{
+    // The destructor set the pointer to the transport to null before the transport's thread had ended, and the thread sends
+    // the next request of the feed through that pointer.
+    const FakeMember member { EntryFixture::makeLog({ "127.0.0.1", 1 }, milliseconds { 1'000 }), true };
+    const auto logger = std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error }));
+    for (int i = 0; i < 100; ++i) {
+        Reactor reactor { 2 };
+        EntryDaemon<platform::CallerHeaders> daemon { reactor, *logger, EntryFixture::makeOptions(member.port(), milliseconds { 1'000 }), [] {} };
+        REQUIRE(daemon.open());
+        reactor.start();
+        // The first requests of the feed follow after 50 and 100 ms.
+        std::this_thread::sleep_for(milliseconds { 150 });
+        reactor.stop();
+    }
+}
