Answer control requests that are in progress when a registry member stops

Cause: SIGTERM ended the process of a member at once. Changes in progress had no response, requests that had arrived were not read, and responses in the send buffer were cut by a reset.

Change: RegistryDaemon::beginStop() closes the port, closes idle connections, sends "Connection: close" with the remaining responses, and permits the end of the process when no request is open and callers have received their responses, after 1 s at the latest. The member takes part in the ledger meanwhile. Requests open 0.2 s before the limit get 503, which leaves the outcome open, as for a leader that steps down. Idle connections whose callers have acknowledged everything are not waited for: a leader should not be without a port for longer than needed, and no byte of a response can be lost on them.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -451,4 +451,16 @@
     return count;
 }
 
+std::size_t HttpListener::undeliveredConnections()
+{
+    std::size_t count = 0;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        const bool isClosing = connection->closing && !connection->isClosed;
+        const bool isDelivered = isClosing && connection->closeReason == CloseReason::Idle && kernelBuffers(connection->stream.descriptor().number()).unacknowledged == 0;
+        count += isClosing && !isDelivered ? 1 : 0;
+    }
+    return count;
+}
+
 }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -93,6 +93,9 @@
     std::size_t openRequests();
     /// @return The number of connections whose sending direction has ended and whose callers may not have received everything.
     std::size_t closingConnections();
+    /// @return The closing connections without those that were closed for idleness and whose callers have acknowledged
+    /// everything. The kernel resets the latter if the process ends, but no byte of a response is lost.
+    std::size_t undeliveredConnections();
     /// @return The address that the listener was bound to.
     Endpoint localEndpoint() const
     {
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -31,6 +31,17 @@
     bool isBootstrap {};
     std::vector<std::uint8_t> clusterKey;
     RegistryOptions registry;
+    /// Longest time between beginStop() and the end. A member without a quorum cannot answer its requests, so it ends with
+    /// requests open.
+    std::chrono::milliseconds stopTime { 1'000 };
+};
+
+/// Callbacks of a RegistryDaemon. Any thread may call them.
+struct RegistryDaemonCallbacks {
+    /// Called once after beginStop() when the process may end.
+    std::function<void()> onStopped;
+    /// Called when the node has failed and the process must end.
+    std::function<void()> onFailure;
 };
 
 /// The process of a registry member: its node, the transport to other processes, and the port for control requests.
@@ -38,12 +49,11 @@
 template <ControlProtocol Protocol>
 class RegistryDaemon {
 public:
-    /// @param onFailure Called when the node has failed and the process must end.
-    RegistryDaemon(Reactor& reactor, Logger& logger, RegistryDaemonOptions options, std::function<void()> onFailure)
+    RegistryDaemon(Reactor& reactor, Logger& logger, RegistryDaemonOptions options, RegistryDaemonCallbacks callbacks)
         : reactor(reactor)
         , logger(logger)
         , options(std::move(options))
-        , onFailure(std::move(onFailure))
+        , callbacks(std::move(callbacks))
         , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, request); }, {} })
     {
     }
@@ -61,20 +71,34 @@
     /// Opens the data folder and the ports, and starts the timers.
     Status open();
 
+    /// Takes no further connections, answers the requests that have arrived, and stops when their callers have received the
+    /// responses. The member takes part in the ledger until then. A request without a response near the end of the time to
+    /// stop gets the response of a member without a leader, which leaves open whether it takes effect.
+    void beginStop();
+
+    /// @return The address for control requests, with the port that the operating system chose if the settings name port 0.
+    Endpoint control() const { return this->listener.localEndpoint(); }
+
 private:
     using Node = RegistryNode<PeerTransport, DataFolder<>, SteadyClock>;
 
     static constexpr std::chrono::milliseconds transportInterval { 500 };
+    /// Also the time in which a request may arrive on a connection that was idle when the stop began.
+    static constexpr std::chrono::milliseconds drainInterval { 50 };
+    /// Part of the time to stop in which callers may receive the responses to requests that were ended.
+    static constexpr std::chrono::milliseconds deliveryTime { 200 };
 
     Result<std::unique_ptr<Node>> makeNode();
     void handleRequest(HttpRequestId requestId, const ReceivedRequest& request);
     void respond(ControlResponse response);
     Endpoint endpointOf(const ControlResult& result) const;
+    void drain();
+    void endOpenRequests();
 
     Reactor& reactor;
     Logger& logger;
     const RegistryDaemonOptions options;
-    std::function<void()> onFailure;
+    const RegistryDaemonCallbacks callbacks;
     SteadyClock clock;
     /// Budget of control requests. Destroyed after them.
     BufferBudget buffers { BufferBudget::defaultLimit };
@@ -82,6 +106,11 @@
     std::unique_ptr<PeerTransport> transport;
     std::unique_ptr<Node> node;
     std::atomic<bool> isOpen { false };
+    std::atomic<bool> isStopping { false };
+    std::atomic<bool> hasEndedRequests { false };
+    std::atomic<bool> hasStopped { false };
+    /// Set before the timer that calls drain() starts.
+    Instant stopDeadline;
 
     Mutex mutex;
     /// Paths of control requests without a response so far, for redirects and logs.
@@ -108,8 +137,8 @@
             return recorded.failure();
         }
     }
-    RegistryCallbacks callbacks { [this](ControlResponse response) { this->respond(std::move(response)); }, [this](const Failure&) { this->onFailure(); } };
-    auto newNode = std::make_unique<Node>(*this->transport, std::move(*folder), std::move(state), this->options.seeds, this->clock, this->logger, std::move(callbacks), this->options.registry);
+    RegistryCallbacks nodeCallbacks { [this](ControlResponse response) { this->respond(std::move(response)); }, [this](const Failure&) { this->callbacks.onFailure(); } };
+    auto newNode = std::make_unique<Node>(*this->transport, std::move(*folder), std::move(state), this->options.seeds, this->clock, this->logger, std::move(nodeCallbacks), this->options.registry);
     if (const auto checked = newNode->checkStart(); !checked) {
         return checked.failure();
     }
@@ -214,4 +243,50 @@
     this->listener.respond(requestId, Protocol::encodeResult(response.result, this->endpointOf(response.result), target));
 }
 
+template <ControlProtocol Protocol>
+void RegistryDaemon<Protocol>::beginStop()
+{
+    if (this->isStopping.exchange(true)) {
+        return;
+    }
+    this->logger.log(LogEvent::ProcessStopping);
+    this->stopDeadline = this->reactor.now() + this->options.stopTime;
+    this->listener.beginDrain();
+    this->listener.stopListening();
+    this->reactor.every(drainInterval, [this](Instant) { this->drain(); });
+}
+
+template <ControlProtocol Protocol>
+void RegistryDaemon<Protocol>::drain()
+{
+    this->listener.closeIdle();
+    const auto open = this->listener.openRequests();
+    const auto closing = this->listener.undeliveredConnections();
+    const auto now = this->reactor.now();
+    if (open > 0 && now >= this->stopDeadline - deliveryTime && !this->hasEndedRequests.exchange(true)) {
+        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open }, { "closing", closing } });
+        this->endOpenRequests();
+        return;
+    }
+    const bool isDrained = open == 0 && closing == 0;
+    if ((isDrained || now >= this->stopDeadline) && !this->hasStopped.exchange(true)) {
+        this->callbacks.onStopped();
+    }
+}
+
+template <ControlProtocol Protocol>
+void RegistryDaemon<Protocol>::endOpenRequests()
+{
+    std::vector<HttpRequestId> open;
+    {
+        const MutexLock lock { this->mutex };
+        for (const auto& [requestId, target] : this->targets) {
+            open.push_back(requestId);
+        }
+    }
+    for (const auto requestId : open) {
+        this->respond({ ControlRequestId { requestId.value }, LeaderUnavailable {} });
+    }
+}
+
 }
