--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -96,6 +96,9 @@
     std::size_t connectionCount();
     /// @return The number of connections whose sending direction has ended and whose caller has not ended them.
     std::size_t closingConnections() const noexcept { return this->closingCount; }
+    /// @return The closing connections without those that were closed for idleness and whose callers have acknowledged
+    /// everything. The kernel resets the latter if the process ends, but no byte of a response is lost.
+    std::size_t undeliveredConnections();
     /// @return The address that the listener was bound to.
     Endpoint localEndpoint() const
     {
