End attempts in progress at the end of the drain period

The product's own front end exited at the end of its drain period while its workers waited for upstreams. Nothing woke them, so the callers of these attempts lost their connections without a response, and even refusals could be lost, since the process exited before they were written.

EntryRole::endRequests() now refuses what has not been sent and shuts down the sockets that carry an attempt or are being opened. An attempt of which a byte was sent ends as broken, so its outcome is unknown and it is not sent again; any other is withdrawn and reported as not run. The process then waits up to 400 ms until its callers have closed their connections.

--- a/src/adapters/http/Connection.cpp
+++ b/src/adapters/http/Connection.cpp
@@ -56,6 +56,18 @@
 }
 
 Result<std::unique_ptr<Connection>> Connection::connect(const Endpoint& endpoint, Instant deadline)
+{
+    auto begun = Connection::beginConnect(endpoint);
+    if (!begun) {
+        return begun;
+    }
+    if (const auto connected = (*begun)->finishConnect(deadline); !connected) {
+        return connected.failure();
+    }
+    return begun;
+}
+
+Result<std::unique_ptr<Connection>> Connection::beginConnect(const Endpoint& endpoint)
 {
     const auto address = toSocketAddress(endpoint);
     if (!address) {
@@ -66,21 +78,23 @@
         return { ResultCode::HttpUnreachable, systemMessage(errno) };
     }
     auto connection = std::make_unique<Connection>(descriptor, endpoint.address);
-    if (::connect(descriptor, address->pointer(), address->length) == 0) {
-        return connection;
-    }
-    if (errno != EINPROGRESS) {
+    if (::connect(descriptor, address->pointer(), address->length) != 0 && errno != EINPROGRESS) {
         return { ResultCode::HttpUnreachable, systemMessage(errno) };
     }
-    if (connection->wait(POLLOUT, deadline) == IoStatus::TimedOut) {
+    return connection;
+}
+
+Status Connection::finishConnect(Instant deadline) const
+{
+    if (this->wait(POLLOUT, deadline) == IoStatus::TimedOut) {
         return { ResultCode::HttpUnreachable, "connect timed out" };
     }
     int error = 0;
     socklen_t length = sizeof error;
-    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
+    if (getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
         return { ResultCode::HttpUnreachable, systemMessage(error) };
     }
-    return connection;
+    return success();
 }
 
 IoStatus Connection::wait(short events, Instant deadline) const
--- a/src/adapters/http/Connection.h
+++ b/src/adapters/http/Connection.h
@@ -38,6 +38,13 @@
     /// @return The connection, or HttpUnreachable.
     static Result<std::unique_ptr<Connection>> connect(const Endpoint& endpoint, Instant deadline);
 
+    /// Begins to open a connection. It must not be used before finishConnect() has succeeded.
+    /// @return The connection, or HttpUnreachable.
+    static Result<std::unique_ptr<Connection>> beginConnect(const Endpoint& endpoint);
+    /// Waits until the connection is open.
+    /// @return HttpUnreachable if it is not open by the deadline.
+    Status finishConnect(Instant deadline) const;
+
     /// Runs a TLS handshake as the server. Later reads and writes are encrypted.
     IoStatus acceptTls(ssl_ctx_st& context, Instant deadline);
     /// Runs a TLS handshake as the client. Later reads and writes are encrypted.
--- a/src/adapters/http/UpstreamAttempt.h
+++ b/src/adapters/http/UpstreamAttempt.h
@@ -33,7 +33,7 @@
         Made,
         /// No connection was available within the local limits; no byte was sent.
         Limited,
-        /// mayStillSend returned false; no byte was sent.
+        /// mayStillSend returned false, or attempts have ended; no byte was sent.
         Withdrawn,
     };
 
--- a/src/adapters/http/UpstreamConnectionPool.cpp
+++ b/src/adapters/http/UpstreamConnectionPool.cpp
@@ -3,6 +3,7 @@
 #include "adapters/clock/SteadyClock.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace teaselturn {
@@ -55,6 +56,20 @@
 {
 }
 
+AttemptReport::Kind UpstreamConnectionPool::toReportKind(AcquireStatus status)
+{
+    switch (status) {
+    case AcquireStatus::Limited:
+        return AttemptReport::Kind::Limited;
+    case AcquireStatus::Ended:
+        return AttemptReport::Kind::Withdrawn;
+    case AcquireStatus::Acquired:
+    case AcquireStatus::ConnectFailed:
+        break;
+    }
+    return AttemptReport::Kind::Made;
+}
+
 AttemptReport UpstreamConnectionPool::send(const UpstreamAttempt& attempt)
 {
     const SteadyClock clock;
@@ -63,11 +78,14 @@
         PooledConnection pooled;
         const auto acquireStatus = this->acquire(attempt, pooled);
         if (acquireStatus != AcquireStatus::Acquired) {
-            report.kind = acquireStatus == AcquireStatus::ConnectFailed ? AttemptReport::Kind::Made : AttemptReport::Kind::Limited;
+            report.kind = toReportKind(acquireStatus);
             report.result = AttemptResult::ConnectionRefused;
             return report;
         }
-        if (attempt.mayStillSend && !attempt.mayStillSend()) {
+        // Ends before the connection is closed or offered to other attempts.
+        std::optional<InterruptibleSockets::Use> use { std::in_place, this->sockets, pooled.connection->socketDescriptor() };
+        if (!use->isRegistered() || (attempt.mayStillSend && !attempt.mayStillSend())) {
+            use.reset();
             this->release(attempt.upstream, std::move(pooled), clock.now());
             report.kind = AttemptReport::Kind::Withdrawn;
             return report;
@@ -75,6 +93,7 @@
         const auto sentAt = clock.now();
         pooled.carried.record(attempt.requestId);
         auto result = exchange(*pooled.connection, attempt.request, this->limits.message, attempt.deadline);
+        use.reset();
         const auto endedAt = clock.now();
         report.kind = AttemptReport::Kind::Made;
         report.result = toAttemptResult(result, attempt.requestId);
@@ -151,6 +170,9 @@
     {
         const MutexLock lock { this->mutex };
         while (!isNew) {
+            if (this->sockets.isInterrupted()) {
+                return AcquireStatus::Ended;
+            }
             const auto now = clock.now();
             auto& upstream = this->findOrAdd(attempt, now);
             if (this->takeIdle(upstream, attempt, now, target, closed)) {
@@ -176,16 +198,41 @@
         }
     }
     closed.clear();
-    const auto connectDeadline = std::min(attempt.deadline, clock.now() + this->limits.connectTimeout);
-    auto connected = Connection::connect(attempt.upstream, connectDeadline);
-    if (!connected) {
+    const auto status = this->connect(attempt, target);
+    if (status != AcquireStatus::Acquired) {
         this->release(attempt.upstream, {}, clock.now());
+    }
+    return status;
+}
+
+UpstreamConnectionPool::AcquireStatus UpstreamConnectionPool::connect(const UpstreamAttempt& attempt, PooledConnection& target)
+{
+    const auto deadline = std::min(attempt.deadline, SteadyClock {}.now() + this->limits.connectTimeout);
+    auto begun = Connection::beginConnect(attempt.upstream);
+    if (!begun) {
         return AcquireStatus::ConnectFailed;
     }
-    target.connection = std::move(connected).value();
+    const InterruptibleSockets::Use use { this->sockets, (*begun)->socketDescriptor() };
+    if (!use.isRegistered()) {
+        return AcquireStatus::Ended;
+    }
+    if (!(*begun)->finishConnect(deadline)) {
+        return AcquireStatus::ConnectFailed;
+    }
+    target.connection = std::move(begun).value();
     return AcquireStatus::Acquired;
 }
 
+void UpstreamConnectionPool::endAttempts()
+{
+    this->sockets.interrupt();
+    {
+        // An attempt that has seen isInterrupted() as false waits by now, and is woken.
+        const MutexLock lock { this->mutex };
+    }
+    this->changed.notifyAll();
+}
+
 void UpstreamConnectionPool::release(const Endpoint& endpoint, PooledConnection pooled, Instant now)
 {
     {
--- a/src/adapters/http/UpstreamConnectionPool.h
+++ b/src/adapters/http/UpstreamConnectionPool.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/CarriedRequests.h"
 #include "adapters/http/HttpCodec.h"
+#include "adapters/http/InterruptibleSockets.h"
 #include "adapters/http/UpstreamAttempt.h"
 #include "core/Mutex.h"
 #include "teaselturn/Types.h"
@@ -34,6 +35,10 @@
     /// Sends a request at most once, on an idle or a new connection, and waits for its response.
     AttemptReport send(const UpstreamAttempt& attempt);
 
+    /// Ends the connections of all attempts in progress, which then end as if their upstream had closed them, and withdraws
+    /// every further attempt. After it has returned, no byte of a request is written.
+    void endAttempts();
+
     /// Closes connections that were idle for the idle time, and removes upstreams without connections.
     void closeUnused(Instant now);
 
@@ -66,9 +71,14 @@
         Acquired,
         ConnectFailed,
         Limited,
+        /// endAttempts() was called.
+        Ended,
     };
 
+    static AttemptReport::Kind toReportKind(AcquireStatus status);
     AcquireStatus acquire(const UpstreamAttempt& attempt, PooledConnection& target);
+    /// Opens a new connection that tryReserveNew() has counted.
+    AcquireStatus connect(const UpstreamAttempt& attempt, PooledConnection& target);
     /// Removes the most recently used connection that may carry the attempt, and those that are no longer usable.
     /// @param closed Receives the connections that are no longer usable. The caller destroys them without a lock.
     /// @return True if one was found.
@@ -79,6 +89,8 @@
     Upstream& findOrAdd(const UpstreamAttempt& attempt, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
 
     const ConnectionPoolLimits limits;
+    /// Connections that carry an attempt or are being opened.
+    InterruptibleSockets sockets;
     Mutex mutex;
     ConditionVariable changed;
     absl::flat_hash_map<Endpoint, std::unique_ptr<Upstream>, EndpointHash> upstreams ABSL_GUARDED_BY(mutex);
--- a/src/node/Daemon.cpp
+++ b/src/node/Daemon.cpp
@@ -213,7 +213,8 @@
 {
     this->isDraining = true;
     if (this->entry && !this->entry->drain(this->settings.drain)) {
-        this->logger.log(LogEvent::DrainDeadlineReached);
+        this->logger.log(LogEvent::DrainDeadlineReached, "", { { "connections", this->entry->callerConnections() } });
+        this->entry->endRequests();
         return false;
     }
     return true;
--- a/src/node/EntryRole.cpp
+++ b/src/node/EntryRole.cpp
@@ -67,11 +67,15 @@
 
 bool EntryRole::drain(Duration timeout)
 {
-    const bool isDrained = !this->server || this->server->drain(timeout);
-    if (!isDrained) {
-        this->handler.refuseRequests();
-    }
-    return isDrained;
+    return !this->server || this->server->drain(timeout);
+}
+
+void EntryRole::endRequests()
+{
+    // In this order, a request whose attempt has ended finds that no other attempt may be made.
+    this->handler.refuseRequests();
+    this->connections.endAttempts();
+    static_cast<void>(this->server->drain(deliveryTime));
 }
 
 void EntryRole::reportLoad()
--- a/src/node/EntryRole.h
+++ b/src/node/EntryRole.h
@@ -27,11 +27,21 @@
     /// @return ListenFailed or TlsInvalid.
     Status listen(const HttpSettings& http);
 
-    /// Stops accepting callers and waits for requests in flight. After the timeout, requests that no upstream is
-    /// running are refused as draining.
+    /// How long callers have to receive the responses of endRequests() before the process exits. Longer than a request
+    /// waits before it looks at its route again, 100 ms, and a round trip between regions.
+    static constexpr std::chrono::milliseconds deliveryTime { 400 };
+
+    /// Stops accepting callers and waits for requests in flight.
     /// @return False if requests were still in flight after the timeout.
     bool drain(Duration timeout);
 
+    /// Refuses requests that have not been sent, ends attempts in progress, whose requests then end as unknown, and
+    /// waits until every connection of a caller is closed or deliveryTime has passed. Requires that drain() was called.
+    void endRequests();
+
+    /// @return The number of callers' connections. Requires listen().
+    std::size_t callerConnections() { return this->server->connectionCount(); }
+
     /// Passes the load since the last report to the entry node. A timer calls it every 100 ms.
     void reportLoad();
 
--- a/src/node/RequestHandler.h
+++ b/src/node/RequestHandler.h
@@ -52,7 +52,8 @@
     /// @return The whole response to the caller.
     HttpResponse handle(const HttpRequest& http);
 
-    /// Refuses new and waiting requests as draining from now on. Attempts in progress are not interrupted.
+    /// Refuses new and waiting requests as draining from now on, and makes no further attempt. Attempts in progress are not
+    /// interrupted.
     void refuseRequests() noexcept { this->isRefusingRequests.store(true, std::memory_order_relaxed); }
 
 private:
--- a/src/node/main.cpp
+++ b/src/node/main.cpp
@@ -46,7 +46,7 @@
     (*logger)->log(LogEvent::ProcessStopped, "", { { "exit", code } });
     (*logger)->flush();
     if (code != exits::success) {
-        // Requests in flight would delay an orderly shutdown.
+        // Callers that still receive a response would delay an orderly shutdown.
         std::_Exit(code);
     }
     daemon->reset();
--- a/tests/adapters/http/UpstreamConnectionPoolTest.cpp
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -1,9 +1,14 @@
 #include "adapters/http/UpstreamConnectionPool.h"
 
 #include "RawUpstream.h"
+#include "adapters/peer/Socket.h"
 
+#include <absl/synchronization/notification.h>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <map>
+#include <set>
+#include <thread>
 
 using namespace teaselturn;
 using namespace std::chrono_literals;
@@ -248,3 +253,148 @@
     }
     CHECK_FALSE(hasReceived);
 }
+
+TEST_CASE("ending the attempts wakes a sender and does not report its request as not run", "[http]")
+{
+    // At the end of a drain period the worker blocked until the upstream responded, and the process exited before.
+    absl::Notification isReceived;
+    RawUpstream upstream { [&](Connection& connection, int) {
+        RawUpstream::readRequest(connection);
+        isReceived.Notify();
+        RawUpstream::waitForClose(connection);
+    } };
+    UpstreamConnectionPool pool;
+    AttemptReport report;
+    std::thread sender { [&] { report = sendTo(pool, upstream.endpoint(), 20s); } };
+    isReceived.WaitForNotification();
+    const auto endedAt = SteadyClock {}.now();
+    pool.endAttempts();
+    sender.join();
+    CHECK(SteadyClock {}.now() - endedAt < 5s);
+    REQUIRE(report.kind == AttemptReport::Kind::Made);
+    CHECK(report.result == AttemptResult::Broken);
+    CHECK(pool.connectionCount(upstream.endpoint()) == 0);
+}
+
+TEST_CASE("no request is sent once the attempts have ended", "[http]")
+{
+    // Neither on an idle connection nor on a new one; such a request is reported as not run.
+    std::atomic<int> requests { 0 };
+    {
+        RawUpstream upstream { [&](Connection& connection, int) {
+            while (!RawUpstream::readRequest(connection).empty()) {
+                ++requests;
+                RawUpstream::respond(connection, validResponse);
+            }
+        } };
+        UpstreamConnectionPool pool;
+        REQUIRE(sendTo(pool, upstream.endpoint()).result == AttemptResult::Answered);
+        pool.endAttempts();
+        CHECK(sendSecondTo(pool, upstream.endpoint()).kind == AttemptReport::Kind::Withdrawn);
+        CHECK(sendTo(pool, upstream.endpoint(), 10s, 4, true, "third").kind == AttemptReport::Kind::Withdrawn);
+    }
+    CHECK(requests == 1);
+}
+
+TEST_CASE("ending the attempts wakes a sender that waits for a connection or for the upstream's host", "[http]")
+{
+    // Neither has sent a byte, so both are reported as not run, in time for their callers.
+    absl::Notification isReceived;
+    RawUpstream upstream { [&](Connection& connection, int) {
+        RawUpstream::readRequest(connection);
+        isReceived.Notify();
+        RawUpstream::waitForClose(connection);
+    } };
+    // The handshake of a third connection to this listener does not complete, since its queue of accepted ones is full.
+    const auto silent = openBound({ "127.0.0.1", 0 }, SOCK_STREAM).value();
+    REQUIRE(::listen(silent.number(), 0) == 0);
+    const auto silentEndpoint = boundEndpoint(silent);
+    std::vector<std::unique_ptr<Connection>> queued;
+    for (int i = 0; i < 2; ++i) {
+        if (auto connection = Connection::connect(silentEndpoint, SteadyClock {}.now() + 200ms)) {
+            queued.push_back(std::move(connection).value());
+        }
+    }
+    UpstreamConnectionPool pool { { 5s, 10, 20s, {} } };
+    AttemptReport first;
+    AttemptReport waiting;
+    AttemptReport connecting;
+    std::thread firstSender { [&] { first = sendTo(pool, upstream.endpoint(), 20s, 1); } };
+    isReceived.WaitForNotification();
+    std::thread waitingSender { [&] { waiting = sendTo(pool, upstream.endpoint(), 20s, 1, false, "second"); } };
+    std::atomic<bool> hasConnected { false };
+    std::thread connectingSender { [&] {
+        connecting = sendTo(pool, silentEndpoint, 20s);
+        hasConnected = true;
+    } };
+    std::this_thread::sleep_for(200ms);
+    CHECK_FALSE(hasConnected);
+    const auto endedAt = SteadyClock {}.now();
+    pool.endAttempts();
+    for (auto* sender : { &firstSender, &waitingSender, &connectingSender }) {
+        sender->join();
+    }
+    CHECK(SteadyClock {}.now() - endedAt < 5s);
+    CHECK(first.result == AttemptResult::Broken);
+    CHECK(waiting.kind == AttemptReport::Kind::Withdrawn);
+    const bool isNotSent = connecting.kind == AttemptReport::Kind::Withdrawn
+        || (connecting.kind == AttemptReport::Kind::Made && connecting.result == AttemptResult::ConnectionRefused);
+    CHECK(isNotSent);
+}
+
+TEST_CASE("attempts that end at any moment are reported by what was sent", "[http]")
+{
+    // A request that reached the upstream must not be reported as not sent. Also lets ThreadSanitizer and the kernel see
+    // sockets that are closed and opened while they are shut down.
+    for (int round = 0; round < 20; ++round) {
+        Mutex mutex;
+        std::set<std::string> received;
+        std::map<std::string, AttemptReport> reports;
+        {
+            RawUpstream upstream { [&](Connection& connection, int) {
+                while (true) {
+                    const auto request = RawUpstream::readRequest(connection);
+                    const auto position = request.find("Request-Id: ");
+                    if (position == std::string::npos) {
+                        return;
+                    }
+                    const auto begin = position + 12;
+                    const auto id = request.substr(begin, request.find('\r', begin) - begin);
+                    {
+                        const MutexLock lock { mutex };
+                        received.insert(id);
+                    }
+                    RawUpstream::respond(connection, validResponseTo(id));
+                }
+            } };
+            UpstreamConnectionPool pool;
+            std::vector<std::thread> senders;
+            for (int sender = 0; sender < 4; ++sender) {
+                senders.emplace_back([&, sender] {
+                    for (int i = 0;; ++i) {
+                        const auto id = std::to_string(sender) + "-" + std::to_string(i);
+                        auto report = sendTo(pool, upstream.endpoint(), 10s, 4, false, id);
+                        const bool hasEnded = report.kind == AttemptReport::Kind::Withdrawn;
+                        const MutexLock lock { mutex };
+                        reports.emplace(id, std::move(report));
+                        if (hasEnded) {
+                            return;
+                        }
+                    }
+                });
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds { 2 + round });
+            pool.endAttempts();
+            for (auto& sender : senders) {
+                sender.join();
+            }
+        }
+        const MutexLock lock { mutex };
+        int falselyNotSent = 0;
+        for (const auto& [id, report] : reports) {
+            const bool isNotSent = report.kind != AttemptReport::Kind::Made || report.result == AttemptResult::ConnectionRefused;
+            falselyNotSent += isNotSent && received.contains(id) ? 1 : 0;
+        }
+        CHECK(falselyNotSent == 0);
+    }
+}
--- a/tests/node/DaemonTest.cpp
+++ b/tests/node/DaemonTest.cpp
@@ -8,6 +8,7 @@
 #include "adapters/settings/BundleJson.h"
 #include "adapters/settings/TemporaryFolder.h"
 
+#include <array>
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -44,8 +45,10 @@
     Ed25519KeyPair operatorKey { generateEd25519() };
     std::unique_ptr<Logger> logger;
     std::unique_ptr<Daemon> daemon;
+    const std::chrono::milliseconds drain;
 
-    SmallCluster()
+    explicit SmallCluster(std::chrono::milliseconds drain = Settings {}.drain)
+        : drain(drain)
     {
         auto opened = Logger::open({ LogLevel::Info, this->path("daemon.log") });
         REQUIRE(opened);
@@ -70,6 +73,7 @@
         settings.bootstrap.members = { { NodeId { 1 }, "wc-paarl", "wcape", { "127.0.0.1", 1 }, {} } };
         settings.bootstrap.operators = { { "thandi", this->operatorKey.publicKey } };
         settings.bootstrap.threshold = 1;
+        settings.drain = this->drain;
         return settings;
     }
 
@@ -107,10 +111,10 @@
         return response ? nlohmann::json::parse(response->body) : nlohmann::json {};
     }
 
-    Result<HttpResponse> request(const std::string& id) const
+    Result<HttpResponse> request(const std::string& id, std::string_view repeatable = "no") const
     {
         HttpClient client { { "127.0.0.1", this->daemon->callerPort() } };
-        const HttpHeaderView headers[] = { { "Teaselturn-Key", "key-1" }, { "Teaselturn-Request-Id", id }, { "Teaselturn-Deadline-Ms", "5000" }, { "Teaselturn-Repeatable", "no" } };
+        const HttpHeaderView headers[] = { { "Teaselturn-Key", "key-1" }, { "Teaselturn-Request-Id", id }, { "Teaselturn-Deadline-Ms", "5000" }, { "Teaselturn-Repeatable", repeatable } };
         return client.send({ "POST", "/s/tills/pay", headers, "x", {} }, std::chrono::seconds { 15 });
     }
 
@@ -196,6 +200,71 @@
     CHECK(aborted.load() == 0);
 }
 
+TEST_CASE("callers of attempts in progress get a response at the end of the drain period", "[processes]")
+{
+    // The process exited with attempts in progress, and their callers lost their connections without a response.
+    // Less than half of the deadline, which is what the first attempt of a repeatable request gets.
+    constexpr std::chrono::milliseconds serviceTime { 2'000 };
+    SmallCluster cluster { std::chrono::milliseconds { 500 } };
+    REQUIRE(eventually([&] {
+        const auto response = cluster.admin("POST", "/v1/bundles", cluster.signedBundle(1));
+        return response && response->status == 200;
+    }));
+    auto command = cluster.upstreamCommand("tills-1");
+    command.insert(command.end(), { "--service-time-ms", std::to_string(serviceTime.count()), "--request-slots", "2" });
+    ChildProcess upstream { command, cluster.path("tills-1.txt") };
+    REQUIRE(eventually([&] { return cluster.status()["slots"]["unowned"] == 0 && cluster.status()["upstreams"] == 1; }));
+    // Until it has heard of its slots, the upstream refuses.
+    REQUIRE(cluster.request("r-first")->header("Teaselturn-Outcome") == "answered");
+
+    struct Caller {
+        std::string id;
+        std::string_view repeatable;
+        std::string outcome;
+        std::chrono::steady_clock::time_point endedAt;
+        std::thread thread;
+    };
+    // The upstream has two slots, so the third request waits in the entry VM.
+    std::array<Caller, 3> callers { { { "r-once", "no" }, { "r-repeatable", "yes" }, { "r-waiting", "no" } } };
+    for (auto& caller : callers) {
+        caller.thread = std::thread { [&cluster, &caller] {
+            const auto response = cluster.request(caller.id, caller.repeatable);
+            caller.outcome = response ? std::string { response->header("Teaselturn-Outcome") } : response.failure().describe();
+            caller.endedAt = std::chrono::steady_clock::now();
+        } };
+        std::this_thread::sleep_for(std::chrono::milliseconds { 200 });
+    }
+    cluster.daemon->requestStop();
+    CHECK(cluster.daemon->run() == exits::failure);
+    const auto endOfRun = std::chrono::steady_clock::now();
+    for (auto& caller : callers) {
+        caller.thread.join();
+        INFO(caller.id);
+        CHECK(caller.endedAt < endOfRun + std::chrono::milliseconds { 100 });
+    }
+    CHECK(callers[0].outcome == "unknown");
+    CHECK(callers[1].outcome == "unknown");
+    CHECK(callers[2].outcome == "not-run");
+
+    // The upstream runs what was sent, once, and nothing else.
+    std::string record;
+    const auto countRuns = [&record](const std::string& id) {
+        std::size_t count = 0;
+        for (auto position = record.find(" " + id + " "); position != std::string::npos; position = record.find(" " + id + " ", position + 1)) {
+            ++count;
+        }
+        return count;
+    };
+    CHECK(eventually([&] {
+        std::ifstream file { cluster.path("tills-1.record") };
+        record.assign(std::istreambuf_iterator<char> { file }, {});
+        return countRuns("r-once") > 0 && countRuns("r-repeatable") > 0;
+    }));
+    CHECK(countRuns("r-once") == 1);
+    CHECK(countRuns("r-repeatable") == 1);
+    CHECK(countRuns("r-waiting") == 0);
+}
+
 TEST_CASE("operators who race with one number get one winner", "[processes]")
 {
     SmallCluster cluster;
