Limit the time without progress of a response, not its whole time

The product's own front end gave a caller 5 s for a whole response and cut what was not written by then, also in calm. 8 MiB over a link of 2.5 Mbit/s take 27 s.

The 5 s now bound the time in which a caller acknowledges nothing. Writability alone is no measure of that: the kernel reports it when a third of the send buffer is free. 30 s bound the response as a whole, since a worker is occupied while it is written; with the response outside the worker, a longer limit would be possible.

--- a/src/adapters/http/Connection.cpp
+++ b/src/adapters/http/Connection.cpp
@@ -22,6 +22,8 @@
 
     constexpr std::size_t inputBufferBytes = 16 * 1024;
     constexpr int listenBacklog = 1024;
+    /// How often a thread that waits to write checks what the peer has acknowledged.
+    constexpr std::chrono::milliseconds progressCheckInterval { 100 };
 
     void setNoDelay(int descriptor) noexcept
     {
@@ -116,6 +118,28 @@
     }
 }
 
+IoStatus Connection::waitForProgress(Instant deadline, Duration progressTimeout) const
+{
+    if (progressTimeout == Duration::max()) {
+        return this->wait(POLLOUT, deadline);
+    }
+    // The kernel reports the socket as writable only when a third of its buffer is free, which a slow peer reaches late.
+    const SteadyClock clock;
+    auto unacknowledged = kernelBuffers(this->descriptor).unacknowledged;
+    auto progressAt = clock.now();
+    while (true) {
+        const auto status = this->wait(POLLOUT, std::min<Instant>(deadline, clock.now() + progressCheckInterval));
+        const auto now = clock.now();
+        if (const auto current = kernelBuffers(this->descriptor).unacknowledged; current < unacknowledged) {
+            unacknowledged = current;
+            progressAt = now;
+        }
+        if (status != IoStatus::TimedOut || now >= deadline || now - progressAt >= progressTimeout) {
+            return status;
+        }
+    }
+}
+
 IoStatus Connection::acceptTls(ssl_ctx_st& context, Instant deadline)
 {
     return this->handshake(context, true, deadline);
@@ -144,13 +168,13 @@
     }
 }
 
-IoStatus Connection::waitForTls(int result, Instant deadline) const
+IoStatus Connection::waitForTls(int result, Instant deadline, Duration progressTimeout) const
 {
     switch (SSL_get_error(this->tls.get(), result)) {
     case SSL_ERROR_WANT_READ:
         return this->wait(POLLIN, deadline);
     case SSL_ERROR_WANT_WRITE:
-        return this->wait(POLLOUT, deadline);
+        return this->waitForProgress(deadline, progressTimeout);
     case SSL_ERROR_ZERO_RETURN:
         return IoStatus::Closed;
     default:
@@ -212,7 +236,7 @@
     return IoStatus::Ok;
 }
 
-IoStatus Connection::write(std::string_view bytes, Instant deadline)
+IoStatus Connection::write(std::string_view bytes, Instant deadline, Duration progressTimeout)
 {
     if (this->tls && !bytes.empty()) {
         // A failed TLS write does not report how much of its record was sent, so every attempt counts as sent.
@@ -224,7 +248,7 @@
             ERR_clear_error();
             const int result = SSL_write_ex(this->tls.get(), bytes.data(), bytes.size(), &written);
             if (result != 1) {
-                if (const auto status = this->waitForTls(result, deadline); status != IoStatus::Ok) {
+                if (const auto status = this->waitForTls(result, deadline, progressTimeout); status != IoStatus::Ok) {
                     return status;
                 }
                 continue;
@@ -233,7 +257,7 @@
             const auto sentNow = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (sentNow < 0) {
                 if (errno == EAGAIN || errno == EWOULDBLOCK) {
-                    if (const auto status = this->wait(POLLOUT, deadline); status != IoStatus::Ok) {
+                    if (const auto status = this->waitForProgress(deadline, progressTimeout); status != IoStatus::Ok) {
                         return status;
                     }
                 } else if (errno != EINTR) {
--- a/src/adapters/http/Connection.h
+++ b/src/adapters/http/Connection.h
@@ -56,7 +56,8 @@
     IoStatus read(std::span<char> buffer, std::size_t& count, Instant deadline);
 
     /// Writes all bytes. If it fails, some of them may have been written.
-    IoStatus write(std::string_view bytes, Instant deadline);
+    /// @param progressTimeout Maximum time in which the peer acknowledges nothing.
+    IoStatus write(std::string_view bytes, Instant deadline, Duration progressTimeout = Duration::max());
 
     /// @return A counter that grows whenever bytes may have been sent. If a failed write left it unchanged, that write
     /// sent nothing.
@@ -81,9 +82,11 @@
     };
 
     IoStatus wait(short events, Instant deadline) const;
+    /// Waits until the socket takes bytes.
+    IoStatus waitForProgress(Instant deadline, Duration progressTimeout) const;
     IoStatus receive(std::span<char> buffer, std::size_t& count, Instant deadline);
     IoStatus handshake(ssl_ctx_st& context, bool isServer, Instant deadline);
-    IoStatus waitForTls(int result, Instant deadline) const;
+    IoStatus waitForTls(int result, Instant deadline, Duration progressTimeout = Duration::max()) const;
 
     int descriptor;
     std::string remoteAddress;
--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -104,14 +104,18 @@
         bool flush()
         {
             if (!this->output.empty() && !this->isOutputBroken) {
-                this->status = this->connection.write(this->output, this->deadline);
+                this->status = this->connection.write(this->output, this->deadline, this->progressTimeout);
                 this->output.clear();
                 this->isOutputBroken = this->status != IoStatus::Ok;
             }
             return !this->isOutputBroken;
         }
 
-        void restartDeadline(Instant later) noexcept { this->deadline = later; }
+        void beginResponse(Instant now, WriteTimeouts timeouts) noexcept
+        {
+            this->deadline = now + timeouts.total;
+            this->progressTimeout = timeouts.progress;
+        }
         IoStatus lastStatus() const noexcept { return this->status; }
         std::uint64_t receivedBytes() const noexcept { return this->received; }
         bool exceededBudget() const noexcept { return this->isOverBudget; }
@@ -129,6 +133,7 @@
         IoStatus status { IoStatus::Ok };
         std::uint64_t received {};
         Instant deadline;
+        Duration progressTimeout { Duration::max() };
         std::string output;
         bool isOutputBroken {};
     };
@@ -191,10 +196,10 @@
         this->set_payload_max_length(limits.maxBodyBytes);
     }
 
-    bool serve(Connection& connection, const HttpHandler& application, Instant readDeadline, Duration writeTimeout)
+    bool serve(Connection& connection, const HttpHandler& application, Instant readDeadline, WriteTimeouts writeTimeouts)
     {
         ConnectionStream stream { connection, this->limits, readDeadline };
-        this->current = { &application, &stream, writeTimeout };
+        this->current = { &application, &stream, writeTimeouts };
         bool isClosedByClient = false;
         const bool isProcessed = this->process_request(
             stream, false, isClosedByClient, [this](httplib::Request& request) { this->capture(request); });
@@ -208,7 +213,7 @@
     struct Current {
         const HttpHandler* application {};
         ConnectionStream* stream {};
-        Duration writeTimeout {};
+        WriteTimeouts writeTimeouts {};
         int rejectionStatus {};
         bool isHandled {};
         bool closesAfterResponse {};
@@ -301,7 +306,7 @@
                 ? statusRequestTimeout
                 : (response.status >= statusBadRequest ? response.status : statusBadRequest);
         }
-        stream.restartDeadline(now + this->current.writeTimeout);
+        stream.beginResponse(now, this->current.writeTimeouts);
         response.headers.erase("Keep-Alive");
         // After an error, the start of the next request in the input is unknown.
         this->current.closesAfterResponse = !this->current.isHandled || this->isDraining();
@@ -398,9 +403,9 @@
 ServerCodec::~ServerCodec() = default;
 
 bool ServerCodec::serve(
-    Connection& connection, const HttpHandler& handler, Instant readDeadline, Duration writeTimeout)
+    Connection& connection, const HttpHandler& handler, Instant readDeadline, WriteTimeouts writeTimeouts)
 {
-    return this->implementation->serve(connection, handler, readDeadline, writeTimeout);
+    return this->implementation->serve(connection, handler, readDeadline, writeTimeouts);
 }
 
 namespace {
--- a/src/adapters/http/HttpCodec.h
+++ b/src/adapters/http/HttpCodec.h
@@ -19,6 +19,14 @@
     std::size_t maxBodyBytes { limits::maxBodyBytes };
 };
 
+/// Limits of the time to write one response.
+struct WriteTimeouts {
+    /// Maximum time in which the peer acknowledges nothing.
+    Duration progress;
+    /// Maximum time in total, counted from when the handler returned.
+    Duration total;
+};
+
 /// Reads requests and writes responses for a server. An object serves one request at a time.
 class ServerCodec {
 public:
@@ -31,9 +39,8 @@
 
     /// Serves the next request of a connection. Calls the handler when the complete request has arrived.
     /// @param readDeadline Time by which the complete request must have arrived.
-    /// @param writeTimeout Maximum time to write the response, counted from when the handler returned.
     /// @return True if the connection may be reused for another request.
-    bool serve(Connection& connection, const HttpHandler& handler, Instant readDeadline, Duration writeTimeout);
+    bool serve(Connection& connection, const HttpHandler& handler, Instant readDeadline, WriteTimeouts writeTimeouts);
 
 private:
     class Implementation;
--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -304,11 +304,12 @@
             return true;
         }
     }
+    const WriteTimeouts writeTimeouts { this->settings.transferTimeout, this->settings.maxResponseTime };
     auto codec = this->borrowCodec();
     bool canKeep = true;
     for (int i = 0; canKeep && (i == 0 || (i < maxRequestsPerTurn && connection.hasBufferedInput())); ++i) {
         canKeep = codec->serve(
-            connection, this->handler, clock.now() + this->settings.transferTimeout, this->settings.transferTimeout);
+            connection, this->handler, clock.now() + this->settings.transferTimeout, writeTimeouts);
     }
     this->returnCodec(std::move(codec));
     return canKeep;
--- a/src/adapters/http/HttpServer.h
+++ b/src/adapters/http/HttpServer.h
@@ -30,8 +30,11 @@
     std::size_t maxConnections { 4'096 };
     /// An idle persistent connection is closed after this time.
     Duration idleTime { std::chrono::seconds { 15 } };
-    /// Maximum time to receive a complete request, and maximum time to write a response.
+    /// Maximum time to receive a complete request, and maximum time in which a caller acknowledges nothing of a response.
     Duration transferTimeout { std::chrono::seconds { 5 } };
+    /// Maximum time to write a response, which occupies a worker. The largest response of an upstream, 8 MiB, takes 27 s at
+    /// 2.5 Mbit/s.
+    Duration maxResponseTime { std::chrono::seconds { 30 } };
     /// While draining, an idle connection is closed after this time. It may send one more request before.
     Duration drainIdleTimeout { std::chrono::milliseconds { 500 } };
     /// While draining, the listener closes after this time, so that TCP handshakes that have begun can complete; it is
