Send the end of a TLS session when the send buffer is full

SSL_shutdown() was called once. If the response had filled the socket's send buffer, the alert was dropped and the caller saw its connection end without close_notify. The response itself was whole, so only callers that read to the end of the connection, or require the alert, noticed.

--- a/src/adapters/http/Connection.cpp
+++ b/src/adapters/http/Connection.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/clock/SteadyClock.h"
 #include "adapters/peer/Socket.h"
+#include "adapters/reactor/TcpStream.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -287,12 +288,14 @@
     return ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-GracefulClose Connection::finishSending(Instant now) noexcept
+bool Connection::sendCloseNotify() noexcept
 {
-    if (this->tls) {
-        SSL_shutdown(this->tls.get());
+    if (!this->tls) {
+        return true;
     }
-    return GracefulClose { this->descriptor, now };
+    ERR_clear_error();
+    const int result = SSL_shutdown(this->tls.get());
+    return result >= 0 || SSL_get_error(this->tls.get(), result) != SSL_ERROR_WANT_WRITE;
 }
 
 Result<int> listenOn(std::string_view address, std::uint16_t& port)
--- a/src/adapters/http/Connection.h
+++ b/src/adapters/http/Connection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "adapters/reactor/GracefulClose.h"
 #include "teaselturn/Result.h"
 #include "teaselturn/Types.h"
 
@@ -69,9 +68,9 @@
     /// @return True if the connection is open and no bytes have arrived, so that it can carry another request.
     bool isIdle() const noexcept;
 
-    /// Ends the sending direction.
-    /// @return The rest of the close. It must not outlive the connection.
-    GracefulClose finishSending(Instant now) noexcept;
+    /// Sends the TLS alert that states the end of the connection. Does nothing without TLS, or if a write has failed.
+    /// @return False if the socket takes no bytes now. Must be called again then when it does, and nothing else be sent.
+    bool sendCloseNotify() noexcept;
 
     int socketDescriptor() const noexcept { return this->descriptor; }
     std::string_view remoteIp() const noexcept { return this->remoteAddress; }
--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -22,7 +22,7 @@
 
     constexpr std::uint32_t requestEvents = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
     /// Edge-triggered, since input beyond GracefulClose::maxDiscardedBytes stays unread.
-    constexpr std::uint32_t closingEvents = EPOLLIN | EPOLLRDHUP | EPOLLET;
+    constexpr std::uint32_t closingEvents = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
     /// Maximum time between two checks for idle connections.
     constexpr std::chrono::seconds maxPollInterval { 60 };
     /// Maximum requests of one connection that a worker serves before it serves other connections.
@@ -262,8 +262,8 @@
     if (entry == this->connections.end()) {
         return;
     }
-    if (entry->second.closing) {
-        if (entry->second.closing->discardInput()) {
+    if (entry->second.closeBegunAt) {
+        if (this->continueClose(descriptor, entry->second, SteadyClock {}.now())) {
             closed = std::move(entry->second.connection);
             this->connections.erase(entry);
             this->changed.notifyAll();
@@ -344,11 +344,35 @@
 
 bool HttpServer::beginClose(int descriptor, Entry& entry, Instant now)
 {
-    entry.closing.emplace(entry.connection->finishSending(now));
+    entry.closeBegunAt = now;
+    const bool isClosed = this->continueClose(descriptor, entry, now);
     this->watch(descriptor, EPOLL_CTL_MOD, closingEvents);
+    return isClosed;
+}
+
+bool HttpServer::continueClose(int descriptor, Entry& entry, Instant now)
+{
+    if (!entry.closing) {
+        if (!entry.connection->sendCloseNotify()) {
+            return false;
+        }
+        entry.closing.emplace(descriptor, now);
+    }
     return entry.closing->discardInput();
 }
 
+bool HttpServer::isCloseExpired(int descriptor, Entry& entry, Instant now)
+{
+    if (entry.closing) {
+        return entry.closing->isExpired(now);
+    }
+    if (now - *entry.closeBegunAt >= GracefulClose::progressTimeout) {
+        // The response may still arrive whole. Only the statement of its end is missing then.
+        entry.closing.emplace(descriptor, now);
+    }
+    return false;
+}
+
 Instant HttpServer::closeDue(Instant now)
 {
     if (this->isDraining && this->drainSince == Instant {}) {
@@ -362,13 +386,13 @@
         for (auto entry = this->connections.begin(); entry != this->connections.end();) {
             auto& [descriptor, state] = *entry;
             const auto due = std::max(state.idleSince, this->drainSince) + idleTime;
-            const bool isIdle = !state.closing && !state.isBeingServed && due <= now && state.connection->isIdle();
-            if ((isIdle && this->beginClose(descriptor, state, now)) || (state.closing && state.closing->isExpired(now))) {
+            const bool isIdle = !state.closeBegunAt && !state.isBeingServed && due <= now && state.connection->isIdle();
+            if ((isIdle && this->beginClose(descriptor, state, now)) || (state.closeBegunAt && this->isCloseExpired(descriptor, state, now))) {
                 closed.push_back(std::move(state.connection));
                 entry = this->connections.erase(entry);
                 continue;
             }
-            if (state.closing) {
+            if (state.closeBegunAt) {
                 next = std::min<Instant>(next, now + GracefulClose::checkInterval);
             } else if (!state.isBeingServed) {
                 next = std::min(next, std::max<Instant>(due, now + std::chrono::milliseconds { 1 }));
--- a/src/adapters/http/HttpServer.h
+++ b/src/adapters/http/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/HttpCodec.h"
 #include "adapters/http/HttpTypes.h"
+#include "adapters/reactor/GracefulClose.h"
 #include "adapters/threads/WorkerPool.h"
 #include "core/Mutex.h"
 #include "teaselturn/Result.h"
@@ -75,6 +76,8 @@
         std::unique_ptr<Connection> connection;
         Instant idleSince;
         bool isBeingServed {};
+        /// Set once no more responses are sent.
+        std::optional<Instant> closeBegunAt;
         /// Set once the sending direction has ended.
         std::optional<GracefulClose> closing;
     };
@@ -95,9 +98,14 @@
     void serve(int descriptor, Connection& connection);
     bool serveRequests(Connection& connection);
     void finishServing(int descriptor, bool canKeep);
-    /// Ends the sending direction of a connection.
+    /// Ends the sending direction of a connection, as soon as the socket takes the end of its TLS session.
     /// @return True if its caller has ended too, so that it may be closed.
     bool beginClose(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Called for each event of a connection that is being closed.
+    /// @return True if its caller has ended too, so that it may be closed.
+    bool continueClose(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// @return True if the close of a connection has reached a limit.
+    bool isCloseExpired(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// Closes connections that are idle or whose close is complete or has reached its limit.
     /// @return When to call it again.
     Instant closeDue(Instant now);
--- a/tests/adapters/http/HttpTlsCloseTest.cpp
+++ b/tests/adapters/http/HttpTlsCloseTest.cpp
@@ -5,6 +5,7 @@
 #include "adapters/settings/TlsMaterial.h"
 
 #include <absl/synchronization/notification.h>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -21,7 +22,9 @@
     const TemporaryFolder folder;
     const std::string body = std::string(1'024 * 1'024, 'x');
     WorkerPool workers { 2, 16 };
-    std::unique_ptr<HttpServer> server { std::move(HttpServer::start(this->settings(), this->workers, [this](const HttpRequest&) { return HttpResponse { 200, {}, this->body }; })).value() };
+    /// Size of the next response's body.
+    std::atomic<std::size_t> size { this->body.size() };
+    std::unique_ptr<HttpServer> server { std::move(HttpServer::start(this->settings(), this->workers, [this](const HttpRequest&) { return HttpResponse { 200, {}, this->body.substr(0, this->size) }; })).value() };
 
     HttpServerSettings settings() const
     {
@@ -73,3 +76,25 @@
     CHECK(caller.receivedBody().size() >= fixture.body.size());
     CHECK(caller.end == SlowTlsCaller::End::Orderly);
 }
+
+TEST_CASE("HTTP server states the end of an encrypted connection, however full its send buffer is", "[http]")
+{
+    // The alert that states the end was dropped if the response had filled the send buffer, and the connection looked truncated
+    // to its caller. With a small buffer, this happens for one size in ten.
+    LongTlsResponses fixture;
+    int truncated = 0;
+    int incomplete = 0;
+    for (std::size_t size = 1'000; size < 120'000; size += 500) {
+        fixture.size = size;
+        SlowTlsCaller caller { fixture.endpoint() };
+        caller.limitServerSendBuffer(8 * 1'024);
+        REQUIRE(caller.send(lastRequest));
+        // The send buffer fills before the caller reads.
+        std::this_thread::sleep_for(3ms);
+        caller.readToEnd();
+        incomplete += caller.receivedBody().size() == size ? 0 : 1;
+        truncated += caller.end == SlowTlsCaller::End::Orderly ? 0 : 1;
+    }
+    CHECK(incomplete == 0);
+    CHECK(truncated == 0);
+}
--- a/tests/adapters/http/SlowTlsCaller.h
+++ b/tests/adapters/http/SlowTlsCaller.h
@@ -8,6 +8,7 @@
 #include <catch2/catch.hpp>
 #include <fcntl.h>
 #include <memory>
+#include <netinet/in.h>
 #include <openssl/ssl.h>
 #include <string>
 #include <string_view>
@@ -34,6 +35,19 @@
     /// @return True if the kernel took all bytes.
     bool send(std::string_view bytes) const { return this->connection->write(bytes, soon()) == teaselturn::IoStatus::Ok; }
 
+    /// Bounds the send buffer of the server, which has to be in this process. Must be called before a request is sent.
+    void limitServerSendBuffer(int bytes) const
+    {
+        const auto own = addressOf(getsockname, this->connection->socketDescriptor());
+        int found = 0;
+        for (int descriptor = 0; descriptor < maxDescriptors; ++descriptor) {
+            if (const auto peer = addressOf(getpeername, descriptor); peer.sin_family == AF_INET && peer.sin_port == own.sin_port) {
+                found += setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes) == 0 ? 1 : 0;
+            }
+        }
+        REQUIRE(found == 1);
+    }
+
     /// Reads once.
     /// @return False if the connection has ended, or nothing arrived for 10 s.
     bool readSome()
@@ -74,6 +88,17 @@
     End end { End::TimedOut };
 
 private:
+    static constexpr int maxDescriptors = 1'024;
+
+    template <typename Query>
+    static sockaddr_in addressOf(Query query, int descriptor)
+    {
+        sockaddr_in address {};
+        socklen_t length = sizeof address;
+        query(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+        return address;
+    }
+
     static teaselturn::Instant soon() { return teaselturn::SteadyClock {}.now() + std::chrono::seconds { 10 }; }
 
     std::unique_ptr<SSL_CTX, decltype(&SSL_CTX_free)> context;
