--- a/tests/adapters/http/UpstreamConnectionPoolTest.cpp
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -369,6 +369,7 @@
             } };
             UpstreamConnectionPool pool;
             std::vector<std::thread> senders;
+            senders.reserve(4);
             for (int sender = 0; sender < 4; ++sender) {
                 senders.emplace_back([&, sender] {
                     for (int i = 0;; ++i) {
