--- a/src/adapters/http/Connection.cpp
+++ b/src/adapters/http/Connection.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/clock/SteadyClock.h"
 #include "adapters/peer/Socket.h"
+#include "adapters/reactor/TcpStream.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
@@ -22,6 +23,8 @@
 
     constexpr std::size_t inputBufferBytes = 16 * 1024;
     constexpr int listenBacklog = 1024;
+    /// How often a thread that waits to write checks what the peer has acknowledged.
+    constexpr std::chrono::milliseconds progressCheckInterval { 100 };
 
     void setNoDelay(int descriptor) noexcept
     {
@@ -56,6 +59,18 @@
 }
 
 Result<std::unique_ptr<Connection>> Connection::connect(const Endpoint& endpoint, Instant deadline)
+{
+    auto begun = Connection::beginConnect(endpoint);
+    if (!begun) {
+        return begun;
+    }
+    if (const auto connected = (*begun)->finishConnect(deadline); !connected) {
+        return connected.failure();
+    }
+    return begun;
+}
+
+Result<std::unique_ptr<Connection>> Connection::beginConnect(const Endpoint& endpoint)
 {
     const auto address = toSocketAddress(endpoint);
     if (!address) {
@@ -66,21 +81,23 @@
         return { ResultCode::HttpUnreachable, systemMessage(errno) };
     }
     auto connection = std::make_unique<Connection>(descriptor, endpoint.address);
-    if (::connect(descriptor, address->pointer(), address->length) == 0) {
-        return connection;
-    }
-    if (errno != EINPROGRESS) {
+    if (::connect(descriptor, address->pointer(), address->length) != 0 && errno != EINPROGRESS) {
         return { ResultCode::HttpUnreachable, systemMessage(errno) };
     }
-    if (connection->wait(POLLOUT, deadline) == IoStatus::TimedOut) {
+    return connection;
+}
+
+Status Connection::finishConnect(Instant deadline) const
+{
+    if (this->wait(POLLOUT, deadline) == IoStatus::TimedOut) {
         return { ResultCode::HttpUnreachable, "connect timed out" };
     }
     int error = 0;
     socklen_t length = sizeof error;
-    if (getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
+    if (getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length) != 0 || error != 0) {
         return { ResultCode::HttpUnreachable, systemMessage(error) };
     }
-    return connection;
+    return success();
 }
 
 IoStatus Connection::wait(short events, Instant deadline) const
@@ -102,6 +119,28 @@
     }
 }
 
+IoStatus Connection::waitForProgress(Instant deadline, Duration progressTimeout) const
+{
+    if (progressTimeout == Duration::max()) {
+        return this->wait(POLLOUT, deadline);
+    }
+    // The kernel reports the socket as writable only when a third of its buffer is free, which a slow peer reaches late.
+    const SteadyClock clock;
+    auto unacknowledged = kernelBuffers(this->descriptor).unacknowledged;
+    auto progressAt = clock.now();
+    while (true) {
+        const auto status = this->wait(POLLOUT, std::min<Instant>(deadline, clock.now() + progressCheckInterval));
+        const auto now = clock.now();
+        if (const auto current = kernelBuffers(this->descriptor).unacknowledged; current < unacknowledged) {
+            unacknowledged = current;
+            progressAt = now;
+        }
+        if (status != IoStatus::TimedOut || now >= deadline || now - progressAt >= progressTimeout) {
+            return status;
+        }
+    }
+}
+
 IoStatus Connection::acceptTls(ssl_ctx_st& context, Instant deadline)
 {
     return this->handshake(context, true, deadline);
@@ -130,13 +169,13 @@
     }
 }
 
-IoStatus Connection::waitForTls(int result, Instant deadline) const
+IoStatus Connection::waitForTls(int result, Instant deadline, Duration progressTimeout) const
 {
     switch (SSL_get_error(this->tls.get(), result)) {
     case SSL_ERROR_WANT_READ:
         return this->wait(POLLIN, deadline);
     case SSL_ERROR_WANT_WRITE:
-        return this->wait(POLLOUT, deadline);
+        return this->waitForProgress(deadline, progressTimeout);
     case SSL_ERROR_ZERO_RETURN:
         return IoStatus::Closed;
     default:
@@ -198,7 +237,7 @@
     return IoStatus::Ok;
 }
 
-IoStatus Connection::write(std::string_view bytes, Instant deadline)
+IoStatus Connection::write(std::string_view bytes, Instant deadline, Duration progressTimeout)
 {
     if (this->tls && !bytes.empty()) {
         // A failed TLS write does not report how much of its record was sent, so every attempt counts as sent.
@@ -210,7 +249,7 @@
             ERR_clear_error();
             const int result = SSL_write_ex(this->tls.get(), bytes.data(), bytes.size(), &written);
             if (result != 1) {
-                if (const auto status = this->waitForTls(result, deadline); status != IoStatus::Ok) {
+                if (const auto status = this->waitForTls(result, deadline, progressTimeout); status != IoStatus::Ok) {
                     return status;
                 }
                 continue;
@@ -219,7 +258,7 @@
             const auto sentNow = ::send(this->descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL);
             if (sentNow < 0) {
                 if (errno == EAGAIN || errno == EWOULDBLOCK) {
-                    if (const auto status = this->wait(POLLOUT, deadline); status != IoStatus::Ok) {
+                    if (const auto status = this->waitForProgress(deadline, progressTimeout); status != IoStatus::Ok) {
                         return status;
                     }
                 } else if (errno != EINTR) {
@@ -249,12 +288,14 @@
     return ::recv(this->descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-GracefulClose Connection::finishSending(Instant now) noexcept
+bool Connection::sendCloseNotify() noexcept
 {
-    if (this->tls) {
-        SSL_shutdown(this->tls.get());
+    if (!this->tls) {
+        return true;
     }
-    return GracefulClose { this->descriptor, now };
+    ERR_clear_error();
+    const int result = SSL_shutdown(this->tls.get());
+    return result >= 0 || SSL_get_error(this->tls.get(), result) != SSL_ERROR_WANT_WRITE;
 }
 
 Result<int> listenOn(std::string_view address, std::uint16_t& port)
--- a/src/adapters/http/Connection.h
+++ b/src/adapters/http/Connection.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "adapters/reactor/GracefulClose.h"
 #include "teaselturn/Result.h"
 #include "teaselturn/Types.h"
 
@@ -38,6 +37,13 @@
     /// @return The connection, or HttpUnreachable.
     static Result<std::unique_ptr<Connection>> connect(const Endpoint& endpoint, Instant deadline);
 
+    /// Begins to open a connection. It must not be used before finishConnect() has succeeded.
+    /// @return The connection, or HttpUnreachable.
+    static Result<std::unique_ptr<Connection>> beginConnect(const Endpoint& endpoint);
+    /// Waits until the connection is open.
+    /// @return HttpUnreachable if it is not open by the deadline.
+    Status finishConnect(Instant deadline) const;
+
     /// Runs a TLS handshake as the server. Later reads and writes are encrypted.
     IoStatus acceptTls(ssl_ctx_st& context, Instant deadline);
     /// Runs a TLS handshake as the client. Later reads and writes are encrypted.
@@ -49,7 +55,8 @@
     IoStatus read(std::span<char> buffer, std::size_t& count, Instant deadline);
 
     /// Writes all bytes. If it fails, some of them may have been written.
-    IoStatus write(std::string_view bytes, Instant deadline);
+    /// @param progressTimeout Maximum time in which the peer acknowledges nothing.
+    IoStatus write(std::string_view bytes, Instant deadline, Duration progressTimeout = Duration::max());
 
     /// @return A counter that grows whenever bytes may have been sent. If a failed write left it unchanged, that write
     /// sent nothing.
@@ -61,9 +68,9 @@
     /// @return True if the connection is open and no bytes have arrived, so that it can carry another request.
     bool isIdle() const noexcept;
 
-    /// Ends the sending direction.
-    /// @return The rest of the close. It must not outlive the connection.
-    GracefulClose finishSending(Instant now) noexcept;
+    /// Sends the TLS alert that states the end of the connection. Does nothing without TLS, or if a write has failed.
+    /// @return False if the socket takes no bytes now. Must be called again then when it does, and nothing else be sent.
+    bool sendCloseNotify() noexcept;
 
     int socketDescriptor() const noexcept { return this->descriptor; }
     std::string_view remoteIp() const noexcept { return this->remoteAddress; }
@@ -74,9 +81,11 @@
     };
 
     IoStatus wait(short events, Instant deadline) const;
+    /// Waits until the socket takes bytes.
+    IoStatus waitForProgress(Instant deadline, Duration progressTimeout) const;
     IoStatus receive(std::span<char> buffer, std::size_t& count, Instant deadline);
     IoStatus handshake(ssl_ctx_st& context, bool isServer, Instant deadline);
-    IoStatus waitForTls(int result, Instant deadline) const;
+    IoStatus waitForTls(int result, Instant deadline, Duration progressTimeout = Duration::max()) const;
 
     int descriptor;
     std::string remoteAddress;
--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -22,7 +22,7 @@
 
     constexpr std::uint32_t requestEvents = EPOLLIN | EPOLLRDHUP | EPOLLONESHOT;
     /// Edge-triggered, since input beyond GracefulClose::maxDiscardedBytes stays unread.
-    constexpr std::uint32_t closingEvents = EPOLLIN | EPOLLRDHUP | EPOLLET;
+    constexpr std::uint32_t closingEvents = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
     /// Maximum time between two checks for idle connections.
     constexpr std::chrono::seconds maxPollInterval { 60 };
     /// Maximum requests of one connection that a worker serves before it serves other connections.
@@ -127,6 +127,7 @@
 HttpServer::~HttpServer()
 {
     if (this->thread.joinable()) {
+        this->closesAtOnce = this->hasDrainTimedOut.load();
         static_cast<void>(this->drain(std::chrono::hours { 1 }));
         this->isStopping = true;
         this->wake();
@@ -150,7 +151,6 @@
         const auto remaining = deadline - clock.now();
         if (remaining <= Duration::zero()) {
             this->hasDrainTimedOut = true;
-            this->wake();
             return false;
         }
         this->changed.waitFor(this->mutex, remaining);
@@ -268,8 +268,8 @@
     if (entry == this->connections.end()) {
         return;
     }
-    if (entry->second.closing) {
-        if (this->continueClose(descriptor, entry->second)) {
+    if (entry->second.closeBegunAt) {
+        if (this->continueClose(descriptor, entry->second, SteadyClock {}.now())) {
             closed = std::move(entry->second.connection);
             this->connections.erase(entry);
             this->changed.notifyAll();
@@ -310,11 +310,12 @@
             return true;
         }
     }
+    const WriteTimeouts writeTimeouts { this->settings.transferTimeout, this->settings.maxResponseTime };
     auto codec = this->borrowCodec();
     bool canKeep = true;
     for (int i = 0; canKeep && (i == 0 || (i < maxRequestsPerTurn && connection.hasBufferedInput())); ++i) {
         canKeep = codec->serve(
-            connection, this->handler, clock.now() + this->settings.transferTimeout, this->settings.transferTimeout);
+            connection, this->handler, clock.now() + this->settings.transferTimeout, writeTimeouts);
     }
     this->returnCodec(std::move(codec));
     return canKeep;
@@ -351,13 +352,20 @@
 
 bool HttpServer::beginClose(int descriptor, Entry& entry, Instant now)
 {
-    entry.closing.emplace(entry.connection->finishSending(now));
+    entry.closeBegunAt = now;
+    const bool isClosed = this->continueClose(descriptor, entry, now);
     this->watch(descriptor, EPOLL_CTL_MOD, closingEvents);
-    return this->continueClose(descriptor, entry);
+    return isClosed;
 }
 
-bool HttpServer::continueClose(int descriptor, Entry& entry) const
+bool HttpServer::continueClose(int descriptor, Entry& entry, Instant now)
 {
+    if (!entry.closing) {
+        if (!entry.connection->sendCloseNotify()) {
+            return false;
+        }
+        entry.closing.emplace(descriptor, now);
+    }
     const auto peer = entry.closing->discardInput();
     if (peer == GracefulClose::PeerState::Sending) {
         // Causes another event, so that a fast sender does not occupy the thread.
@@ -366,6 +374,18 @@
     return peer == GracefulClose::PeerState::Ended || peer == GracefulClose::PeerState::Reset;
 }
 
+bool HttpServer::isCloseExpired(int descriptor, Entry& entry, Instant now)
+{
+    if (entry.closing) {
+        return entry.closing->isExpired(now);
+    }
+    if (now - *entry.closeBegunAt >= GracefulClose::progressTimeout) {
+        // The response may still arrive whole. Only the statement of its end is missing then.
+        entry.closing.emplace(descriptor, now);
+    }
+    return false;
+}
+
 Instant HttpServer::closeDue(Instant now)
 {
     if (this->isDraining && this->drainSince == Instant {}) {
@@ -379,13 +399,13 @@
         for (auto entry = this->connections.begin(); entry != this->connections.end();) {
             auto& [descriptor, state] = *entry;
             const auto due = std::max(state.idleSince, this->drainSince) + idleTime;
-            const bool isIdle = !state.closing && !state.isBeingServed && due <= now && state.connection->isIdle();
-            if ((isIdle && this->beginClose(descriptor, state, now)) || (state.closing && (this->hasDrainTimedOut || state.closing->isExpired(now)))) {
+            const bool isIdle = !state.closeBegunAt && !state.isBeingServed && due <= now && state.connection->isIdle();
+            if ((isIdle && this->beginClose(descriptor, state, now)) || (state.closeBegunAt && (this->closesAtOnce || this->isCloseExpired(descriptor, state, now)))) {
                 closed.push_back(std::move(state.connection));
                 entry = this->connections.erase(entry);
                 continue;
             }
-            if (state.closing) {
+            if (state.closeBegunAt) {
                 next = std::min<Instant>(next, now + GracefulClose::checkInterval);
             } else if (!state.isBeingServed) {
                 next = std::min(next, std::max<Instant>(due, now + std::chrono::milliseconds { 1 }));
--- a/src/adapters/http/HttpServer.h
+++ b/src/adapters/http/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/HttpCodec.h"
 #include "adapters/http/HttpTypes.h"
+#include "adapters/reactor/GracefulClose.h"
 #include "adapters/threads/WorkerPool.h"
 #include "core/Mutex.h"
 #include "teaselturn/Result.h"
@@ -30,8 +31,11 @@
     std::size_t maxConnections { 4'096 };
     /// An idle persistent connection is closed after this time.
     Duration idleTime { std::chrono::seconds { 15 } };
-    /// Maximum time to receive a complete request, and maximum time to write a response.
+    /// Maximum time to receive a complete request, and maximum time in which a caller acknowledges nothing of a response.
     Duration transferTimeout { std::chrono::seconds { 5 } };
+    /// Maximum time to write a response, which occupies a worker. The largest response of an upstream, 8 MiB, takes 27 s at
+    /// 2.5 Mbit/s.
+    Duration maxResponseTime { std::chrono::seconds { 30 } };
     /// While draining, an idle connection is closed after this time. It may send one more request before.
     Duration drainIdleTimeout { std::chrono::milliseconds { 500 } };
     /// While draining, the listener closes after this time, so that TCP handshakes that have begun can complete; it is
@@ -51,7 +55,8 @@
     static Result<std::unique_ptr<HttpServer>> start(
         HttpServerSettings settings, WorkerPool& workers, HttpHandler handler);
 
-    /// Drains for up to one hour and stops the thread.
+    /// Drains for up to one hour and stops the thread. If a drain has timed out before, it waits for requests only, not for
+    /// callers that have not received their responses.
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
@@ -60,7 +65,7 @@
     std::uint16_t port() const noexcept { return this->listenPort; }
 
     /// Stops accepting connections and serves further requests on open ones with "Connection: close". Waits until every
-    /// connection is closed or the timeout has passed. After the timeout, connections without a request close at once.
+    /// connection is closed or the timeout has passed.
     /// @return True if every connection is closed.
     bool drain(Duration timeout);
 
@@ -72,6 +77,8 @@
         std::unique_ptr<Connection> connection;
         Instant idleSince;
         bool isBeingServed {};
+        /// Set once no more responses are sent.
+        std::optional<Instant> closeBegunAt;
         /// Set once the sending direction has ended.
         std::optional<GracefulClose> closing;
     };
@@ -92,12 +99,14 @@
     void serve(int descriptor, Connection& connection);
     bool serveRequests(Connection& connection);
     void finishServing(int descriptor, bool canKeep);
-    /// Ends the sending direction of a connection.
+    /// Ends the sending direction of a connection, as soon as the socket takes the end of its TLS session.
     /// @return True if its caller has ended too, so that it may be closed.
     bool beginClose(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
-    /// Discards input of a connection whose sending direction has ended.
+    /// Called for each event of a connection that is being closed.
     /// @return True if its caller has ended too, so that it may be closed.
-    bool continueClose(int descriptor, Entry& entry) const;
+    bool continueClose(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// @return True if the close of a connection has reached a limit.
+    bool isCloseExpired(int descriptor, Entry& entry, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// Closes connections that are idle or whose close is complete or has reached its limit.
     /// @return When to call it again.
     Instant closeDue(Instant now);
@@ -119,6 +128,8 @@
     /// Set when a worker has begun to close a connection.
     std::atomic<bool> isCloseCheckDue {};
     std::atomic<bool> hasDrainTimedOut {};
+    /// True if connections that only wait for their callers close without waiting.
+    std::atomic<bool> closesAtOnce {};
     /// Accessed only by the server's thread.
     Instant drainSince;
     /// Set when the drain begins. Accessed only by the server's thread.
