Ignore messages until an entry VM knows its transport

Cause: the transport's thread runs before EntryDaemon::open() has stored the pointer to the transport, and the socket may hold replies of the feed to the process before a restart by then. The handler sends the next request through that pointer.

Change: messages are ignored until the pointer is set, as in RegistryDaemon and Daemon. The feed repeats its requests.

Measured: the new test ended with SIGSEGV in one of five runs before, and showed a data race under ThreadSanitizer in the one run there. After, it passed in one run each, without a report.

--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -93,6 +93,7 @@
     Gateway<Protocol> gateway;
     HttpListener readiness;
     std::unique_ptr<PeerTransport> transport;
+    std::atomic<bool> isOpen { false };
     std::atomic<bool> isStopping { false };
     std::atomic<bool> hasEndedRequests { false };
     std::atomic<bool> hasStopped { false };
@@ -112,13 +113,19 @@
                        .listenOn(this->options.peer)
                        .clusterKey(this->options.clusterKey)
                        .peersByAddress()
-                       .handler([this](NodeId from, const PeerMessage& message) { this->handleMessage(from, message); })
+                       .handler([this](NodeId from, const PeerMessage& message) {
+                           // Messages that arrive before the pointer to the transport is set are dropped; the feed asks again.
+                           if (this->isOpen) {
+                               this->handleMessage(from, message);
+                           }
+                       })
                        .logger(this->logger)
                        .start();
     if (!started) {
         return started.failure();
     }
     this->transport = std::move(*started);
+    this->isOpen = true;
     if (auto opened = this->gateway.listen(this->options.front); !opened) {
         return opened;
     }
--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -209,3 +209,24 @@
         reactor.stop();
     }
 }
+
+TEST_CASE("an entry VM that receives replies of the feed while it starts does not crash")
+{
+    // Replies to the process before a restart wait in the socket as soon as it is bound. The handler answered them through
+    // the pointer to the transport, which was set after the transport's thread had started.
+    const auto member = std::move(*PeerTransport::Builder {}.identity(*nodeAtAddress(memberAddress), BootId { 1 }).listenOn({ memberAddress, 0 }).clusterKey(clusterKey).peersByAddress().handler([](NodeId, const PeerMessage&) {}).start());
+    std::atomic<bool> isOver { false };
+    std::thread replies { [&] {
+        while (!isOver) {
+            member->send(*nodeAtAddress("127.0.0.1"), FeedReply {});
+        }
+    } };
+    const auto logger = std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error }));
+    for (int i = 0; i < 500; ++i) {
+        Reactor reactor { 2 };
+        EntryDaemon<platform::CallerHeaders> daemon { reactor, *logger, EntryFixture::makeOptions(member->localEndpoint().port, milliseconds { 1'000 }), [] {} };
+        CHECK(daemon.open());
+    }
+    isOver = true;
+    replies.join();
+}
