--- a/tests/adapters/http/HttpTlsCloseTest.cpp
+++ b/tests/adapters/http/HttpTlsCloseTest.cpp
@@ -64,8 +64,9 @@
     REQUIRE(caller.send(request));
     caller.readAtLeast(1);
     absl::Notification isDrained;
+    bool hasDrained = false;
     std::thread drain { [&] {
-        CHECK(fixture.server->drain(20s));
+        hasDrained = fixture.server->drain(20s);
         isDrained.Notify();
     } };
     // Longer than HttpServerSettings::drainIdleTimeout.
@@ -73,6 +74,7 @@
     CHECK(caller.send(request));
     caller.readToEnd();
     drain.join();
+    CHECK(hasDrained);
     CHECK(caller.receivedBody().size() >= fixture.body.size());
     CHECK(caller.end == SlowTlsCaller::End::Orderly);
 }
