Read the soak's responses before its record of runs

The check in the middle of a run read the record first. A request that ran and got its response between the two reads then counts as answered without a run. The check is as strict as before: a run that has no response yet is judged by the next check, and the last one comes when all callers have ended. The false violation was not seen; it follows from the order.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -305,9 +305,10 @@
                 yield float(fields[0]), fields[2], fields[3], fields[4], f"{fields[5]}/{fields[6]}"
 
     def check(self):
-        runs = sorted(self.read_runs())
+        # Copied before the record is read: every run of these requests is then in the record.
         with self.lock:
             results = dict(self.results)
+        runs = sorted(self.read_runs())
         counts = collections.Counter(run[1] for run in runs)
         for request_id, count in counts.items():
             kind, status = results.get(request_id, (None, None))
