Start no process of a soak that has ended

A fault that was under way when the run ended started its process again after all had been killed: a run that found a violation and one that was terminated each left a teaselturnd behind. Processes that were ended for good are now not started again.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -63,6 +63,8 @@
         self.environment = dict(os.environ, **(environment or {}))
         self.handle = None
         self.is_disturbed = False
+        self.is_over = False
+        self.lock = threading.Lock()
 
     def start(self, file_limit=None):
         def limit():
@@ -70,9 +72,12 @@
                 signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
                 resource.setrlimit(resource.RLIMIT_FSIZE, (file_limit, file_limit))
 
-        with open(self.folder / f"{self.name}.log", "ab") as log:
-            self.handle = subprocess.Popen(self.command, env=self.environment, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE if file_limit else log,
-                stderr=subprocess.DEVNULL if file_limit else log, preexec_fn=limit)
+        with self.lock:
+            if self.is_over:
+                return
+            with open(self.folder / f"{self.name}.log", "ab") as log:
+                self.handle = subprocess.Popen(self.command, env=self.environment, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE if file_limit else log,
+                    stderr=subprocess.DEVNULL if file_limit else log, preexec_fn=limit)
         if file_limit:
             threading.Thread(target=lambda pipe: [None for _ in pipe], args=(self.handle.stdout,), daemon=True).start()
 
@@ -91,6 +96,15 @@
             self.handle.wait()
             return False
 
+    def end(self):
+        """Kills the process for good: a fault that ends later does not start it again."""
+        with self.lock:
+            self.is_over = True
+            if self.handle and self.handle.poll() is None:
+                self.signal(signal.SIGCONT)
+                self.handle.kill()
+                self.handle.wait()
+
 
 class Soak:
     def __init__(self, options):
@@ -400,10 +414,7 @@
     def kill_all(self):
         self.is_over.set()
         for process in self.members + self.entries + self.servers:
-            if process.handle and process.handle.poll() is None:
-                process.signal(signal.SIGCONT)
-                process.handle.kill()
-                process.handle.wait()
+            process.end()
 
 
 def main():
