Check in the soak that planned stops cut no response

The callers of the soak opened a connection for each request, read small bodies and went through proxies, so they could not see the resets of responses around a planned stop. Each entry VM now has two more callers, connected without a proxy, that read responses of 30 KB to 1 MB slowly; one of them pipelines, sends behind unfinished responses and after the end of the sending direction of the VM. Entry VMs also get a planned stop every few seconds, from a generator of their own, so that the other faults of a seed stay the same. A violation is a connection that ends inside a response of any status, or that stalls there for 15 s, in a stop, while the VM is paused, or in calm. Excluded are connections that were open when their VM got SIGKILL, and what is not whole 5.5 s after the SIGTERM, when the drain period ends; these are counted and printed.

--- a/tests/platform/soak/server.py
+++ b/tests/platform/soak/server.py
@@ -33,6 +33,13 @@
     return hashlib.sha256(f"{request_id} answered".encode()).hexdigest()
 
 
+def body_of(request_id, method, path):
+    """Returns the body of a response. A path like "/plain/safe/long/200000" names its bytes."""
+    text = f"body of {request_id} {method} {path}"
+    size = int(path.split("/")[4]) if "/long/" in path else len(text)
+    return (text * (size // len(text) + 1))[:size].encode()
+
+
 def ranges_of(values):
     """Yields the ranges of equal values that are not zero, as (first, last, value)."""
     first = 0
@@ -199,7 +206,7 @@
         if MUTATION == "refuses-after-run" and random.random() < 0.05:
             return self.reply(503, {"Not-Executed": "1", "Request-Id": request_id}, b"")
         echoed_id = request_id[::-1] if MUTATION == "crossed-answers" else request_id
-        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, f"body of {echoed_id} {self.command} {self.path}".encode())
+        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, body_of(echoed_id, self.command, self.path))
 
     do_POST = do_GET
 
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,15 +1,17 @@
 #!/usr/bin/env python3
 """Runs the real programs on loopback, injects random faults and checks the guarantees to callers and servers.
 
-usage: soak.py [--seed N] [--seconds N] [--build FOLDER] [--entries N] [--keyed N] [--plain N] [--keep] [--regressions]
+usage: soak.py [--seed N] [--seconds N] [--build FOLDER] [--entries N] [--keyed N] [--plain N] [--keep] [--stops] [--regressions]
   --seed N        seed of the order and times of the faults (default: random); it is printed
   --seconds N     how long faults are injected (default 20); then all must recover
   --build FOLDER  build folder of teaselturnd (default build)
   --keep          keep the folder with logs and records after a success too
+  --stops         no faults but planned stops of entry VMs, one at a time
   --regressions   run the seeds of failed-seeds.txt, a few at a time
 
-Faults overlap. Only one member at a time is disturbed, since the system tolerates the loss of one. Exit status 1 means
-that a guarantee was violated; the folder with logs and records is then kept.
+Faults overlap, also with planned stops of entry VMs every few seconds. Only one member at a time is disturbed, since the
+system tolerates the loss of one. Exit status 1 means that a guarantee was violated; the folder with logs and records is then
+kept.
 """
 
 import argparse
@@ -31,8 +33,9 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from pipelining import PipeliningCaller
 from proxy import Proxy
-from server import KEYS, signature
+from server import KEYS, body_of, signature
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 SERVER = pathlib.Path(__file__).resolve().parent / "server.py"
@@ -65,6 +68,7 @@
         self.is_disturbed = False
         self.is_over = False
         self.lock = threading.Lock()
+        self.terminated_at = self.ended_at = self.killed_at = 0.0
 
     def start(self, file_limit=None):
         def limit():
@@ -87,11 +91,18 @@
 
     def stop(self, number, timeout):
         """Signals the process and waits for its end. Returns False if it had to be killed."""
+        if number == signal.SIGTERM:
+            self.terminated_at = time.monotonic()
+        else:
+            self.killed_at = time.monotonic()
         self.signal(number)
         try:
             self.handle.wait(timeout)
+            if number == signal.SIGTERM:
+                self.ended_at = time.monotonic()
             return True
         except subprocess.TimeoutExpired:
+            self.killed_at = time.monotonic()
             self.handle.kill()
             self.handle.wait()
             return False
@@ -105,6 +116,10 @@
                 self.handle.kill()
                 self.handle.wait()
 
+    def planned_stop_since(self, since):
+        """Returns the time of the last SIGTERM if the process it ended was running at the given time or later, else None."""
+        return self.terminated_at if self.ended_at < self.terminated_at or since < self.ended_at else None
+
 
 class Soak:
     def __init__(self, options):
@@ -119,6 +134,7 @@
         self.acknowledged = {}
         self.faults = []
         self.violations = []
+        self.pipelining_callers = [PipeliningCaller(self, i, FRONT_PORT) for i in range(2 * options.entries)]
         self.members = [self.make_vm("member", i, 1 + i) for i in range(MEMBERS)]
         self.entries = [self.make_vm("entry", i, 50 + i) for i in range(options.entries)]
         self.control_proxies = {f"{vm.address}:{CONTROL_PORT}": Proxy((vm.address, CONTROL_PORT)) for vm in self.members}
@@ -224,7 +240,7 @@
             connection.request("GET", path, None, headers)
             response = connection.getresponse()
             status, body = response.status, response.read()
-            if status == 200 and (body != f"body of {request_id} GET {path}".encode() or response.getheader("Upstream-Signature") != signature(request_id)):
+            if status == 200 and (body != body_of(request_id, "GET", path) or response.getheader("Upstream-Signature") != signature(request_id)):
                 self.violations.append(f"request {request_id} got the response of another request: {body[:80]!r}")
         except (OSError, http.client.HTTPException):
             pass
@@ -250,9 +266,8 @@
         mode = self.random.choice(["delay", "silence", "one-way", "reset"])
         is_member = getattr(target, "is_member", False)
         if isinstance(target, Process):
-            if target.is_disturbed or (is_member and any(member.is_disturbed for member in self.members)):
+            if (is_member and any(member.is_disturbed for member in self.members)) or not self.claim(target):
                 return
-            target.is_disturbed = True
         self.faults.append(f"{time.monotonic() - self.started_at:.2f} {action.__name__} {getattr(target, 'name', getattr(target, 'target', ''))} {length:.2f} {mode if action == self.disturb_proxy else ''}")
         thread = threading.Thread(target=self.run_fault, args=(action, target, length, mode), daemon=True)
         thread.start()
@@ -309,6 +324,25 @@
         time.sleep(seconds)
         proxy.set_mode("pass")
 
+    def claim(self, process):
+        """Returns True and marks the process as disturbed, unless another fault disturbs it."""
+        with self.lock:
+            is_free = not process.is_disturbed
+            process.is_disturbed = True
+        return is_free
+
+    def stop_entries(self):
+        """Stops an entry VM that no fault disturbs every few seconds."""
+        generator = random.Random(self.options.seed + 1)
+        while time.monotonic() - self.started_at < self.options.seconds:
+            time.sleep(generator.uniform(0.5, 1.5))
+            vm = generator.choice(self.entries)
+            if self.claim(vm):
+                self.faults.append(f"{time.monotonic() - self.started_at:.2f} planned stop of {vm.name}")
+                self.terminate(vm, 0)
+                self.faults.append(f"{time.monotonic() - self.started_at:.2f} {vm.name} ended {vm.ended_at - vm.terminated_at:.2f} s after SIGTERM")
+                vm.is_disturbed = False
+
     # Checks.
 
     def read_runs(self):
@@ -342,9 +376,14 @@
                 self.violations.append(f"key {key} ran at {server} under fence {fence} at {run_time} after {previous_server} under {previous_fence} (request {request_id})")
             latest[key] = (int(fence), server)
         if self.violations:
+            (self.folder / "violations.txt").write_text("\n".join(self.violations) + "\n")
             raise Violation("\n".join(self.violations[:10]))
         return len(runs)
 
+    def describe_pipelining(self):
+        whole, in_stops, unfinished = (sum(getattr(caller, name) for caller in self.pipelining_callers) for name in ("whole", "whole_in_stops", "unfinished"))
+        return f"{whole} long responses whole ({in_stops} in planned stops), {unfinished} unfinished when a grace period ended"
+
     def measure_served_fraction(self, seconds):
         with self.lock:
             before = self.outcomes.copy()
@@ -389,18 +428,23 @@
             self.write_settings(vm, False)
         for number in range(CALLER_THREADS):
             threading.Thread(target=self.send_requests, args=(number,), daemon=True).start()
+        for caller in self.pipelining_callers:
+            threading.Thread(target=caller.run, daemon=True).start()
         threading.Thread(target=self.change_configuration, daemon=True).start()
         self.wait_until_served(START_SECONDS, "start")
 
     def run(self):
         self.start()
         self.started_at = time.monotonic()
-        self.fault_threads = []
+        self.fault_threads = [threading.Thread(target=self.stop_entries, daemon=True)]
+        self.fault_threads[0].start()
         checked_at = self.started_at
         while time.monotonic() - self.started_at < self.options.seconds:
-            self.start_fault()
+            if not self.options.stops:
+                self.start_fault()
             time.sleep(self.random.expovariate(2.0))
-            if time.monotonic() - checked_at > 3:
+            # Without other faults, the run goes on after a violation, so that it shows all of them.
+            if not self.options.stops and time.monotonic() - checked_at > 3:
                 self.check()
                 checked_at = time.monotonic()
         for thread in self.fault_threads:
@@ -409,6 +453,8 @@
         self.check_configuration()
         self.is_over.set()
         time.sleep(DEADLINE + 0.5)
+        # Without long responses, the check for cut ones would pass for nothing.
+        self.violations += [f"caller {caller.number} got no long response" for caller in self.pipelining_callers if not caller.whole]
         return self.check()
 
     def kill_all(self):
@@ -426,6 +472,7 @@
     parser.add_argument("--keyed", type=int, default=4)
     parser.add_argument("--plain", type=int, default=2)
     parser.add_argument("--keep", action="store_true")
+    parser.add_argument("--stops", action="store_true")
     parser.add_argument("--regressions", action="store_true")
     options = parser.parse_args()
     options.build = options.build.resolve()
@@ -444,10 +491,12 @@
     soak = Soak(options)
     try:
         runs = soak.run()
-        print(f"soak: seed {options.seed}: {len(soak.results)} requests, {soak.outcomes[200]} served, {runs} runs, {len(soak.faults)} faults, {len(soak.acknowledged)} changed routes, no guarantee violated", flush=True)
+        print(f"soak: seed {options.seed}: {len(soak.results)} requests, {soak.outcomes[200]} served, {runs} runs, {len(soak.faults)} faults, {len(soak.acknowledged)} changed routes, {soak.describe_pipelining()}, no guarantee violated", flush=True)
+        if options.keep:
+            print("faults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
         is_clean = True
     except Violation as violation:
-        print(f"soak: seed {options.seed}: VIOLATION: {violation}\nfaults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
+        print(f"soak: seed {options.seed}: VIOLATION: {violation}\n{soak.describe_pipelining()}\nfaults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
         is_clean = False
     finally:
         soak.kill_all()
