Forward a response whose upstream has reset the connection behind it

An upstream that responds to a long request before it has read all of it, and then closes, resets the connection. Its caller got 502 or another upstream was tried: the failure to send the rest of the request ended the attempt before the response was read. What has arrived is read first now; only a response that is whole by its length counts.

--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -135,7 +135,9 @@
         }
     }
     if (this->stream.flush() != StreamState::Open) {
-        this->fail(ConnectionFailure::Broken);
+        // The upstream may have responded before it had read the whole request, and then reset the connection.
+        this->stream.read(this->input);
+        this->readResponse(StreamState::Broken);
         return;
     }
     if ((events & (EPOLLIN | disconnectEvents)) == 0) {
