--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -68,6 +68,22 @@
     CHECK(!readItems(json { { "upsert", { { "routes", { { "r", bad } } } } } }.dump()));
 }
 
+TEST_CASE("a change whose tables cannot be read is rejected")
+{
+    // It was acknowledged as an empty change, and lost.
+    for (const std::string notTables : { "[]", "\"routes\"", "3", "null", R"([{"routes":{}}])" }) {
+        CAPTURE(notTables);
+        CHECK(!readItems(R"({"upsert":)" + notTables + "}"));
+        CHECK(!readItems(R"({"delete":)" + notTables + "}"));
+        CHECK(!readItems(R"({"upsert":{"routes":)" + notTables + "}}"));
+        CHECK(!readItems(R"({"upsert":{"limits":)" + notTables + "}}"));
+    }
+    CHECK(!readItems(R"({"delete":{"routes":{"name":"r","version":"00000002"}}})"));
+    CHECK(!readItems(R"({"delete":{"routes":{}}})"));
+    CHECK(!readItems(R"({"delete":{"services":"a"}})"));
+    CHECK(readItems(R"({"upsert":{},"delete":{"routes":[]}})"));
+}
+
 TEST_CASE("items are encoded as they were received")
 {
     RegistryState state;
