Let clang's thread-safety analysis see the lock of a listener's connection

scripts/lint reported that writeResponses() reads members without their mutex: the analysis does not see that a local reference names the connection of the annotated parameter. No logic changes.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -227,43 +227,42 @@
     connection.input.clear();
 }
 
-void HttpListener::writeResponses(const ConnectionPointer& pointer, PendingCallbacks& callbacks)
+void HttpListener::writeResponses(const ConnectionPointer& connection, PendingCallbacks& callbacks)
 {
-    auto& connection = *pointer;
     std::string out;
-    while (!connection.exchanges.empty() && connection.exchanges.front().response) {
-        auto response = std::move(*connection.exchanges.front().response);
-        connection.exchanges.pop_front();
-        const bool isLastResponse = (connection.closesAfterResponses && connection.exchanges.empty()) || response.closesConnection || (this->isDraining && connection.exchanges.empty());
+    while (!connection->exchanges.empty() && connection->exchanges.front().response) {
+        auto response = std::move(*connection->exchanges.front().response);
+        connection->exchanges.pop_front();
+        const bool isLastResponse = (connection->closesAfterResponses && connection->exchanges.empty()) || response.closesConnection || (this->isDraining && connection->exchanges.empty());
         appendStatusLine(out, response.status);
         out.append(response.headerLines);
         if (isLastResponse) {
             appendHeader(out, "Connection", "close");
-            connection.closesAfterResponses = true;
+            connection->closesAfterResponses = true;
         }
         appendBody(out, response.body, true);
-        connection.lastRequestName = std::move(response.requestName);
+        connection->lastRequestName = std::move(response.requestName);
         if (response.reservation) {
-            connection.unsentReservations.push_back(std::move(response.reservation));
+            connection->unsentReservations.push_back(std::move(response.reservation));
         }
-        connection.lastActiveAt = this->reactor.now();
+        connection->lastActiveAt = this->reactor.now();
         if (isLastResponse) {
             // The response closes the connection, so later pipelined requests get no response.
-            for (const auto& exchange : connection.exchanges) {
+            for (const auto& exchange : connection->exchanges) {
                 callbacks.disconnected.push_back(exchange.id);
             }
-            connection.exchanges.clear();
+            connection->exchanges.clear();
         }
     }
-    if (!out.empty() && connection.stream.write(out) != StreamState::Open) {
-        this->close(connection, CloseReason::CallerReset, callbacks);
+    if (!out.empty() && connection->stream.write(out) != StreamState::Open) {
+        this->close(*connection, CloseReason::CallerReset, callbacks);
         return;
     }
-    if (connection.stream.unsentBytes() == 0) {
-        connection.unsentReservations.clear();
+    if (connection->stream.unsentBytes() == 0) {
+        connection->unsentReservations.clear();
     }
-    if (connection.closesAfterResponses && connection.exchanges.empty() && connection.stream.unsentBytes() == 0) {
-        this->beginClose(pointer, CloseReason::LastResponse, callbacks);
+    if (connection->closesAfterResponses && connection->exchanges.empty() && connection->stream.unsentBytes() == 0) {
+        this->beginClose(connection, CloseReason::LastResponse, callbacks);
     }
 }
 
