--- a/tests/node/registry/RegistryDaemonTest.cpp
+++ b/tests/node/registry/RegistryDaemonTest.cpp
@@ -181,11 +181,12 @@
     const auto port = findPeerPort();
     const std::vector<std::string> addresses { memberAddress, entryAddress };
     std::vector<std::unique_ptr<MemberProcess>> members;
+    members.reserve(addresses.size());
     for (const auto& address : addresses) {
         members.push_back(std::make_unique<MemberProcess>((folder.path() / address).string(), address, port, addresses, milliseconds { 400 }));
     }
     while (!members.front()->isLeader()) {
-        std::ranges::rotate(members, members.begin() + 1);
+        std::swap(members.front(), members.back());
         std::this_thread::sleep_for(milliseconds { 10 });
     }
     SlowCaller caller { members.front()->control };
