--- /dev/null
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -0,0 +1,191 @@
+#include "adapters/http/HttpListener.h"
+
+#include <sys/epoll.h>
+
+/// How a listener closes the connections of its callers.
+namespace teaselturn {
+
+void HttpListener::closeDelivered()
+{
+    PendingCallbacks ignored;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        if (!connection->isClosed && connection->closing && connection->closing->undeliveredBytes() == 0) {
+            this->close(*connection, connection->closeReason, ignored);
+        }
+    }
+}
+
+void HttpListener::cancelRequests(Connection& connection, PendingCallbacks& callbacks)
+{
+    for (const auto& exchange : connection.exchanges) {
+        if (exchange.id != HttpRequestId {} && !exchange.response) {
+            callbacks.disconnected.push_back(exchange.id);
+        }
+    }
+    connection.exchanges.clear();
+    // Frees the part of a request that was read, with its reservation.
+    connection.reader = MessageReader<ReceivedRequest> { this->readLimits() };
+    connection.reservation.reset();
+}
+
+void HttpListener::beginClose(const ConnectionPointer& connection, CloseReason reason, PendingCallbacks& callbacks)
+{
+    if (connection->isClosed || connection->closing) {
+        return;
+    }
+    this->cancelRequests(*connection, callbacks);
+    connection->input = {};
+    connection->closeReason = reason;
+    connection->closing.emplace(connection->stream.descriptor().number(), this->reactor.now());
+    ++this->closingCount;
+    this->continueClose(connection, callbacks);
+}
+
+void HttpListener::continueClose(const ConnectionPointer& connection, PendingCallbacks& callbacks)
+{
+    switch (connection->closing->discardInput()) {
+    case GracefulClose::PeerState::Open:
+        break;
+    case GracefulClose::PeerState::Sending:
+        this->continueReading(connection, EPOLLIN);
+        break;
+    case GracefulClose::PeerState::Ended:
+        this->close(*connection, connection->closeReason, callbacks);
+        break;
+    case GracefulClose::PeerState::Reset:
+        this->close(*connection, CloseReason::CallerReset, callbacks);
+        break;
+    }
+}
+
+void HttpListener::close(Connection& connection, CloseReason reason, PendingCallbacks& callbacks)
+{
+    if (connection.isClosed) {
+        return;
+    }
+    connection.isClosed = true;
+    if (connection.closing) {
+        --this->closingCount;
+    }
+    this->counters.closedFor(reason).add();
+    this->reportIfCut(connection, reason);
+    this->cancelRequests(connection, callbacks);
+    connection.unsentReservations.clear();
+    this->reactor.remove(connection.stream.descriptor(), connection.watchId);
+    connection.stream.close();
+    const MutexLock lock { this->mutex };
+    this->connections.erase(&connection);
+}
+
+void HttpListener::reportIfCut(Connection& connection, CloseReason reason)
+{
+    if (reason == CloseReason::CallerEnded || reason == CloseReason::CallerReset) {
+        return;
+    }
+    // After the caller has ended, nothing can reset the connection, and the kernel sends the rest.
+    if (connection.closing && connection.closing->discardInput() == GracefulClose::PeerState::Ended) {
+        return;
+    }
+    const auto inKernel = kernelBuffers(connection.stream.descriptor().number());
+    const auto unsent = connection.stream.unsentBytes();
+    const auto unacknowledged = connection.closing ? connection.closing->undeliveredBytes() : inKernel.unacknowledged;
+    if (unsent == 0 && inKernel.unread == 0 && unacknowledged == 0) {
+        return;
+    }
+    this->counters.cut.add();
+    if (this->logger == nullptr) {
+        return;
+    }
+    std::uint64_t skippedLines = 0;
+    {
+        const MutexLock lock { this->mutex };
+        if (!this->logRateLimiter.tryAcquire(this->reactor.now())) {
+            return;
+        }
+        skippedLines = this->logRateLimiter.takeSkipped();
+    }
+    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", skippedLines } });
+}
+
+void HttpListener::recordDelivery(Connection& connection, Instant now)
+{
+    if (connection.stream.unsentBytes() == 0) {
+        return;
+    }
+    const auto undelivered = connection.stream.unsentBytes() + kernelBuffers(connection.stream.descriptor().number()).unacknowledged;
+    if (undelivered != connection.undeliveredBytes) {
+        connection.undeliveredBytes = undelivered;
+        connection.lastActiveAt = now;
+    }
+}
+
+void HttpListener::closeTimedOut(Instant now)
+{
+    CallerLimits currentLimits;
+    {
+        const MutexLock lock { this->mutex };
+        currentLimits = this->limits;
+    }
+    for (const auto& connection : this->allConnections()) {
+        {
+            const MutexLock lock { connection->mutex };
+            PendingCallbacks callbacks;
+            if (connection->isClosed) {
+                continue;
+            }
+            if (connection->closing) {
+                if (connection->closing->isExpired(now)) {
+                    this->close(*connection, connection->closeReason, callbacks);
+                }
+                continue;
+            }
+            const bool isReading = connection->reader.isWithinMessage();
+            const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
+            recordDelivery(*connection, now);
+            if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
+                if (connection->stream.unsentBytes() > 0) {
+                    this->close(*connection, CloseReason::TimedOut, callbacks);
+                } else {
+                    this->beginClose(connection, CloseReason::TimedOut, callbacks);
+                }
+            }
+            this->queueHandlers(*connection, std::move(callbacks));
+        }
+        connection->handlerCalls.run();
+    }
+}
+
+bool HttpListener::hasUnreadInput(const Connection& connection)
+{
+    return !connection.closing && kernelBuffers(connection.stream.descriptor().number()).unread > 0;
+}
+
+void HttpListener::closeIdle()
+{
+    for (const auto& connection : this->allConnections()) {
+        {
+            const MutexLock lock { connection->mutex };
+            PendingCallbacks callbacks;
+            if (connection->exchanges.empty() && !connection->reader.isWithinMessage() && connection->stream.unsentBytes() == 0 && !hasUnreadInput(*connection)) {
+                this->beginClose(connection, CloseReason::Idle, callbacks);
+            }
+            this->queueHandlers(*connection, std::move(callbacks));
+        }
+        connection->handlerCalls.run();
+    }
+}
+
+std::size_t HttpListener::undeliveredConnections()
+{
+    std::size_t count = 0;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        const bool isClosing = connection->closing && !connection->isClosed;
+        const bool isDelivered = isClosing && connection->closeReason == CloseReason::Idle && connection->closing->undeliveredBytes() == 0;
+        count += isClosing && !isDelivered ? 1 : 0;
+    }
+    return count;
+}
+
+}
