--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -380,7 +380,7 @@
         return entry.closing->isExpired(now);
     }
     if (now - *entry.closeBegunAt >= GracefulClose::progressTimeout) {
-        // The response may still arrive whole. Only the statement of its end is missing then.
+        // The response may still arrive whole, only without close_notify.
         entry.closing.emplace(descriptor, now);
     }
     return false;
