Add the replicated state of regions, warm-ups and evacuations

Configurations that name the kind upload were refused whole, and allowed_regions, warmup_s, warmup_per_s and warmup_left_s were ignored. They are decoded now, and the log has commands for warm-ups and evacuation orders.

--- a/include/teaselturn/Command.h
+++ b/include/teaselturn/Command.h
@@ -147,7 +147,7 @@
 /// Any command of the replicated log. The order of alternatives is part of the format: append only.
 using Command = std::variant<NoOperation, AttachUpstream, ExpireUpstream, DrainUpstream, AssignSlots, BeginMove,
     ReleaseSlots, AcceptBundle, AdvanceRollout, IsolateHotKey, MergeHotKey, ChangeMembers, ChangeItems, RegisterUpstream,
-    RemoveUpstream, AssignKeyRanges, BeginKeyMoves>;
+    RemoveUpstream, AssignKeyRanges, BeginKeyMoves, BeginWarmUp, EvacuateZone>;
 
 /// One entry of the replicated log.
 struct LogEntry {
--- a/include/teaselturn/Registry.h
+++ b/include/teaselturn/Registry.h
@@ -21,8 +21,16 @@
     AtMostOnce,
     /// The request may run more than once, and its response is large.
     Download,
+    /// The request runs at most once, and its body is large.
+    Upload,
 };
 
+/// @return True if a request of this kind may run more than once.
+constexpr bool mayRepeat(RequestKind kind) noexcept
+{
+    return kind == RequestKind::Idempotent || kind == RequestKind::Download;
+}
+
 /// A service of a route and its share of the route's requests.
 struct TrafficShare {
     std::string service;
@@ -50,6 +58,8 @@
     /// not count.
     std::uint32_t attempts { 1 };
     std::vector<TrafficShare> shares;
+    /// Regions whose upstreams may serve the route. Empty if all may.
+    std::vector<std::string> allowedRegions;
 
     friend bool operator==(const RouteItem&, const RouteItem&) = default;
 };
@@ -62,6 +72,12 @@
     std::uint32_t maxConnections {};
     /// How long an owner serves keys more slowly if it got them without the previous owner's handover.
     Duration coldKeyTime {};
+    /// How long an upstream is cold after a start. Zero if the service has no warm-up.
+    Duration warmUpTime {};
+    /// Requests per 1,000 seconds that a cold upstream tolerates from all entry VMs together.
+    std::uint32_t warmUpMilliRequestsPerSecond {};
+
+    bool hasWarmUp() const noexcept { return this->warmUpTime > Duration::zero() && this->warmUpMilliRequestsPerSecond > 0; }
 
     friend bool operator==(const ServiceItem&, const ServiceItem&) = default;
 };
@@ -156,6 +172,23 @@
     friend bool operator==(const RemoveUpstream&, const RemoveUpstream&) = default;
 };
 
+/// Records that an upstream is cold: it serves requests slowly and tolerates few of them.
+struct BeginWarmUp {
+    UpstreamKey key;
+    /// Time from this command until the upstream is warm.
+    Duration timeLeft {};
+
+    friend bool operator==(const BeginWarmUp&, const BeginWarmUp&) = default;
+};
+
+/// Orders that no requests are sent to the upstreams of an availability zone, or withdraws that order.
+struct EvacuateZone {
+    std::string zone;
+    bool isEvacuated {};
+
+    friend bool operator==(const EvacuateZone&, const EvacuateZone&) = default;
+};
+
 /// Number of a key of a sharded service, below keyNumberCount.
 using KeyNumber = std::uint16_t;
 inline constexpr std::uint32_t keyNumberCount = 65'536;
@@ -266,6 +299,11 @@
     std::vector<RegisteredUpstream> upstreams;
     std::vector<ServiceKeys> keys;
     std::vector<MemberSpec> members;
+    /// Availability zones under an evacuation order, in ascending order.
+    std::vector<std::string> evacuatedZones;
+    /// Cold upstreams. The time left counts from the command that began the warm-up, so a reader takes an upstream for cold
+    /// too long rather than too short.
+    std::vector<BeginWarmUp> warmUps;
 
     friend bool operator==(const RegistrySnapshot&, const RegistrySnapshot&) = default;
 };
@@ -276,6 +314,8 @@
     inline constexpr std::size_t maxConfigItems = 65'536;
     /// Maximum number of departed upstreams kept, so that their late registrations are recognised.
     inline constexpr std::size_t maxDepartedUpstreams = 4'096;
+    /// Maximum number of availability zones under an evacuation order.
+    inline constexpr std::size_t maxEvacuatedZones = 256;
     /// Maximum number of key ranges of one service: enough for 1,754 upstreams with a dozen ranges each.
     inline constexpr std::size_t maxKeyRanges = 32'768;
 }
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -174,7 +174,7 @@
 template <typename Archive>
 void serialize(Archive& archive, RequestKind& value)
 {
-    serializeEnum(archive, value, RequestKind::Download);
+    serializeEnum(archive, value, RequestKind::Upload);
 }
 
 template <typename Archive>
@@ -213,12 +213,78 @@
     archive(value.maxHeaderBytes, value.maxBodyBytes, value.headerTimeout, value.idleTimeout);
 }
 
-template <typename Archive>
-void serialize(Archive& archive, ConfigItem& value)
+namespace {
+
+    /// Numbers of the encodings of an item's content. Content that uses no later member is written as earlier versions wrote
+    /// it, so that they can read it and it reads back the same.
+    enum class ContentEncoding : std::uint8_t {
+        Route,
+        Service,
+        Limits,
+        RouteWithRegions,
+        ServiceWithWarmUp,
+    };
+
+    ContentEncoding encodingOf(const ItemContent& content)
+    {
+        if (const auto* route = std::get_if<RouteItem>(&content)) {
+            return route->allowedRegions.empty() ? ContentEncoding::Route : ContentEncoding::RouteWithRegions;
+        }
+        if (const auto* service = std::get_if<ServiceItem>(&content)) {
+            return service->warmUpTime == Duration::zero() && service->warmUpMilliRequestsPerSecond == 0 ? ContentEncoding::Service : ContentEncoding::ServiceWithWarmUp;
+        }
+        return ContentEncoding::Limits;
+    }
+
+    /// Reads or writes the content, which holds the alternative of the encoding.
+    template <typename Archive, typename Content>
+    void serializeContent(Archive& archive, Content& content, ContentEncoding encoding)
+    {
+        std::visit([&archive](auto& alternative) { archive(alternative); }, content);
+        if (encoding == ContentEncoding::RouteWithRegions) {
+            archive(std::get<RouteItem>(content).allowedRegions);
+        } else if (encoding == ContentEncoding::ServiceWithWarmUp) {
+            auto& service = std::get<ServiceItem>(content);
+            archive(service.warmUpTime, service.warmUpMilliRequestsPerSecond);
+        }
+    }
+
+}
+
+// NOLINTBEGIN(readability-identifier-naming): cereal prescribes the names.
+void CEREAL_SAVE_FUNCTION_NAME(EncodeArchive& archive, const ConfigItem& value)
 {
-    archive(value.name, value.version, value.content, value.document);
+    const auto encoding = encodingOf(value.content);
+    archive(value.name, value.version, static_cast<std::uint8_t>(encoding));
+    serializeContent(archive, value.content, encoding);
+    archive(value.document);
 }
 
+void CEREAL_LOAD_FUNCTION_NAME(DecodeArchive& archive, ConfigItem& value)
+{
+    std::uint8_t number = 0;
+    archive(value.name, value.version, number);
+    const auto encoding = static_cast<ContentEncoding>(number);
+    switch (encoding) {
+    case ContentEncoding::Route:
+    case ContentEncoding::RouteWithRegions:
+        value.content = RouteItem {};
+        break;
+    case ContentEncoding::Service:
+    case ContentEncoding::ServiceWithWarmUp:
+        value.content = ServiceItem {};
+        break;
+    case ContentEncoding::Limits:
+        value.content = CallerLimits {};
+        break;
+    default:
+        throw DecodeError("unknown encoding of an item's content");
+    }
+    serializeContent(archive, value.content, encoding);
+    archive(value.document);
+}
+// NOLINTEND(readability-identifier-naming)
+
 template <typename Archive>
 void serialize(Archive& archive, ItemDeletion& value)
 {
@@ -249,6 +315,18 @@
     archive(value.key, value.hasLeft);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, BeginWarmUp& value)
+{
+    archive(value.key, value.timeLeft);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, EvacuateZone& value)
+{
+    archive(value.zone, value.isEvacuated);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, KeyRangeGrant& value)
 {
@@ -423,11 +501,24 @@
     archive(value.sequence, value.code, value.index, value.outcome, value.leader);
 }
 
-template <typename Archive>
-void serialize(Archive& archive, RegistrySnapshot& value)
+// NOLINTBEGIN(readability-identifier-naming): cereal prescribes the names.
+void CEREAL_SAVE_FUNCTION_NAME(EncodeArchive& archive, const RegistrySnapshot& value)
+{
+    archive(value.appliedIndex, value.itemsChangedAt, value.items, value.upstreams, value.keys, value.members);
+    // Earlier versions end here and reject further bytes.
+    if (!value.evacuatedZones.empty() || !value.warmUps.empty()) {
+        archive(value.evacuatedZones, value.warmUps);
+    }
+}
+
+void CEREAL_LOAD_FUNCTION_NAME(DecodeArchive& archive, RegistrySnapshot& value)
 {
     archive(value.appliedIndex, value.itemsChangedAt, value.items, value.upstreams, value.keys, value.members);
+    if (archive.remaining() > 0) {
+        archive(value.evacuatedZones, value.warmUps);
+    }
 }
+// NOLINTEND(readability-identifier-naming)
 
 template <typename Archive>
 void serialize(Archive& archive, KeyLoad& value)
--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -85,6 +85,12 @@
     std::chrono::milliseconds drainTime { 2'000 };
     /// Speed of this entry VM's network link in each direction. Zero means unlimited.
     std::size_t linkBytesPerSecond {};
+    /// Time after the acknowledgement of an evacuation order from which no request may reach the zone's upstreams.
+    std::chrono::milliseconds evacuationTime { 5'000 };
+    /// A cold upstream may get this multiple of its service's warm-up rate, plus the slack, in any one second from all
+    /// entry VMs together.
+    double warmUpOverage { 1.0 };
+    std::uint32_t warmUpSlack {};
 };
 
 }
--- a/src/core/registry/KeyHeartbeat.h
+++ b/src/core/registry/KeyHeartbeat.h
@@ -35,6 +35,8 @@
     std::uint64_t sequence {};
     std::vector<HeldKeys> held;
     std::vector<ReleasedKeys> released;
+    /// Time until the upstream is warm, as it states. Zero if it is warm.
+    Duration warmUpLeft {};
 
     friend bool operator==(const KeyHeartbeat&, const KeyHeartbeat&) = default;
 };
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -177,6 +177,9 @@
         this->markDeparted(other, UpstreamState::Gone);
     }
     const auto state = command.isDraining ? UpstreamState::Draining : UpstreamState::Ready;
+    if (found != this->registered.end() && found->second.announcement.key != command.key) {
+        this->warmUpTimes.erase(found->second.announcement.key);
+    }
     this->registered[command.key.name] = RegisteredUpstream { command, state, this->index };
     this->upstreamsIndex = this->index;
     return {};
@@ -198,6 +201,7 @@
     upstream.changedAt = this->index;
     this->upstreamsIndex = this->index;
     this->clearMovesTo(upstream.announcement.key);
+    this->warmUpTimes.erase(upstream.announcement.key);
     if (state != UpstreamState::Gone) {
         return;
     }
@@ -248,6 +252,41 @@
     return {};
 }
 
+ApplyOutcome RegistryState::applyCommand(const BeginWarmUp& command)
+{
+    const auto* upstream = this->findUpstream(command.key.name);
+    if (upstream == nullptr || upstream->announcement.key != command.key || upstream->state == UpstreamState::Gone) {
+        return { ResultCode::AlreadyApplied };
+    }
+    this->warmUpTimes[command.key] = command.timeLeft;
+    this->warmUpsIndex = this->index;
+    return {};
+}
+
+ApplyOutcome RegistryState::applyCommand(const EvacuateZone& command)
+{
+    const auto position = std::ranges::lower_bound(this->evacuated, command.zone);
+    const bool isOrdered = position != this->evacuated.end() && *position == command.zone;
+    if (isOrdered == command.isEvacuated) {
+        return {};
+    }
+    if (command.isEvacuated && this->evacuated.size() >= limits::maxEvacuatedZones) {
+        return { ResultCode::ItemsInvalid };
+    }
+    if (command.isEvacuated) {
+        this->evacuated.insert(position, command.zone);
+    } else {
+        this->evacuated.erase(position);
+    }
+    this->evacuationsIndex = this->index;
+    return {};
+}
+
+bool RegistryState::isEvacuated(std::string_view zone) const noexcept
+{
+    return std::ranges::binary_search(this->evacuated, zone);
+}
+
 std::span<const KeyRange> RegistryState::keyRanges(std::string_view service) const
 {
     const auto found = this->keys.find(service);
@@ -267,7 +306,10 @@
 
 RegistrySnapshot RegistryState::snapshot() const
 {
-    RegistrySnapshot result { this->index, this->itemsIndex, {}, {}, {}, this->memberSpecs };
+    RegistrySnapshot result { this->index, this->itemsIndex, {}, {}, {}, this->memberSpecs, this->evacuated, {} };
+    for (const auto& [key, timeLeft] : this->warmUpTimes) {
+        result.warmUps.push_back({ key, timeLeft });
+    }
     for (const auto& [key, record] : this->items) {
         result.items.push_back(record);
     }
@@ -289,6 +331,13 @@
     this->itemsIndex = snapshot.itemsChangedAt;
     this->upstreamsIndex = this->index;
     this->memberSpecs = std::move(snapshot.members);
+    this->evacuated = std::move(snapshot.evacuatedZones);
+    this->evacuationsIndex = this->index;
+    this->warmUpTimes.clear();
+    for (const auto& warmUp : snapshot.warmUps) {
+        this->warmUpTimes.emplace(warmUp.key, warmUp.timeLeft);
+    }
+    this->warmUpsIndex = this->index;
     this->items.clear();
     for (auto& record : snapshot.items) {
         this->items.emplace(ItemKey { record.kind, record.item.name }, std::move(record));
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -67,6 +67,17 @@
     /// @return The range that contains a key, or null.
     const KeyRange* findRange(std::string_view service, KeyNumber key) const;
 
+    /// @return Availability zones under an evacuation order, in ascending order.
+    std::span<const std::string> evacuatedZones() const noexcept { return this->evacuated; }
+    bool isEvacuated(std::string_view zone) const noexcept;
+    /// @return Index of the latest command that changed an evacuation order; zero if none did.
+    LogIndex evacuationsChangedAt() const noexcept { return this->evacuationsIndex; }
+
+    /// @return Warm-ups that were begun, with the time that was left when the command was committed.
+    const absl::btree_map<UpstreamKey, Duration>& warmUps() const noexcept { return this->warmUpTimes; }
+    /// @return Index of the latest command that began a warm-up; zero if none did.
+    LogIndex warmUpsChangedAt() const noexcept { return this->warmUpsIndex; }
+
     std::span<const MemberSpec> members() const noexcept { return this->memberSpecs; }
 
     RegistrySnapshot snapshot() const;
@@ -92,6 +103,8 @@
     ApplyOutcome applyCommand(const RemoveUpstream& command);
     ApplyOutcome applyCommand(const AssignKeyRanges& command);
     ApplyOutcome applyCommand(const BeginKeyMoves& command);
+    ApplyOutcome applyCommand(const BeginWarmUp& command);
+    ApplyOutcome applyCommand(const EvacuateZone& command);
 
     const ItemRecord* findItem(ItemKind kind, std::string_view name) const;
     Status checkVersion(ItemKind kind, std::string_view name, std::uint64_t version, std::string_view document) const;
@@ -112,6 +125,11 @@
     };
     absl::btree_map<std::string, Keys, std::less<>> keys;
     std::vector<MemberSpec> memberSpecs;
+    std::vector<std::string> evacuated;
+    LogIndex evacuationsIndex;
+    /// Only of upstreams that are registered.
+    absl::btree_map<UpstreamKey, Duration> warmUpTimes;
+    LogIndex warmUpsIndex;
 };
 
 }
