Split the dispatcher into one type a decision

UpstreamEligibility, UpstreamChoice, CapacityEstimate, Admission, SendOrder, ReturnTime, UnconfirmedRanges, InFlightLimit and LatencyEstimate are types of their own now.

--- /dev/null
+++ b/src/core/dispatch/Admission.cpp
@@ -0,0 +1,100 @@
+#include "core/dispatch/Admission.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace teaselturn {
+
+namespace {
+
+    /// Limit of pending requests at one entry VM.
+    constexpr std::size_t maxPendingRequests = 4'096;
+
+    /// @return Number of queued requests that are sent before the position.
+    double requestsAhead(const RequestQueue& queue, const QueuePosition& position)
+    {
+        return static_cast<double>(std::distance(queue.begin(), queue.lower_bound(position)));
+    }
+
+}
+
+std::optional<ResultCode> Admission::checkOwner(Instant now, const PendingDispatch& pending) const
+{
+    const auto* range = pending.findRange();
+    if (range == nullptr || !range->isOwned()) {
+        return ResultCode::RequestNoOwner;
+    }
+    const auto* owner = this->upstreams.find(range->owner);
+    if (owner == nullptr || owner->state == UpstreamState::Dead || !this->eligibility.mayServeKey(now, pending, *owner)) {
+        return ResultCode::RequestNoOwner;
+    }
+    return owner->load.isCircuitOpen(now) ? std::optional { ResultCode::RequestCircuitOpen } : std::nullopt;
+}
+
+std::optional<ResultCode> Admission::checkUpstreams(Instant now, const PendingDispatch& pending) const
+{
+    const auto acceptsRequests = [this, now, &pending](const UpstreamKey& key) {
+        const auto* candidate = this->upstreams.find(key);
+        return candidate != nullptr && this->eligibility.mayBeChosen(now, pending, *candidate) && !candidate->load.isCircuitOpen(now) && !candidate->load.isPaused(now);
+    };
+    const auto& keys = pending.service->upstreams;
+    if (std::ranges::any_of(keys, acceptsRequests)) {
+        return std::nullopt;
+    }
+    return keys.empty() ? ResultCode::RequestNoOwner : ResultCode::RequestCircuitOpen;
+}
+
+std::optional<ResultCode> Admission::check(Instant now, const PendingDispatch& pending, std::size_t pendingCount) const
+{
+    if (pending.expiresAt <= now) {
+        return ResultCode::RequestDeadlineExceeded;
+    }
+    if (this->processEnd && pending.expiresAt > *this->processEnd) {
+        return ResultCode::RequestDraining;
+    }
+    if (pendingCount > maxPendingRequests) {
+        return ResultCode::QueueFull;
+    }
+    if (const auto refusal = pending.service->item.isSharded ? this->checkOwner(now, pending) : this->checkUpstreams(now, pending)) {
+        return refusal;
+    }
+    const auto wait = this->estimateWait(now, pending);
+    if (wait > Duration::zero() && now + wait + pending.service->averageLatency > pending.targetTime()) {
+        return ResultCode::RequestShed;
+    }
+    return std::nullopt;
+}
+
+Duration Admission::estimateWaitForOwner(Instant now, const PendingDispatch& pending) const
+{
+    const auto& service = *pending.service;
+    const auto* range = pending.findRange();
+    const auto* owner = this->upstreams.find(range->owner);
+    const auto queue = service.queues.find(range->owner);
+    const auto waiting = queue == service.queues.end() ? 0.0 : requestsAhead(queue->second, pending.position());
+    const auto* unconfirmed = service.unconfirmedRanges.find(range);
+    const auto ownershipDelay = unconfirmed == nullptr ? Duration::zero() : std::max<Duration>(unconfirmed->expectedAt - now, Duration::zero());
+    if (owner->load.hasCapacity(now) && waiting == 0) {
+        return ownershipDelay;
+    }
+    const auto pause = std::max<Duration>(owner->load.pauseEnd() - now, Duration::zero());
+    return ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+}
+
+Duration Admission::estimateWait(Instant now, const PendingDispatch& pending) const
+{
+    const auto& service = *pending.service;
+    if (service.item.isSharded) {
+        return this->estimateWaitForOwner(now, pending);
+    }
+    const auto waiting = requestsAhead(service.queue, pending.position());
+    const bool isBelowLimit = service.inFlight < this->capacity.inFlightLimit(service);
+    if (waiting == 0 && isBelowLimit && this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr) {
+        return Duration::zero();
+    }
+    // Requests in flight in excess of the slots are queued at the upstreams.
+    const auto parallel = this->capacity.slotShare(service);
+    return scaled(service.averageLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
+}
+
+}
--- /dev/null
+++ b/src/core/dispatch/DispatchTables.h
@@ -0,0 +1,136 @@
+#pragma once
+
+#include "core/dispatch/DispatchTypes.h"
+#include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/UnconfirmedRanges.h"
+#include "core/dispatch/UpstreamLoad.h"
+#include "core/registry/KeyRanges.h"
+
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Tables that the dispatcher's decisions read: upstreams, services with their queues, and pending requests.
+namespace teaselturn {
+
+/// An upstream as this entry VM knows it.
+struct DispatchUpstream {
+    RegisterUpstream announcement;
+    UpstreamState state { UpstreamState::Ready };
+    UpstreamLoad load;
+    /// Round-trip time in excess of one within the availability zone.
+    Duration extraRoundTrip {};
+    /// Handicap added to the expected latency of this upstream, as a fraction of the service's average latency. It
+    /// differs between entry VMs, so that each uses few upstreams and connections while the load of all entry VMs
+    /// spreads evenly over the upstreams.
+    double preferencePenalty {};
+    /// Whether requests to it cross the narrow link between regions.
+    bool isInOtherRegion {};
+    /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
+    /// responses; empty if it is not.
+    std::optional<Instant> drainingSince;
+    /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
+    /// flight to it removes it.
+    bool isRegistered { true };
+};
+
+/// The upstreams of all services, by key.
+class UpstreamTable {
+public:
+    using Map = absl::flat_hash_map<UpstreamKey, DispatchUpstream>;
+
+    /// @return The upstream, or null. The pointer is valid until the next change of the table.
+    DispatchUpstream* find(const UpstreamKey& key)
+    {
+        const auto found = this->map.find(key);
+        return found == this->map.end() ? nullptr : &found->second;
+    }
+    const DispatchUpstream* find(const UpstreamKey& key) const
+    {
+        const auto found = this->map.find(key);
+        return found == this->map.end() ? nullptr : &found->second;
+    }
+
+    Map map;
+};
+
+/// Position of a request in a queue, ordered by priority (lowest number first), then by age.
+struct QueuePosition {
+    std::uint32_t priority {};
+    std::uint64_t sequenceNumber {};
+    PendingRequestId id;
+
+    friend auto operator<=>(const QueuePosition&, const QueuePosition&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
+};
+
+using RequestQueue = absl::btree_set<QueuePosition>;
+
+/// Requests for one key since the last load report.
+struct KeyUsage {
+    std::uint32_t requests {};
+    std::uint32_t answered {};
+    double busyMs {};
+};
+
+/// A service with its upstreams and the requests that wait for them.
+struct DispatchService {
+    std::string name;
+    ServiceItem item;
+    std::vector<KeyRange> ranges;
+    /// Log index at which `ranges` last changed.
+    LogIndex rangesIndex;
+    std::vector<UpstreamKey> upstreams;
+    RetryWindow retries;
+    /// Exponential moving average of the response time of the service's upstreams.
+    Duration averageLatency { std::chrono::milliseconds { 60 } };
+    /// Queued requests if the service is not sharded.
+    RequestQueue queue;
+    /// Queued requests by the owner of their key. Requests for keys without an owner are under the empty
+    /// UpstreamKey.
+    absl::btree_map<UpstreamKey, RequestQueue> queues;
+    int inFlight {};
+    UnconfirmedRanges unconfirmedRanges;
+    absl::flat_hash_map<KeyNumber, KeyUsage> usage;
+};
+
+/// A request from its arrival to its response.
+struct PendingDispatch {
+    DispatchRequest request;
+    DispatchService* service {};
+    std::uint64_t sequenceNumber {};
+    /// Attempts so far, except those that were misdirected or not sent.
+    std::uint32_t attempts {};
+    /// Attempts that may have run the request.
+    std::uint32_t possibleRuns {};
+    /// Owner under which the request is queued; valid only while isQueued.
+    UpstreamKey queueOwner;
+    bool isQueued {};
+    /// Upstream of the latest attempt.
+    UpstreamKey sentTo;
+    bool isSent {};
+    Instant sentAt;
+    Instant expiresAt;
+    /// Bytes reserved in the link budget.
+    double reservedLinkBytes {};
+    std::size_t responseBytes {};
+    /// Upstreams that a retry does not use.
+    std::vector<UpstreamKey> excludedUpstreams;
+    std::uint32_t misdirections {};
+
+    const RouteItem& route() const noexcept { return this->request.route->item; }
+
+    /// @return Latest time at which a response still has its full value to the caller.
+    Instant targetTime() const noexcept { return std::min(this->expiresAt, this->request.arrivedAt + this->route().targetLatency); }
+
+    /// @return The range with the request's key; null if the request has no key or the service no ranges.
+    const KeyRange* findRange() const { return this->request.key ? findKeyRange(this->service->ranges, *this->request.key) : nullptr; }
+
+    QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id }; }
+};
+
+}
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -52,7 +52,7 @@
 {
     const auto id = request.id;
     const auto& route = request.route->item;
-    auto newPending = std::make_unique<PendingRequest>();
+    auto newPending = std::make_unique<PendingDispatch>();
     auto& pending = *newPending;
     pending.service = &this->findOrCreateService(this->chooseService(*request.route));
     pending.sequenceNumber = ++this->lastSequenceNumber;
@@ -62,10 +62,10 @@
     this->deadlines.emplace(pending.expiresAt, id);
     const RetryBounds bounds { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
     pending.service->retries.recordRequest(now, bounds);
-    if (pending.service->isSharded && pending.request.key) {
+    if (pending.service->item.isSharded && pending.request.key) {
         ++pending.service->usage[*pending.request.key].requests;
     }
-    if (const auto refusal = this->checkAdmission(now, pending)) {
+    if (const auto refusal = this->admission.check(now, pending, this->pendingRequests.size())) {
         this->refuseOrFail(now, pending, *refusal, decisions);
         return;
     }
@@ -80,7 +80,7 @@
     this->dispatchQueued(now, *pending.service, decisions);
 }
 
-void Dispatcher::recordAttemptEnd(Instant now, PendingRequest& pending, std::optional<AttemptOutcome> outcome)
+void Dispatcher::recordAttemptEnd(Instant now, PendingDispatch& pending, std::optional<AttemptOutcome> outcome)
 {
     if (!pending.isSent) {
         return;
@@ -89,7 +89,7 @@
     auto& service = *pending.service;
     service.inFlight = std::max(0, service.inFlight - 1);
     const auto latency = now - pending.sentAt;
-    auto* const target = this->findUpstream(pending.sentTo);
+    auto* const target = this->upstreams.find(pending.sentTo);
     if (target != nullptr) {
         if (outcome) {
             target->load.recordEnded(now, *outcome, latency);
@@ -97,14 +97,14 @@
             target->load.recordCancelled();
         }
     }
-    if (outcome && *outcome != AttemptOutcome::Misdirected && !service.unconfirmedRanges.empty()) {
-        if (const auto* range = this->findRange(pending); range != nullptr && range->owner == pending.sentTo) {
-            service.unconfirmedRanges.erase(rangeId(*range));
+    if (outcome && *outcome != AttemptOutcome::Misdirected) {
+        if (const auto* range = pending.findRange(); range != nullptr && range->owner == pending.sentTo) {
+            service.unconfirmedRanges.confirm(*range);
         }
     }
     if (outcome == AttemptOutcome::Answered) {
         service.averageLatency += scaled(latency - service.averageLatency, latencyWeight);
-        if (service.isSharded && pending.request.key) {
+        if (service.item.isSharded && pending.request.key) {
             auto& usage = service.usage[*pending.request.key];
             const auto extraRoundTrip = target == nullptr ? Duration::zero() : target->extraRoundTrip;
             ++usage.answered;
@@ -155,10 +155,10 @@
     this->dispatchQueued(now, service, decisions);
 }
 
-bool Dispatcher::tryConsumeRetry(Instant now, PendingRequest& pending, AttemptOutcome outcome)
+bool Dispatcher::tryConsumeRetry(Instant now, PendingDispatch& pending, AttemptOutcome outcome)
 {
-    const auto& route = pending.request.route->item;
-    if (route.kind == RequestKind::AtMostOnce && pending.possibleRuns > 0) {
+    const auto& route = pending.route();
+    if (!mayRepeat(route.kind) && pending.possibleRuns > 0) {
         return false;
     }
     if (pending.expiresAt - now < pending.service->averageLatency / 2) {
@@ -179,28 +179,28 @@
         return false;
     }
     const RetryBounds bounds { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
-    return pending.service->retries.tryRetry(now, bounds, this->entryVmCount);
+    return pending.service->retries.tryRetry(now, bounds, this->capacity.entryCount());
 }
 
-bool Dispatcher::hasOtherUpstream(Instant now, const PendingRequest& pending)
+bool Dispatcher::hasOtherUpstream(Instant now, const PendingDispatch& pending)
 {
     return std::ranges::any_of(pending.service->upstreams, [&](const UpstreamKey& key) {
-        const auto* candidate = this->findUpstream(key);
-        return candidate != nullptr && !candidate->drainingSince && !candidate->load.isPaused(now) && std::ranges::find(pending.excludedUpstreams, key) == pending.excludedUpstreams.end();
+        const auto* candidate = this->upstreams.find(key);
+        return candidate != nullptr && !candidate->load.isPaused(now) && this->eligibility.mayBeChosen(now, pending, *candidate);
     });
 }
 
-void Dispatcher::retry(Instant now, PendingRequest& pending, AttemptOutcome outcome, DispatchDecisions& decisions)
+void Dispatcher::retry(Instant now, PendingDispatch& pending, AttemptOutcome outcome, DispatchDecisions& decisions)
 {
     if (outcome == AttemptOutcome::NotSent) {
         --pending.attempts;
     }
-    if (pending.service->isSharded) {
-        const auto* range = this->findRange(pending);
+    if (pending.service->item.isSharded) {
+        const auto* range = pending.findRange();
         if (outcome == AttemptOutcome::Misdirected && range != nullptr && range->owner == pending.sentTo) {
-            this->recordMisdirection(now, pending);
+            this->deadlines.emplace(pending.service->unconfirmedRanges.recordRefusal(now, *range), pending.request.id);
         }
-        auto* owner = range == nullptr ? nullptr : this->findUpstream(range->owner);
+        auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
         if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isCircuitOpen(now) || owner->load.isPaused(now))) {
             this->refuseOrFail(now, pending, pending.possibleRuns > 0 ? ResultCode::RequestOutcomeUnknown : ResultCode::RequestCircuitOpen, decisions);
             return;
@@ -215,7 +215,7 @@
     this->enqueue(pending);
 }
 
-void Dispatcher::refuseOrFail(Instant now, PendingRequest& pending, ResultCode reason, DispatchDecisions& decisions)
+void Dispatcher::refuseOrFail(Instant now, PendingDispatch& pending, ResultCode reason, DispatchDecisions& decisions)
 {
     const auto id = pending.request.id;
     // A refusal guarantees that the request did not run. If an earlier attempt of an idempotent request may have run,
@@ -223,11 +223,13 @@
     if (pending.possibleRuns > 0) {
         this->finish(now, pending, FailRequest { id, ResultCode::RequestOutcomeUnknown }, decisions);
     } else {
-        this->finish(now, pending, RefuseRequest { id, reason, this->retryAfter(now, pending, reason) }, decisions);
+        const auto* range = pending.findRange();
+        const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+        this->finish(now, pending, RefuseRequest { id, reason, this->returnTime.compute(now, pending, owner, reason) }, decisions);
     }
 }
 
-void Dispatcher::finish(Instant now, PendingRequest& pending, DispatchDecision decision, DispatchDecisions& decisions)
+void Dispatcher::finish(Instant now, PendingDispatch& pending, DispatchDecision decision, DispatchDecisions& decisions)
 {
     const auto id = pending.request.id;
     this->settleLinkBudget(now, pending);
@@ -245,7 +247,7 @@
     }
 }
 
-void Dispatcher::recordLeaving(Instant now, Upstream& upstream)
+void Dispatcher::recordLeaving(Instant now, DispatchUpstream& upstream)
 {
     if (this->leavingSince.size() >= maxLeavingUpstreams) {
         const auto oldest = std::ranges::min_element(this->leavingSince, {}, [](const auto& item) { return item.second; });
@@ -260,7 +262,7 @@
 void Dispatcher::noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions)
 {
     const auto found = this->pendingRequests.find(id);
-    auto* upstream = found == this->pendingRequests.end() ? nullptr : this->findUpstream(found->second->sentTo);
+    auto* upstream = found == this->pendingRequests.end() ? nullptr : this->upstreams.find(found->second->sentTo);
     if (upstream == nullptr) {
         return;
     }
@@ -273,7 +275,7 @@
     }
 }
 
-void Dispatcher::settleLinkBudget(Instant now, const PendingRequest& pending)
+void Dispatcher::settleLinkBudget(Instant now, const PendingDispatch& pending)
 {
     if (pending.responseBytes > 0) {
         this->linkBudget.recordResponseSize(pending.request.route->name, pending.responseBytes);
@@ -306,7 +308,7 @@
     this->dispatchQueued(now, service, decisions);
 }
 
-void Dispatcher::expire(Instant now, PendingRequest& pending, DispatchDecisions& decisions)
+void Dispatcher::expire(Instant now, PendingDispatch& pending, DispatchDecisions& decisions)
 {
     const auto id = pending.request.id;
     auto& service = *pending.service;
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -15,9 +15,6 @@
     constexpr std::chrono::milliseconds interRegionRoundTrip { 60 };
     /// Largest preference penalty, as a fraction of the service's average latency.
     constexpr double maxPreferencePenalty = 0.3;
-    /// Time for a proposal to be committed across regions and reach this entry VM by the feed, less the time that a
-    /// heartbeat reply takes.
-    constexpr std::chrono::milliseconds feedDelay { 50 };
 
     /// @return A penalty in [0, maxPreferencePenalty) that is a function of the arguments only, equal in every process.
     double computePreferencePenalty(const UpstreamKey& key, std::uint64_t preferenceSeed)
@@ -28,23 +25,17 @@
 
 }
 
-Dispatcher::Service& Dispatcher::findOrCreateService(std::string_view name)
+DispatchService& Dispatcher::findOrCreateService(std::string_view name)
 {
     const auto found = this->services.find(name);
     if (found != this->services.end()) {
         return *found->second;
     }
-    auto newService = std::make_unique<Service>();
+    auto newService = std::make_unique<DispatchService>();
     newService->name = name;
     return *this->services.emplace(std::string { name }, std::move(newService)).first->second;
 }
 
-Dispatcher::Upstream* Dispatcher::findUpstream(const UpstreamKey& key)
-{
-    const auto found = this->upstreams.find(key);
-    return found == this->upstreams.end() ? nullptr : &found->second;
-}
-
 Duration Dispatcher::extraRoundTripTo(std::string_view zone) const
 {
     if (zone == this->options.zone) {
@@ -56,19 +47,9 @@
     return isSameRegion ? interZoneRoundTrip : interRegionRoundTrip;
 }
 
-bool Dispatcher::isDrained(Instant now, const Upstream& upstream) const noexcept
-{
-    return upstream.drainingSince && now - *upstream.drainingSince >= this->options.drainTime;
-}
-
-const KeyRange* Dispatcher::findRange(const PendingRequest& pending) const
-{
-    return pending.request.key ? findKeyRange(pending.service->ranges, *pending.request.key) : nullptr;
-}
-
 void Dispatcher::syncUpstreams(Instant now, const RegistryState& state)
 {
-    for (auto& [key, upstream] : this->upstreams) {
+    for (auto& [key, upstream] : this->upstreams.map) {
         upstream.isRegistered = false;
     }
     for (auto& [name, service] : this->services) {
@@ -79,7 +60,7 @@
         if (registered.state == UpstreamState::Gone) {
             continue;
         }
-        const auto found = this->upstreams.try_emplace(announcement.key, Upstream { announcement, registered.state, UpstreamLoad { announcement.requestSlots } }).first;
+        const auto found = this->upstreams.map.try_emplace(announcement.key, DispatchUpstream { announcement, registered.state, UpstreamLoad { announcement.requestSlots } }).first;
         auto& upstream = found->second;
         upstream.announcement = announcement;
         upstream.state = registered.state;
@@ -96,26 +77,15 @@
         upstream.isRegistered = true;
         this->findOrCreateService(announcement.service).upstreams.push_back(announcement.key);
     }
-    absl::erase_if(this->upstreams, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
+    absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
 }
 
-void Dispatcher::syncKeys(Instant now, const RegistryState& state, Service& service)
+void Dispatcher::syncKeys(Instant now, const RegistryState& state, DispatchService& service)
 {
     const auto ranges = state.keyRanges(service.name);
     service.ranges.assign(ranges.begin(), ranges.end());
-    absl::flat_hash_map<std::uint64_t, UnconfirmedRange> stillUnconfirmed;
-    for (const auto& range : service.ranges) {
-        const auto previous = service.unconfirmedRanges.find(rangeId(range));
-        if (previous != service.unconfirmedRanges.end()) {
-            stillUnconfirmed.insert(*previous);
-        } else if (range.fence.value > service.rangesIndex.value && range.expectedDelay > feedDelay) {
-            // Until the reply to its next heartbeat, the new owner does not know that it owns these keys and would
-            // refuse requests for them.
-            stillUnconfirmed.emplace(rangeId(range), UnconfirmedRange { now + range.expectedDelay - feedDelay, now + range.expectedDelay - feedDelay, 0 });
-        }
-    }
+    service.unconfirmedRanges.sync(now, service.ranges, service.rangesIndex);
     service.rangesIndex = state.keysChangedAt(service.name);
-    service.unconfirmedRanges = std::move(stillUnconfirmed);
     // Requests are queued by owner, so those whose key has a new owner move to its queue.
     std::vector<PendingRequestId> waiting;
     for (const auto& [owner, queue] : service.queues) {
@@ -138,7 +108,7 @@
         this->itemsIndex = state.itemsChangedAt();
         state.forEachItem([this](const ConfigItem& item) {
             if (const auto* content = std::get_if<ServiceItem>(&item.content)) {
-                this->findOrCreateService(item.name).isSharded = content->isSharded;
+                this->findOrCreateService(item.name).item = *content;
             }
         });
         absl::flat_hash_set<std::string> routes;
@@ -151,7 +121,7 @@
     }
     for (auto& [name, service] : this->services) {
         const auto changedAt = state.keysChangedAt(name);
-        if (service->isSharded && service->rangesIndex != changedAt) {
+        if (service->item.isSharded && service->rangesIndex != changedAt) {
             this->syncKeys(now, state, *service);
         }
     }
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/dispatch/InFlightLimit.h"
+#include "core/dispatch/LatencyEstimate.h"
 #include "teaselturn/Types.h"
 
 #include <algorithm>
@@ -25,12 +27,25 @@
     Lost,
 };
 
+/// Load that an upstream states in a response.
+struct ReportedLoad {
+    std::uint32_t running {};
+    std::uint32_t waiting {};
+    std::uint32_t slots {};
+    /// How long work takes on the upstream's machine at the moment, in percent of the usual time.
+    std::uint32_t workTimePercent { 100 };
+
+    friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
+};
+
 /// What an upstream states about itself in a response, beside the response itself.
 struct UpstreamNotice {
     /// It is shutting down and takes no new work soon.
     bool isLeaving {};
     /// Time for which it wants no request from this entry VM. Zero if it states none.
     Duration pause {};
+    /// Empty if the response states no load.
+    std::optional<ReportedLoad> load;
 };
 
 /// Tracks the latency and failures of one upstream as seen by this entry VM. Limits the requests in flight and has a
@@ -41,12 +56,11 @@
 public:
     /// @param requestSlots Requests that the upstream runs concurrently, for all entry VMs together.
     explicit UpstreamLoad(std::uint32_t requestSlots) noexcept
-        : slots(std::max(1U, requestSlots))
-        , limit(std::min<double>(this->slots, initialLimit))
+        : limit(requestSlots)
     {
     }
 
-    void setSlots(std::uint32_t requestSlots) noexcept { this->slots = std::max(1U, requestSlots); }
+    void setSlots(std::uint32_t requestSlots) noexcept { this->limit.setSlots(requestSlots); }
 
     /// @return True if one more request may be sent now.
     bool hasCapacity(Instant now) const noexcept
@@ -55,8 +69,8 @@
             return false;
         }
         // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
-        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : std::floor(this->limit + limitTolerance);
-        return this->inFlightCount < std::max(1.0, allowed);
+        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : this->limit.allowed();
+        return this->inFlightCount < allowed;
     }
 
     /// @return True while the circuit breaker blocks all requests to the upstream after failures.
@@ -66,7 +80,7 @@
     void pause(Instant until) noexcept
     {
         this->pausedUntil = std::max(this->pausedUntil, until);
-        this->limit = 1;
+        this->limit.reset();
     }
     bool isPaused(Instant now) const noexcept { return now < this->pausedUntil; }
     Instant pauseEnd() const noexcept { return this->pausedUntil; }
@@ -96,14 +110,14 @@
             break;
         case AttemptOutcome::Overloaded:
             this->errorShare += (1 - this->errorShare) * errorWeight;
-            this->decreaseLimit(now);
+            this->limit.decrease(now);
             break;
         case AttemptOutcome::Misdirected:
             break;
         case AttemptOutcome::NotSent:
         case AttemptOutcome::Lost:
             this->errorShare += (1 - this->errorShare) * errorWeight;
-            this->decreaseLimit(now);
+            this->limit.decrease(now);
             this->recordFailure(now);
             break;
         }
@@ -119,20 +133,18 @@
     }
 
     int inFlight() const noexcept { return this->inFlightCount; }
-    double currentLimit() const noexcept { return this->limit; }
+    double currentLimit() const noexcept { return this->limit.value(); }
 
     /// @param fallback Latency assumed for an upstream without a response yet.
     /// @return Expected latency of the next request.
     Duration expectedLatency(Instant now, Duration fallback) const noexcept
     {
-        if (this->average == Duration::zero()) {
+        if (!this->latency.hasSamples()) {
             return fallback;
         }
-        const auto age = std::chrono::duration<double> { now - this->lastResponseAt } / std::chrono::duration<double> { recentTimeConstant };
-        const auto excess = std::chrono::duration<double> { this->recent - this->average } * std::exp(-std::max(0.0, age));
-        auto expected = this->average + std::chrono::duration_cast<Duration>(excess);
+        auto expected = this->latency.expected(now);
         // Requests without a response for much longer than the average reveal a slow or unresponsive upstream early.
-        if (this->noResponseSince && now - *this->noResponseSince > this->average * overdueFactor) {
+        if (this->noResponseSince && now - *this->noResponseSince > this->latency.longTerm() * overdueFactor) {
             expected = std::max<Duration>(expected, now - *this->noResponseSince);
         }
         const auto inFlightFactor = inFlightPenalty * this->inFlightCount;
@@ -140,20 +152,10 @@
     }
 
     /// @return Moving average of the latency over the last dozens of responses; zero before the first response.
-    Duration averageLatency() const noexcept { return this->average; }
+    Duration averageLatency() const noexcept { return this->latency.longTerm(); }
 
 private:
-    static constexpr double initialLimit = 2;
-    /// Keeps floor() from losing a whole request to rounding errors of the limit.
-    static constexpr double limitTolerance = 1e-6;
-    static constexpr double limitDecreaseFactor = 0.5;
-    static constexpr double limitIncrease = 1;
-    static constexpr double baselineWeight = 0.005;
-    /// Number of requests by which the concurrency limit may exceed the upstream's slots.
-    static constexpr double maxLimitExcess = 1;
-    /// Weights of one sample in the exponential moving averages.
-    static constexpr double recentWeight = 0.3;
-    static constexpr double averageWeight = 0.05;
+    /// Weight of one outcome in the share of errors.
     static constexpr double errorWeight = 0.2;
     /// At this value, an upstream that fails every second request counts as three times as slow.
     static constexpr double errorPenalty = 4;
@@ -161,43 +163,18 @@
     /// Increase of the expected latency by each request in flight from this entry VM, as a fraction of it. Other entry
     /// VMs use the upstream too, so its slots are full before this entry VM has filled them alone.
     static constexpr double inFlightPenalty = 0.5;
-    /// Recent latency above this multiple of the baseline means that requests queue at the upstream.
-    static constexpr double congestionFactor = 2.2;
     static constexpr int failuresToOpenCircuit = 2;
     static constexpr int maxOpenTimeDoublings = 4;
-    static constexpr std::chrono::milliseconds recentTimeConstant { 1'000 };
-    static constexpr std::chrono::milliseconds limitDecreaseInterval { 100 };
     static constexpr std::chrono::milliseconds initialOpenTime { 250 };
 
-    void recordLatency(Instant now, Duration latency) noexcept
+    void recordLatency(Instant now, Duration duration) noexcept
     {
-        if (this->average == Duration::zero()) {
-            this->average = latency;
-            this->recent = latency;
-        } else {
-            this->recent += std::chrono::duration_cast<Duration>((latency - this->recent) * recentWeight);
-            this->average += std::chrono::duration_cast<Duration>((latency - this->average) * averageWeight);
-        }
-        this->lastResponseAt = now;
-        // The baseline drops with the latency immediately and rises slowly, so that long congestion does not become the
-        // baseline.
-        this->baseline = this->baseline == Duration::zero() || this->recent < this->baseline ? this->recent : this->baseline + std::chrono::duration_cast<Duration>((this->recent - this->baseline) * baselineWeight);
-        const auto congestionThreshold = std::chrono::duration<double> { this->baseline } * congestionFactor;
-        if (this->recent > congestionThreshold) {
-            this->decreaseLimit(now);
+        this->latency.record(now, duration);
+        if (this->latency.isCongested()) {
+            this->limit.decrease(now);
         } else {
-            this->limit = std::min<double>(this->slots + maxLimitExcess, this->limit + limitIncrease / std::max(1.0, this->limit));
-        }
-    }
-
-    void decreaseLimit(Instant now) noexcept
-    {
-        // Decreases the limit only once for a burst of refusals.
-        if (now - this->lastLimitDecreaseAt < limitDecreaseInterval) {
-            return;
+            this->limit.increase();
         }
-        this->lastLimitDecreaseAt = now;
-        this->limit = std::max(1.0, this->limit * limitDecreaseFactor);
     }
 
     void recordFailure(Instant now) noexcept
@@ -208,14 +185,9 @@
         }
     }
 
-    std::uint32_t slots;
-    double limit;
+    InFlightLimit limit;
+    LatencyEstimate latency;
     int inFlightCount {};
-    Duration recent {};
-    Duration average {};
-    Duration baseline {};
-    Instant lastResponseAt;
-    Instant lastLimitDecreaseAt;
     Instant circuitOpenUntil;
     Instant pausedUntil;
     std::optional<Instant> noResponseSince;
