Reject responses whose status is no HTTP status

An upstream in trouble answered with the status 000, and both front ends passed such responses on as answers, 000 as "HTTP/1.1 0". A response with a status outside 100 to 599 is malformed now, so its attempt ends as lost and its connection is closed; the clients of members and readiness checks use the same readers.

The new tests failed on the code before: MessageReader took 000, 001, 099, 600 and 999, and the connection pool took 600 and 999 for answers (cpp-httplib refused statuses under 200 already).

--- a/src/adapters/http/HttpCodec.cpp
+++ b/src/adapters/http/HttpCodec.cpp
@@ -459,7 +459,7 @@
             constexpr int noContent = 204;
             this->hasHead = true;
             const auto framing = bodyFraming(response.headers);
-            if (!framing.isValid || response.status < 200 || framing.length.value_or(0) > this->maxBodyBytes) {
+            if (!framing.isValid || response.status < 0 || !isFinalStatus(static_cast<unsigned>(response.status)) || framing.length.value_or(0) > this->maxBodyBytes) {
                 this->isRejected = true;
                 return false;
             }
--- a/src/adapters/http/HttpTypes.h
+++ b/src/adapters/http/HttpTypes.h
@@ -11,6 +11,18 @@
 /// HTTP messages, independent of the HTTP library, which is used in HttpCodec.cpp only.
 namespace teaselturn {
 
+/// @return True for the status of a response that another one follows.
+constexpr bool isInterimStatus(unsigned status) noexcept
+{
+    return status >= 100 && status < 200;
+}
+
+/// @return True for the status of a response that ends its request.
+constexpr bool isFinalStatus(unsigned status) noexcept
+{
+    return status >= 200 && status < 600;
+}
+
 /// A non-owning header field. The creator of the view owns the text.
 struct HttpHeaderView {
     std::string_view name;
--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -92,9 +92,16 @@
         if (progress != ReadProgress::Incomplete) {
             break;
         }
+        if constexpr (!isRequestMessage<Message>) {
+            const auto& head = this->parser->content.get();
+            if (this->parser->content.is_header_done() && !isInterimStatus(head.result_int()) && !isFinalStatus(head.result_int())) {
+                progress = ReadProgress::Malformed;
+                break;
+            }
+        }
         if (this->parser->content.is_done()) {
             if constexpr (!isRequestMessage<Message>) {
-                if (this->parser->content.get().result_int() / 100 == 1) {
+                if (isInterimStatus(this->parser->content.get().result_int())) {
                     // An interim (1xx) response; the final one follows.
                     this->parser.reset();
                     if (++this->interimCount > maxInterimResponses) {
--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -128,3 +128,26 @@
     REQUIRE(progress == ReadProgress::Complete);
     CHECK(reader.take().body.empty());
 }
+
+TEST_CASE("a response with a status outside 100 to 599 is malformed")
+{
+    // An upstream in trouble answered with the status 000, and its response was passed to the caller.
+    for (const std::string status : { "000", "001", "099", "600", "999" }) {
+        INFO(status);
+        auto reader = responses();
+        std::string buffer = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+        CHECK(reader.read(buffer) == ReadProgress::Malformed);
+    }
+    for (const std::string status : { "0", "99", "20", "2000", "-20", "2x0" }) {
+        INFO(status);
+        auto reader = responses();
+        std::string buffer = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n";
+        CHECK(reader.read(buffer) == ReadProgress::Malformed);
+    }
+    for (const std::string status : { "200", "204", "304", "421", "599" }) {
+        INFO(status);
+        auto reader = responses();
+        std::string buffer = "HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n";
+        CHECK(reader.read(buffer) == ReadProgress::Complete);
+    }
+}
--- a/tests/adapters/http/UpstreamConnectionPoolTest.cpp
+++ b/tests/adapters/http/UpstreamConnectionPoolTest.cpp
@@ -72,6 +72,11 @@
     { "two lengths",
         "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: id\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok",
         AttemptResult::Incomplete },
+    // Upstreams in trouble were seen to send statuses that HTTP does not have.
+    { "status 000", "HTTP/1.1 000 X\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Incomplete },
+    { "status 099", "HTTP/1.1 099 X\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Incomplete },
+    { "status 600", "HTTP/1.1 600 X\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Incomplete },
+    { "status 999", "HTTP/1.1 999 X\r\nTeaselturn-Request-Id: id\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Incomplete },
     { "other id", "HTTP/1.1 200 OK\r\nTeaselturn-Request-Id: other\r\nContent-Length: 2\r\n\r\nok",
         AttemptResult::Mismatched },
     { "no id", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", AttemptResult::Mismatched },
--- a/tests/node/gateway/GatewayTest.cpp
+++ b/tests/node/gateway/GatewayTest.cpp
@@ -113,6 +113,20 @@
     CHECK(fixture.upstream.requests == 1);
 }
 
+TEST_CASE("a response whose status is no HTTP status does not reach the caller")
+{
+    for (const unsigned status : { 0U, 99U, 600U, 999U }) {
+        INFO(status);
+        GatewayFixture fixture { [status](const ReceivedRequest& request) {
+                                    auto response = FakeUpstream::validResponse(request, "x");
+                                    response.status = status;
+                                    return response;
+                                },
+            RequestKind::AtMostOnce };
+        CHECK(fixture.sendAndReceive(callerRequest("one"), 1).starts_with("HTTP/1.1 502"));
+    }
+}
+
 TEST_CASE("a request refused by its overloaded upstream gets 503 with Retry-After")
 {
     GatewayFixture fixture { [](const ReceivedRequest& request) {
