Send requests only to upstreams in regions that their route allows

Routes state allowed regions, but every upstream of a service could get their requests. A request that no upstream may serve for this reason is refused at once with RequestRegionUnavailable (3113), also when it is queued while the last upstream of its regions leaves or its key moves to another region.

The in-flight limit, the wait estimate and the queue ahead count only upstreams and requests of overlapping regions, so a full region neither delays nor refuses requests for others.

--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -1,7 +1,6 @@
 #include "core/dispatch/Admission.h"
 
 #include <algorithm>
-#include <iterator>
 
 namespace teaselturn {
 
@@ -10,14 +9,29 @@
     /// Limit of pending requests at one entry VM.
     constexpr std::size_t maxPendingRequests = 4'096;
 
-    /// @return Number of queued requests that are sent before the position.
+    /// @return Number of queued requests that are sent before the position and may use some of the same upstreams.
     double requestsAhead(const RequestQueue& queue, const QueuePosition& position)
     {
-        return static_cast<double>(std::distance(queue.begin(), queue.lower_bound(position)));
+        return static_cast<double>(std::count_if(queue.begin(), queue.lower_bound(position), [&position](const QueuePosition& other) { return other.allowedRegions.overlaps(position.allowedRegions); }));
     }
 
 }
 
+std::optional<ResultCode> Admission::checkPlacement(const PendingDispatch& pending) const
+{
+    if (pending.service->item.isSharded) {
+        const auto* range = pending.findRange();
+        const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+        return owner == nullptr || this->eligibility.isInAllowedRegion(pending, *owner) ? std::nullopt : std::optional { ResultCode::RequestRegionUnavailable };
+    }
+    const auto& keys = pending.service->upstreams;
+    const auto mayServe = [this, &pending](const UpstreamKey& key) {
+        const auto* candidate = this->upstreams.find(key);
+        return candidate != nullptr && this->eligibility.isInAllowedRegion(pending, *candidate);
+    };
+    return keys.empty() || std::ranges::any_of(keys, mayServe) ? std::nullopt : std::optional { ResultCode::RequestRegionUnavailable };
+}
+
 std::optional<ResultCode> Admission::checkOwner(Instant now, const PendingDispatch& pending) const
 {
     const auto* range = pending.findRange();
@@ -55,6 +69,9 @@
     if (pendingCount > maxPendingRequests) {
         return ResultCode::QueueFull;
     }
+    if (const auto refusal = this->checkPlacement(pending)) {
+        return refusal;
+    }
     if (const auto refusal = pending.service->item.isSharded ? this->checkOwner(now, pending) : this->checkUpstreams(now, pending)) {
         return refusal;
     }
@@ -88,13 +105,14 @@
         return this->estimateWaitForOwner(now, pending);
     }
     const auto waiting = requestsAhead(service.queue, pending.position());
-    const bool isBelowLimit = service.inFlight < this->capacity.inFlightLimit(service);
+    const bool isBelowLimit = this->capacity.hasRoom(service, pending.allowedRegions);
     if (waiting == 0 && isBelowLimit && this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr) {
         return Duration::zero();
     }
     // Requests in flight in excess of the slots are queued at the upstreams.
-    const auto parallel = this->capacity.slotShare(service);
-    return scaled(service.averageLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
+    const auto parallel = this->capacity.slotShare(service, pending.allowedRegions);
+    const auto inFlight = this->capacity.inFlight(service, pending.allowedRegions);
+    return scaled(service.averageLatency, std::max(1.0, waiting + 1 + inFlight - parallel) / parallel);
 }
 
 }
--- a/src/core/dispatch/Admission.h
+++ b/src/core/dispatch/Admission.h
@@ -30,6 +30,10 @@
     /// @return Reason to refuse a new request; empty if it is admitted.
     std::optional<ResultCode> check(Instant now, const PendingDispatch& pending, std::size_t pendingCount) const;
 
+    /// @return Reason for which no upstream may be sent the request, whatever its load, although the service has upstreams;
+    /// empty if there is none.
+    std::optional<ResultCode> checkPlacement(const PendingDispatch& pending) const;
+
     /// @return Expected time until the request is sent; zero if it can be sent immediately.
     Duration estimateWait(Instant now, const PendingDispatch& pending) const;
 
--- a/src/core/dispatch/CapacityEstimate.h
+++ b/src/core/dispatch/CapacityEstimate.h
@@ -5,7 +5,7 @@
 namespace teaselturn {
 
 /// This entry VM's share of the request slots of the services without keys. Admission, queue and placement read it, so that
-/// they agree on how much can be sent.
+/// they agree on how much can be sent. Only the upstreams that a request may use count for it.
 class CapacityEstimate {
 public:
     /// @param upstreams Must outlive this object.
@@ -18,19 +18,38 @@
     void setEntryCount(std::uint32_t count) noexcept { this->entryVmCount = std::max(1U, count); }
     std::uint32_t entryCount() const noexcept { return this->entryVmCount; }
 
+    /// @param regions Regions that may serve the request.
     /// @return This entry VM's share of the request slots of a service that is not sharded.
-    double slotShare(const DispatchService& service) const
+    double slotShare(const DispatchService& service, RegionSet regions) const
     {
         double slots = 0;
         for (const auto& key : service.upstreams) {
             const auto* upstream = this->upstreams.find(key);
-            slots += upstream != nullptr && upstream->state == UpstreamState::Ready ? std::max(1U, upstream->announcement.requestSlots) : 0;
+            const bool isCounted = upstream != nullptr && upstream->state == UpstreamState::Ready && regions.overlaps(upstream->region);
+            slots += isCounted ? std::max(1U, upstream->announcement.requestSlots) : 0;
         }
         return std::max(1.0, slots / this->entryVmCount * unevenShareFactor);
     }
 
-    /// @return Limit of this entry VM's requests in flight to a service that is not sharded.
-    double inFlightLimit(const DispatchService& service) const { return std::max(2.0, this->slotShare(service) * inFlightPerSlot); }
+    /// @return Requests of this entry VM in flight in these regions to a service that is not sharded.
+    int inFlight(const DispatchService& service, RegionSet regions) const
+    {
+        if (regions.isAll()) {
+            return service.inFlight;
+        }
+        int count = 0;
+        for (const auto& key : service.upstreams) {
+            const auto* upstream = this->upstreams.find(key);
+            count += upstream != nullptr && regions.overlaps(upstream->region) ? upstream->load.inFlight() : 0;
+        }
+        return count;
+    }
+
+    /// @return True if the limit of this entry VM's requests in flight to a service that is not sharded permits another one.
+    bool hasRoom(const DispatchService& service, RegionSet regions) const
+    {
+        return this->inFlight(service, regions) < std::max(2.0, this->slotShare(service, regions) * inFlightPerSlot);
+    }
 
 private:
     /// Requests in flight for each slot of a service that is not sharded, summed over all entry VMs. One request that
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/dispatch/DispatchTypes.h"
+#include "core/dispatch/RegionSet.h"
 #include "core/dispatch/RetryWindow.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
@@ -31,6 +32,8 @@
     double preferencePenalty {};
     /// Whether requests to it cross the narrow link between regions.
     bool isInOtherRegion {};
+    /// Region of its availability zone.
+    RegionSet region { RegionSet::all() };
     /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
     /// responses; empty if it is not.
     std::optional<Instant> drainingSince;
@@ -64,6 +67,8 @@
     std::uint32_t priority {};
     std::uint64_t sequenceNumber {};
     PendingRequestId id;
+    /// Regions that may serve the request. Last, so that it does not affect the order.
+    RegionSet allowedRegions { RegionSet::all() };
 
     friend auto operator<=>(const QueuePosition&, const QueuePosition&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
 };
@@ -121,6 +126,8 @@
     /// Upstreams that a retry does not use.
     std::vector<UpstreamKey> excludedUpstreams;
     std::uint32_t misdirections {};
+    /// Regions that may serve the request.
+    RegionSet allowedRegions { RegionSet::all() };
 
     const RouteItem& route() const noexcept { return this->request.route->item; }
 
@@ -130,7 +137,7 @@
     /// @return The range with the request's key; null if the request has no key or the service no ranges.
     const KeyRange* findRange() const { return this->request.key ? findKeyRange(this->service->ranges, *this->request.key) : nullptr; }
 
-    QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id }; }
+    QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id, this->allowedRegions }; }
 };
 
 }
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -21,6 +21,7 @@
 
 Dispatcher::Dispatcher(DispatchOptions options)
     : options(std::move(options))
+    , regions(this->options.regions)
     , linkBudget(this->options.linkBytesPerSecond)
 {
 }
@@ -58,6 +59,7 @@
     pending.sequenceNumber = ++this->lastSequenceNumber;
     pending.expiresAt = std::min(request.deadline, request.arrivedAt + route.timeout);
     pending.request = std::move(request);
+    pending.allowedRegions = this->regions.allowed(pending.route().allowedRegions);
     this->pendingRequests.emplace(id, std::move(newPending));
     this->deadlines.emplace(pending.expiresAt, id);
     const RetryBounds bounds { this->options.retryRatioPerMille, this->options.retrySlack, this->options.retryWindow };
@@ -200,6 +202,10 @@
         if (outcome == AttemptOutcome::Misdirected && range != nullptr && range->owner == pending.sentTo) {
             this->deadlines.emplace(pending.service->unconfirmedRanges.recordRefusal(now, *range), pending.request.id);
         }
+        if (const auto reason = this->admission.checkPlacement(pending)) {
+            this->refuseOrFail(now, pending, *reason, decisions);
+            return;
+        }
         auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
         if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isCircuitOpen(now) || owner->load.isPaused(now))) {
             this->refuseOrFail(now, pending, pending.possibleRuns > 0 ? ResultCode::RequestOutcomeUnknown : ResultCode::RequestCircuitOpen, decisions);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -98,6 +98,8 @@
     /// Sends queued requests of a service to upstreams with free capacity.
     void dispatchQueued(Instant now, DispatchService& service, DispatchDecisions& decisions);
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Refuses queued requests of a service that no upstream may be sent any more.
+    void refuseUnplaceable(Instant now, DispatchService& service, DispatchDecisions& decisions);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
@@ -118,6 +120,7 @@
     void expire(Instant now, PendingDispatch& pending, DispatchDecisions& decisions);
 
     DispatchOptions options;
+    RegionTable regions;
     BandwidthBudget linkBudget;
     std::uint64_t lastSequenceNumber {};
     LogIndex itemsIndex;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -61,11 +61,17 @@
     if (service.queue.empty()) {
         return;
     }
+    // Sets of regions without room. A request confined to one of them must not delay others that may go elsewhere.
+    std::vector<RegionSet> fullRegions;
     for (const auto id : this->selectSendable(now, service.queue, service.averageLatency)) {
         auto& pending = *this->pendingRequests.at(id);
+        if (std::ranges::find(fullRegions, pending.allowedRegions) != fullRegions.end()) {
+            continue;
+        }
         auto* target = this->chooseUpstream(now, service, pending);
         if (target == nullptr) {
-            return;
+            fullRegions.push_back(pending.allowedRegions);
+            continue;
         }
         this->dequeue(pending);
         this->send(now, pending, *target, decisions);
@@ -122,9 +128,24 @@
     }
 }
 
+void Dispatcher::refuseUnplaceable(Instant now, DispatchService& service, DispatchDecisions& decisions)
+{
+    std::vector<PendingRequestId> waiting;
+    std::ranges::transform(service.queue, std::back_inserter(waiting), &QueuePosition::id);
+    for (const auto& [owner, queue] : service.queues) {
+        std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
+    }
+    for (const auto id : waiting) {
+        auto& pending = *this->pendingRequests.at(id);
+        if (const auto reason = this->admission.checkPlacement(pending)) {
+            this->refuseOrFail(now, pending, *reason, decisions);
+        }
+    }
+}
+
 DispatchUpstream* Dispatcher::chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending)
 {
-    if (service.inFlight >= this->capacity.inFlightLimit(service)) {
+    if (!this->capacity.hasRoom(service, pending.allowedRegions)) {
         return nullptr;
     }
     return this->choice.choose(now, pending, this->upstreams, this->eligibility);
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -66,6 +66,7 @@
         upstream.state = registered.state;
         upstream.load.setSlots(announcement.requestSlots);
         upstream.extraRoundTrip = this->extraRoundTripTo(announcement.zone);
+        upstream.region = this->regions.regionOf(announcement.zone);
         upstream.isInOtherRegion = upstream.extraRoundTrip >= interRegionRoundTrip;
         upstream.preferencePenalty = computePreferencePenalty(announcement.key, this->options.preferenceSeed);
         if (registered.state == UpstreamState::Draining && !upstream.drainingSince) {
@@ -126,6 +127,7 @@
         }
     }
     for (auto& [name, service] : this->services) {
+        this->refuseUnplaceable(now, *service, decisions);
         this->dispatchQueued(now, *service, decisions);
     }
 }
