Evacuate availability zones

POST and DELETE /evacuations/ZONE were unknown paths, so evacuations were never acknowledged. The leader now commits EvacuateZone and acknowledges it afterwards; equal orders in progress join, and one in force is acknowledged at once. Its coordinator moves all keys of the zone with handover in its next round. Entry VMs send requests without keys elsewhere as soon as they apply the order; owners of keys serve for 0.7 of the evacuation time at most, counted from the last time at which the copy of the registry was known to be current.

--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -65,6 +65,8 @@
     ItemsChanged = 6015,
     FeedLost = 6016,
     FeedRegained = 6017,
+    EvacuationRecorded = 6018,
+    EvacuationApplied = 6019,
 };
 
 /// Row of logEventTable.
@@ -76,7 +78,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 48> logEventTable;
+extern const std::array<LogEventRow, 50> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 48> logEventTable { {
+const std::array<LogEventRow, 50> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -53,6 +53,8 @@
     { LogEvent::ItemsChanged, "ItemsChanged", LogLevel::Info, "configuration items changed" },
     { LogEvent::FeedLost, "FeedLost", LogLevel::Warning, "no member answers the feed of the registry" },
     { LogEvent::FeedRegained, "FeedRegained", LogLevel::Info, "a member answers the feed of the registry" },
+    { LogEvent::EvacuationRecorded, "EvacuationRecorded", LogLevel::Info, "an order to evacuate an availability zone, or its withdrawal, was recorded" },
+    { LogEvent::EvacuationApplied, "EvacuationApplied", LogLevel::Info, "an entry VM applies an order to evacuate an availability zone, or its withdrawal" },
 } };
 
 const LogEventRow& logEventRow(LogEvent event) noexcept
--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -17,19 +17,29 @@
 
 }
 
-std::optional<ResultCode> Admission::checkPlacement(const PendingDispatch& pending) const
+std::optional<ResultCode> Admission::checkPlacement(Instant now, const PendingDispatch& pending) const
 {
     if (pending.service->item.isSharded) {
         const auto* range = pending.findRange();
         const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
-        return owner == nullptr || this->eligibility.isInAllowedRegion(pending, *owner) ? std::nullopt : std::optional { ResultCode::RequestRegionUnavailable };
+        if (owner == nullptr) {
+            return std::nullopt;
+        }
+        if (!this->eligibility.isInAllowedRegion(pending, *owner)) {
+            return ResultCode::RequestRegionUnavailable;
+        }
+        return this->eligibility.isEvacuated(now, *owner) ? std::optional { ResultCode::RequestZoneEvacuated } : std::nullopt;
     }
-    const auto& keys = pending.service->upstreams;
-    const auto mayServe = [this, &pending](const UpstreamKey& key) {
+    std::optional<ResultCode> reason;
+    for (const auto& key : pending.service->upstreams) {
         const auto* candidate = this->upstreams.find(key);
-        return candidate != nullptr && this->eligibility.isInAllowedRegion(pending, *candidate);
-    };
-    return keys.empty() || std::ranges::any_of(keys, mayServe) ? std::nullopt : std::optional { ResultCode::RequestRegionUnavailable };
+        const bool isAllowed = candidate != nullptr && this->eligibility.isInAllowedRegion(pending, *candidate);
+        if (isAllowed && !candidate->evacuatedSince) {
+            return std::nullopt;
+        }
+        reason = isAllowed ? ResultCode::RequestZoneEvacuated : reason.value_or(ResultCode::RequestRegionUnavailable);
+    }
+    return reason;
 }
 
 std::optional<ResultCode> Admission::checkOwner(Instant now, const PendingDispatch& pending) const
@@ -49,7 +59,7 @@
 {
     const auto acceptsRequests = [this, now, &pending](const UpstreamKey& key) {
         const auto* candidate = this->upstreams.find(key);
-        return candidate != nullptr && this->eligibility.mayBeChosen(now, pending, *candidate) && !candidate->load.isCircuitOpen(now) && !candidate->load.isPaused(now);
+        return candidate != nullptr && this->eligibility.mayServe(pending, *candidate) && !candidate->load.isCircuitOpen(now) && !candidate->load.isPaused(now);
     };
     const auto& keys = pending.service->upstreams;
     if (std::ranges::any_of(keys, acceptsRequests)) {
@@ -69,7 +79,7 @@
     if (pendingCount > maxPendingRequests) {
         return ResultCode::QueueFull;
     }
-    if (const auto refusal = this->checkPlacement(pending)) {
+    if (const auto refusal = this->checkPlacement(now, pending)) {
         return refusal;
     }
     if (const auto refusal = pending.service->item.isSharded ? this->checkOwner(now, pending) : this->checkUpstreams(now, pending)) {
@@ -105,12 +115,12 @@
         return this->estimateWaitForOwner(now, pending);
     }
     const auto waiting = requestsAhead(service.queue, pending.position());
-    const bool isBelowLimit = this->capacity.hasRoom(service, pending.allowedRegions);
+    const bool isBelowLimit = this->capacity.hasRoom(now, service, pending.allowedRegions);
     if (waiting == 0 && isBelowLimit && this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr) {
         return Duration::zero();
     }
     // Requests in flight in excess of the slots are queued at the upstreams.
-    const auto parallel = this->capacity.slotShare(service, pending.allowedRegions);
+    const auto parallel = this->capacity.slotShare(now, service, pending.allowedRegions);
     const auto inFlight = this->capacity.inFlight(service, pending.allowedRegions);
     return scaled(service.averageLatency, std::max(1.0, waiting + 1 + inFlight - parallel) / parallel);
 }
--- a/src/core/dispatch/Admission.h
+++ b/src/core/dispatch/Admission.h
@@ -32,7 +32,7 @@
 
     /// @return Reason for which no upstream may be sent the request, whatever its load, although the service has upstreams;
     /// empty if there is none.
-    std::optional<ResultCode> checkPlacement(const PendingDispatch& pending) const;
+    std::optional<ResultCode> checkPlacement(Instant now, const PendingDispatch& pending) const;
 
     /// @return Expected time until the request is sent; zero if it can be sent immediately.
     Duration estimateWait(Instant now, const PendingDispatch& pending) const;
--- a/src/core/dispatch/CapacityEstimate.h
+++ b/src/core/dispatch/CapacityEstimate.h
@@ -8,6 +8,9 @@
 /// they agree on how much can be sent. Only the upstreams that a request may use count for it.
 class CapacityEstimate {
 public:
+    /// Load differs between entry VMs, so each may use more than an equal share of the slots by this factor.
+    static constexpr double unevenShareFactor = 1.5;
+
     /// @param upstreams Must outlive this object.
     explicit CapacityEstimate(const UpstreamTable& upstreams) noexcept
         : upstreams(upstreams)
@@ -20,13 +23,14 @@
 
     /// @param regions Regions that may serve the request.
     /// @return This entry VM's share of the request slots of a service that is not sharded.
-    double slotShare(const DispatchService& service, RegionSet regions) const
+    double slotShare(Instant now, const DispatchService& service, RegionSet regions) const
     {
         double slots = 0;
         for (const auto& key : service.upstreams) {
             const auto* upstream = this->upstreams.find(key);
-            const bool isCounted = upstream != nullptr && upstream->state == UpstreamState::Ready && regions.overlaps(upstream->region);
-            slots += isCounted ? std::max(1U, upstream->announcement.requestSlots) : 0;
+            if (upstream != nullptr && upstream->state == UpstreamState::Ready && isUsable(*upstream, regions)) {
+                slots += std::max(1U, upstream->announcement.requestSlots) * (upstream->returnRamp ? upstream->returnRamp->share(now) : 1.0);
+            }
         }
         return std::max(1.0, slots / this->entryVmCount * unevenShareFactor);
     }
@@ -34,29 +38,25 @@
     /// @return Requests of this entry VM in flight in these regions to a service that is not sharded.
     int inFlight(const DispatchService& service, RegionSet regions) const
     {
-        if (regions.isAll()) {
-            return service.inFlight;
-        }
-        int count = 0;
+        int elsewhere = 0;
         for (const auto& key : service.upstreams) {
             const auto* upstream = this->upstreams.find(key);
-            count += upstream != nullptr && regions.overlaps(upstream->region) ? upstream->load.inFlight() : 0;
+            elsewhere += upstream != nullptr && !isUsable(*upstream, regions) ? upstream->load.inFlight() : 0;
         }
-        return count;
+        return std::max(0, service.inFlight - elsewhere);
     }
 
     /// @return True if the limit of this entry VM's requests in flight to a service that is not sharded permits another one.
-    bool hasRoom(const DispatchService& service, RegionSet regions) const
+    bool hasRoom(Instant now, const DispatchService& service, RegionSet regions) const
     {
-        return this->inFlight(service, regions) < std::max(2.0, this->slotShare(service, regions) * inFlightPerSlot);
+        return this->inFlight(service, regions) < std::max(2.0, this->slotShare(now, service, regions) * inFlightPerSlot);
     }
 
 private:
     /// Requests in flight for each slot of a service that is not sharded, summed over all entry VMs. One request that
     /// waits at the upstream keeps the slot busy between two requests; more only fill the upstream's queue.
     static constexpr double inFlightPerSlot = 2.0;
-    /// Load differs between entry VMs, so each may use more than an equal share of the slots by this factor.
-    static constexpr double unevenShareFactor = 1.5;
+    static bool isUsable(const DispatchUpstream& upstream, RegionSet regions) noexcept { return !upstream.evacuatedSince && regions.overlaps(upstream.region); }
 
     const UpstreamTable& upstreams;
     std::uint32_t entryVmCount { 1 };
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -3,6 +3,7 @@
 #include "core/dispatch/DispatchTypes.h"
 #include "core/dispatch/RegionSet.h"
 #include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/ReturnRamp.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
 #include "core/registry/KeyRanges.h"
@@ -37,6 +38,10 @@
     /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
     /// responses; empty if it is not.
     std::optional<Instant> drainingSince;
+    /// Earliest time at which the order to evacuate its zone can have been acknowledged; empty if there is none.
+    std::optional<Instant> evacuatedSince;
+    /// Limit after such an order was withdrawn.
+    std::optional<ReturnRamp> returnRamp;
     /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
     /// flight to it removes it.
     bool isRegistered { true };
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -188,7 +188,7 @@
 {
     return std::ranges::any_of(pending.service->upstreams, [&](const UpstreamKey& key) {
         const auto* candidate = this->upstreams.find(key);
-        return candidate != nullptr && !candidate->load.isPaused(now) && this->eligibility.mayBeChosen(now, pending, *candidate);
+        return candidate != nullptr && !candidate->load.isPaused(now) && this->eligibility.mayServe(pending, *candidate);
     });
 }
 
@@ -202,7 +202,7 @@
         if (outcome == AttemptOutcome::Misdirected && range != nullptr && range->owner == pending.sentTo) {
             this->deadlines.emplace(pending.service->unconfirmedRanges.recordRefusal(now, *range), pending.request.id);
         }
-        if (const auto reason = this->admission.checkPlacement(pending)) {
+        if (const auto reason = this->admission.checkPlacement(now, pending)) {
             this->refuseOrFail(now, pending, *reason, decisions);
             return;
         }
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "core/dispatch/ReturnTime.h"
 #include "core/dispatch/UpstreamChoice.h"
 #include "core/dispatch/UpstreamEligibility.h"
+#include "core/dispatch/ZoneEvacuations.h"
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Message.h"
 
@@ -35,9 +36,12 @@
     Dispatcher(const Dispatcher&) = delete;
     Dispatcher& operator=(const Dispatcher&) = delete;
 
-    /// Applies the upstreams and key owners of the registry, then sends queued requests for which an upstream became
-    /// available.
-    void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions);
+    /// Applies the upstreams, key owners and evacuation orders of the registry, then sends queued requests for which an
+    /// upstream became available.
+    /// @param lastCurrentAt Time at which the copy of the registry was last known to be current. New evacuation orders count
+    /// from it, because they may have been acknowledged at any time since.
+    void sync(Instant now, Instant lastCurrentAt, const RegistryState& state, DispatchDecisions& decisions);
+    void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions) { this->sync(now, now, state, decisions); }
 
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
     void setEntryCount(std::uint32_t count) noexcept { this->capacity.setEntryCount(count); }
@@ -75,6 +79,12 @@
 private:
     DispatchService& findOrCreateService(std::string_view name);
     void syncUpstreams(Instant now, const RegistryState& state);
+    /// Applies the known evacuation orders to all upstreams.
+    void syncEvacuations(Instant now);
+    /// @return Limit of an upstream that may be used again from now on.
+    ReturnRamp makeReturnRamp(Instant now, const DispatchUpstream& upstream) const;
+    /// Moves queued requests to the queues of their keys' owners.
+    void requeueByOwner(DispatchService& service);
     void syncKeys(Instant now, const RegistryState& state, DispatchService& service);
     Duration extraRoundTripTo(std::string_view zone) const;
     void recordLeaving(Instant now, DispatchUpstream& upstream);
@@ -98,8 +108,8 @@
     /// Sends queued requests of a service to upstreams with free capacity.
     void dispatchQueued(Instant now, DispatchService& service, DispatchDecisions& decisions);
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
-    /// Refuses queued requests of a service that no upstream may be sent any more.
-    void refuseUnplaceable(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Refuses the requests of a queue that no upstream may be sent any more.
+    void refuseUnplaceable(Instant now, const RequestQueue& queue, DispatchDecisions& decisions);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
@@ -125,6 +135,10 @@
     std::uint64_t lastSequenceNumber {};
     LogIndex itemsIndex;
     LogIndex upstreamsIndex;
+    LogIndex evacuationsIndex;
+    ZoneEvacuations evacuations;
+    /// When the last ramp of an upstream that returned from an evacuation ends.
+    Instant rampsEnd;
     UpstreamTable upstreams;
     UpstreamEligibility eligibility { this->options };
     CapacityEstimate capacity { this->upstreams };
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    /// Interval at which waiting requests are tried again while upstreams return from an evacuation.
+    constexpr std::chrono::milliseconds rampCheckInterval { 50 };
     /// Subtracted from the time passed to an upstream, so that its response arrives before the request expires.
     constexpr std::chrono::milliseconds responseMargin { 5 };
     /// Largest delay by the link's backlog, as a fraction of the target latency, indexed by priority (0 is the most
@@ -34,6 +36,9 @@
     if (owner != nullptr && owner->load.pauseEnd() > pending.request.arrivedAt && owner->load.pauseEnd() < pending.expiresAt) {
         this->deadlines.emplace(owner->load.pauseEnd(), pending.request.id);
     }
+    if (const auto end = owner == nullptr ? std::nullopt : this->eligibility.evacuationEnd(*owner); end && *end < pending.expiresAt) {
+        this->deadlines.emplace(*end, pending.request.id);
+    }
     if (const auto until = this->deferredUntil(pending); until && *until > pending.request.arrivedAt && *until < pending.expiresAt) {
         this->deadlines.emplace(*until, pending.request.id);
     }
@@ -71,6 +76,10 @@
         auto* target = this->chooseUpstream(now, service, pending);
         if (target == nullptr) {
             fullRegions.push_back(pending.allowedRegions);
+            if (now < this->rampsEnd) {
+                // No other event may follow the moment from which the ramp of an upstream permits the request.
+                this->deadlines.emplace(Instant { (now.time_since_epoch() / rampCheckInterval + 1) * rampCheckInterval }, id);
+            }
             continue;
         }
         this->dequeue(pending);
@@ -111,6 +120,10 @@
     }
     for (const auto& key : owners) {
         auto* owner = this->upstreams.find(key);
+        if (owner != nullptr && this->eligibility.isEvacuated(now, *owner)) {
+            this->refuseUnplaceable(now, service.queues.at(key), decisions);
+            continue;
+        }
         if (owner == nullptr || owner->load.isCircuitOpen(now) || !owner->load.hasCapacity(now)) {
             continue;
         }
@@ -128,16 +141,13 @@
     }
 }
 
-void Dispatcher::refuseUnplaceable(Instant now, DispatchService& service, DispatchDecisions& decisions)
+void Dispatcher::refuseUnplaceable(Instant now, const RequestQueue& queue, DispatchDecisions& decisions)
 {
     std::vector<PendingRequestId> waiting;
-    std::ranges::transform(service.queue, std::back_inserter(waiting), &QueuePosition::id);
-    for (const auto& [owner, queue] : service.queues) {
-        std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
-    }
+    std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
     for (const auto id : waiting) {
         auto& pending = *this->pendingRequests.at(id);
-        if (const auto reason = this->admission.checkPlacement(pending)) {
+        if (const auto reason = this->admission.checkPlacement(now, pending)) {
             this->refuseOrFail(now, pending, *reason, decisions);
         }
     }
@@ -145,7 +155,7 @@
 
 DispatchUpstream* Dispatcher::chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending)
 {
-    if (!this->capacity.hasRoom(service, pending.allowedRegions)) {
+    if (!this->capacity.hasRoom(now, service, pending.allowedRegions)) {
         return nullptr;
     }
     return this->choice.choose(now, pending, this->upstreams, this->eligibility);
@@ -154,6 +164,9 @@
 void Dispatcher::send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions)
 {
     target.load.recordSent(now);
+    if (target.returnRamp) {
+        target.returnRamp->recordSent();
+    }
     ++pending.service->inFlight;
     ++pending.attempts;
     pending.isSent = true;
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -15,6 +15,8 @@
     constexpr std::chrono::milliseconds interRegionRoundTrip { 60 };
     /// Largest preference penalty, as a fraction of the service's average latency.
     constexpr double maxPreferencePenalty = 0.3;
+    /// Lower bound of the time of a request, so that a service without measurements gives a finite rate.
+    constexpr std::chrono::duration<double> minServiceTime { 0.001 };
 
     /// @return A penalty in [0, maxPreferencePenalty) that is a function of the arguments only, equal in every process.
     double computePreferencePenalty(const UpstreamKey& key, std::uint64_t preferenceSeed)
@@ -81,13 +83,41 @@
     absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
 }
 
+ReturnRamp Dispatcher::makeReturnRamp(Instant now, const DispatchUpstream& upstream) const
+{
+    const auto service = this->services.find(upstream.announcement.service);
+    const auto latency = service == this->services.end() ? DispatchService {}.averageLatency : service->second->averageLatency;
+    const auto capacity = std::max(1U, upstream.announcement.requestSlots) / std::max(minServiceTime, std::chrono::duration<double> { latency }).count();
+    // The preference of this entry VM for the upstream is as good as random, and no other entry VM has the same.
+    const auto offset = upstream.preferencePenalty / maxPreferencePenalty;
+    return { now, capacity / this->capacity.entryCount() * CapacityEstimate::unevenShareFactor, offset };
+}
+
+void Dispatcher::syncEvacuations(Instant now)
+{
+    for (auto& [key, upstream] : this->upstreams.map) {
+        const auto orderedAt = this->evacuations.orderedAt(upstream.announcement.zone);
+        if (upstream.evacuatedSince && !orderedAt) {
+            upstream.returnRamp = this->makeReturnRamp(now, upstream);
+            this->rampsEnd = upstream.returnRamp->end();
+        } else if (orderedAt || (upstream.returnRamp && now >= upstream.returnRamp->end())) {
+            upstream.returnRamp.reset();
+        }
+        upstream.evacuatedSince = orderedAt;
+    }
+}
+
 void Dispatcher::syncKeys(Instant now, const RegistryState& state, DispatchService& service)
 {
     const auto ranges = state.keyRanges(service.name);
     service.ranges.assign(ranges.begin(), ranges.end());
     service.unconfirmedRanges.sync(now, service.ranges, service.rangesIndex);
     service.rangesIndex = state.keysChangedAt(service.name);
-    // Requests are queued by owner, so those whose key has a new owner move to its queue.
+    this->requeueByOwner(service);
+}
+
+void Dispatcher::requeueByOwner(DispatchService& service)
+{
     std::vector<PendingRequestId> waiting;
     for (const auto& [owner, queue] : service.queues) {
         std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
@@ -99,12 +129,21 @@
     }
 }
 
-void Dispatcher::sync(Instant now, const RegistryState& state, DispatchDecisions& decisions)
+void Dispatcher::sync(Instant now, Instant lastCurrentAt, const RegistryState& state, DispatchDecisions& decisions)
 {
-    if (this->upstreamsIndex != state.upstreamsChangedAt()) {
+    const bool hasNewOrders = this->evacuationsIndex != state.evacuationsChangedAt();
+    if (hasNewOrders) {
+        this->evacuationsIndex = state.evacuationsChangedAt();
+        this->evacuations.sync(lastCurrentAt, state.evacuatedZones());
+    }
+    const bool hasNewUpstreams = this->upstreamsIndex != state.upstreamsChangedAt();
+    if (hasNewUpstreams) {
         this->upstreamsIndex = state.upstreamsChangedAt();
         this->syncUpstreams(now, state);
     }
+    if (hasNewOrders || hasNewUpstreams) {
+        this->syncEvacuations(now);
+    }
     if (this->itemsIndex != state.itemsChangedAt()) {
         this->itemsIndex = state.itemsChangedAt();
         state.forEachItem([this](const ConfigItem& item) {
@@ -124,10 +163,17 @@
         const auto changedAt = state.keysChangedAt(name);
         if (service->item.isSharded && service->rangesIndex != changedAt) {
             this->syncKeys(now, state, *service);
+        } else if (hasNewOrders) {
+            this->requeueByOwner(*service);
         }
     }
     for (auto& [name, service] : this->services) {
-        this->refuseUnplaceable(now, *service, decisions);
+        this->refuseUnplaceable(now, service->queue, decisions);
+        std::vector<UpstreamKey> owners;
+        std::ranges::transform(service->queues, std::back_inserter(owners), [](const auto& item) { return item.first; });
+        for (const auto& owner : owners) {
+            this->refuseUnplaceable(now, service->queues.at(owner), decisions);
+        }
         this->dispatchQueued(now, *service, decisions);
     }
 }
--- a/src/core/dispatch/UpstreamEligibility.h
+++ b/src/core/dispatch/UpstreamEligibility.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "core/dispatch/DispatchTables.h"
+#include "core/dispatch/ScaledDuration.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace teaselturn {
 
@@ -28,19 +30,46 @@
         return pending.allowedRegions.overlaps(upstream.region);
     }
 
-    /// @return True if the owner of a key may be sent a request for it. A draining owner serves until its keys have moved.
-    bool mayServeKey(Instant now, const PendingDispatch& pending, const DispatchUpstream& owner) const noexcept
+    /// @return Time from which nothing is sent to an upstream of an evacuated zone, not even requests for its keys; empty if
+    /// its zone is not evacuated.
+    std::optional<Instant> evacuationEnd(const DispatchUpstream& upstream) const
     {
-        return !this->isDrained(now, owner) && this->isInAllowedRegion(pending, owner);
+        return upstream.evacuatedSince ? std::optional { *upstream.evacuatedSince + scaled(this->options.evacuationTime, ownerTimeShare) } : std::nullopt;
     }
 
-    /// @return True if the upstream may be chosen for a request without a key.
-    bool mayBeChosen(Instant, const PendingDispatch& pending, const DispatchUpstream& upstream) const
+    /// @return True if that time has come.
+    bool isEvacuated(Instant now, const DispatchUpstream& upstream) const
     {
-        return !upstream.drainingSince && this->isInAllowedRegion(pending, upstream) && std::ranges::find(pending.excludedUpstreams, upstream.announcement.key) == pending.excludedUpstreams.end();
+        const auto end = this->evacuationEnd(upstream);
+        return end && now >= *end;
+    }
+
+    /// @return True if the owner of a key may be sent a request for it. A draining owner and one in an evacuated zone serve
+    /// until their keys have moved, for a limited time.
+    bool mayServeKey(Instant now, const PendingDispatch& pending, const DispatchUpstream& owner) const
+    {
+        return !this->isDrained(now, owner) && !this->isEvacuated(now, owner) && this->isInAllowedRegion(pending, owner);
+    }
+
+    /// @return True if the upstream may serve a request without a key, now or as soon as its ramp permits.
+    bool mayServe(const PendingDispatch& pending, const DispatchUpstream& upstream) const
+    {
+        const bool isUsable = !upstream.drainingSince && !upstream.evacuatedSince && this->isInAllowedRegion(pending, upstream);
+        return isUsable && std::ranges::find(pending.excludedUpstreams, upstream.announcement.key) == pending.excludedUpstreams.end();
+    }
+
+    /// @return True if the upstream may be chosen for a request without a key now.
+    bool mayBeChosen(Instant now, const PendingDispatch& pending, const DispatchUpstream& upstream) const
+    {
+        return this->mayServe(pending, upstream) && (!upstream.returnRamp || upstream.returnRamp->mayTake(now));
     }
 
 private:
+    /// Part of the evacuation time in which owners serve their keys. Of 5 s the rest is 1.5 s: the order reaches this entry
+    /// VM after its acknowledgement, by a lost datagram of the feed or a slow member a second later, and a request that is
+    /// sent may still wait for a connection.
+    static constexpr double ownerTimeShare = 0.7;
+
     const DispatchOptions& options;
 };
 
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -16,7 +16,7 @@
     double capacity { 1 };
     /// Largest load that it can serve, in the unit of the key weights. Zero if unknown.
     double maxLoad {};
-    /// False if the upstream is draining: its keys move away and it gets no new ones.
+    /// False if the upstream is draining or in an evacuated zone: its keys move away and it gets no new ones.
     bool acceptsKeys { true };
 };
 
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -12,6 +12,9 @@
     constexpr double serviceTimeWeight = 0.3;
     /// Minimum number of responses for a new estimate of an upstream's service time.
     constexpr double minimumResponses = 8;
+    /// Maximum number of moves in one command. All keys of an evacuated zone move in one round, but the feed sends entries
+    /// to entry VMs in datagrams of 2,000 bytes.
+    constexpr std::size_t maxMovesPerCommand = 48;
     /// Bounds of an upstream's speed relative to the median upstream.
     constexpr double lowestSpeed = 0.25;
     constexpr double highestSpeed = 2.5;
@@ -67,6 +70,7 @@
 {
     this->leaderSince = now;
     this->lastBalancedAt = now;
+    this->balancedEvacuations = {};
     this->contacts.clear();
     this->revocations.clear();
     this->proposedAssignments.clear();
@@ -356,7 +360,7 @@
         const auto slots = std::max(1U, announcement.requestSlots);
         const auto time = estimate == this->serviceTimes.end() ? 0.0 : std::max(1.0, estimate->second);
         const auto maxLoad = time == 0 ? 0.0 : slots * std::chrono::duration<double, std::milli> { KeyLoadTable::decayTime }.count() / time;
-        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() });
+        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() && !state.isEvacuated(announcement.zone) });
     }
     return result;
 }
@@ -391,8 +395,9 @@
     const auto found = this->loads.find(service);
     const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
     auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
-    if (!moves.empty()) {
-        commands.push_back(BeginKeyMoves { std::string { service }, std::move(moves) });
+    for (std::size_t begin = 0; begin < moves.size(); begin += maxMovesPerCommand) {
+        const auto end = std::min(begin + maxMovesPerCommand, moves.size());
+        commands.push_back(BeginKeyMoves { std::string { service }, { moves.begin() + static_cast<std::ptrdiff_t>(begin), moves.begin() + static_cast<std::ptrdiff_t>(end) } });
     }
 }
 
@@ -413,7 +418,8 @@
         this->placeKeys(now, service, state, commands);
     }
     const auto elapsed = now - this->lastBalancedAt;
-    if (commands.empty() && (elapsed >= this->timing.balanceInterval || hasDrainingOwner(sharded, state))) {
+    if (commands.empty() && (elapsed >= this->timing.balanceInterval || hasDrainingOwner(sharded, state) || this->hasNewEvacuations(state))) {
+        this->balancedEvacuations = state.evacuationsChangedAt();
         this->lastBalancedAt = now;
         for (auto& [service, load] : this->loads) {
             load.decay(elapsed);
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -139,6 +139,8 @@
     std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
     void removeUnresponsiveUpstreams(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
     void placeKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
+    /// @return True if the state has evacuation orders that the last round of balancing did not take into account.
+    bool hasNewEvacuations(const RegistryState& state) const noexcept { return this->balancedEvacuations != state.evacuationsChangedAt() && !state.evacuatedZones().empty(); }
     void balanceKeys(std::string_view service, const RegistryState& state, std::vector<Command>& commands);
     void countResponses(Instant now, const ServiceKeyLoad& load, const RegistryState& state);
     void updateServiceTimes(Instant now, const RegistryState& state);
@@ -146,6 +148,8 @@
     KeyLeaseTiming timing;
     Instant leaderSince;
     Instant lastBalancedAt;
+    /// Log index of the latest evacuation order that a round of balancing took into account.
+    LogIndex balancedEvacuations;
     absl::flat_hash_map<std::string, Contact> contacts;
     std::vector<Revocation> revocations;
     /// Assignments that the last decide() returned. While they are not applied, their keys must not be granted to any
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -53,7 +53,12 @@
 struct DepartureRecorded {
 };
 
-using ControlResult = std::variant<RedirectToLeader, LeaderUnavailable, ItemsResult, DepartureRecorded, KeyHeartbeatReply>;
+/// The evacuation order or its withdrawal was committed, or is in force already. Refused if there are too many orders.
+struct EvacuationRecorded {
+    ResultCode code { ResultCode::Ok };
+};
+
+using ControlResult = std::variant<RedirectToLeader, LeaderUnavailable, ItemsResult, DepartureRecorded, KeyHeartbeatReply, EvacuationRecorded>;
 
 /// The response to a control request.
 struct ControlResponse {
@@ -111,6 +116,7 @@
     void heartbeat(Instant now, ControlRequestId requestId, KeyHeartbeat heartbeat);
     void depart(Instant now, ControlRequestId requestId, std::string_view upstream, std::optional<std::uint64_t> incarnation);
     void changeItems(Instant now, ControlRequestId requestId, ChangeItems change);
+    void evacuate(Instant now, ControlRequestId requestId, EvacuateZone order);
 
     /// @return Empty if this member may serve reads now; otherwise the response to send instead.
     std::optional<ControlResult> redirectForRead(Instant now) const;
@@ -139,10 +145,15 @@
     struct DepartureWaiter {
         ControlRequestId requestId;
     };
+    struct EvacuationWaiter {
+        EvacuateZone order;
+        /// The first request and its repeats.
+        std::vector<ControlRequestId> requestIds;
+    };
     /// For decisions of the coordinator, which have no request to respond to.
     struct NoWaiter {
     };
-    using ProposalWaiter = std::variant<NoWaiter, HeartbeatWaiter, ItemsWaiter, DepartureWaiter>;
+    using ProposalWaiter = std::variant<NoWaiter, HeartbeatWaiter, ItemsWaiter, DepartureWaiter, EvacuationWaiter>;
 
     struct PendingProposal {
         Term term;
@@ -174,6 +185,8 @@
     void respond(ControlRequestId requestId, ControlResult result) { this->responses.push_back({ requestId, std::move(result) }); }
     void send(NodeId to, PeerMessage message) { this->outboundMessages.push_back({ to, std::move(message) }); }
     bool joinPendingChange(ControlRequestId requestId, const ChangeItems& change);
+    /// @return The latest proposed order for the zone that is not applied yet; null if there is none.
+    EvacuationWaiter* findPendingEvacuation(std::string_view zone);
     bool propose(Instant now, Command command, ProposalWaiter waiter);
     /// Processes the heartbeat of a registered upstream. Delays the reply while the upstream's keys do not change.
     void handleRegisteredHeartbeat(Instant now, ControlRequestId requestId, KeyHeartbeat heartbeat);
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -183,6 +183,41 @@
     return false;
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+auto RegistryService<Random, Codec>::findPendingEvacuation(std::string_view zone) -> EvacuationWaiter*
+{
+    EvacuationWaiter* latest = nullptr;
+    for (auto& [index, proposal] : this->pending) {
+        auto* waiter = std::get_if<EvacuationWaiter>(&proposal.waiter);
+        if (waiter != nullptr && waiter->order.zone == zone) {
+            latest = waiter;
+        }
+    }
+    return latest;
+}
+
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::evacuate(Instant now, ControlRequestId requestId, EvacuateZone order)
+{
+    if (auto redirect = this->redirectForRead(now)) {
+        this->respond(requestId, std::move(*redirect));
+        return;
+    }
+    // An order that is being committed may be the opposite of the one in force, so it decides before that.
+    auto* pendingOrder = this->findPendingEvacuation(order.zone);
+    if (pendingOrder != nullptr && pendingOrder->order == order) {
+        pendingOrder->requestIds.push_back(requestId);
+        return;
+    }
+    if (pendingOrder == nullptr && this->registry.isEvacuated(order.zone) == order.isEvacuated) {
+        this->respond(requestId, EvacuationRecorded {});
+        return;
+    }
+    if (!this->propose(now, order, EvacuationWaiter { order, { requestId } })) {
+        this->respond(requestId, LeaderUnavailable {});
+    }
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::updateLeadership(Instant now)
 {
@@ -291,6 +326,10 @@
             }
         } else if (const auto* departure = std::get_if<DepartureWaiter>(&proposal.waiter)) {
             this->respond(departure->requestId, LeaderUnavailable {});
+        } else if (const auto* evacuation = std::get_if<EvacuationWaiter>(&proposal.waiter)) {
+            for (const auto requestId : evacuation->requestIds) {
+                this->respond(requestId, LeaderUnavailable {});
+            }
         }
     }
     while (const auto held = this->heldHeartbeats.takeAny()) {
@@ -324,6 +363,10 @@
         }
     } else if (const auto* departure = std::get_if<DepartureWaiter>(&proposal.waiter)) {
         this->respond(departure->requestId, isCommitted ? ControlResult { DepartureRecorded {} } : ControlResult { LeaderUnavailable {} });
+    } else if (const auto* evacuation = std::get_if<EvacuationWaiter>(&proposal.waiter)) {
+        for (const auto requestId : evacuation->requestIds) {
+            this->respond(requestId, isCommitted ? ControlResult { EvacuationRecorded { outcome.code } } : ControlResult { LeaderUnavailable {} });
+        }
     }
 }
 
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -200,7 +200,7 @@
     upstream.state = state;
     upstream.changedAt = this->index;
     this->upstreamsIndex = this->index;
-    this->clearMovesTo(upstream.announcement.key);
+    this->clearMovesTo([&upstream](const UpstreamKey& target) { return target == upstream.announcement.key; });
     this->warmUpTimes.erase(upstream.announcement.key);
     if (state != UpstreamState::Gone) {
         return;
@@ -215,11 +215,11 @@
     }
 }
 
-void RegistryState::clearMovesTo(const UpstreamKey& target)
+void RegistryState::clearMovesTo(const std::function<bool(const UpstreamKey&)>& isTarget)
 {
     for (auto& [service, keyRanges] : this->keys) {
         for (auto& range : keyRanges.ranges) {
-            if (range.target == target) {
+            if (range.isMoving() && isTarget(range.target)) {
                 range.target = {};
                 keyRanges.changedAt = this->index;
             }
@@ -275,6 +275,10 @@
     }
     if (command.isEvacuated) {
         this->evacuated.insert(position, command.zone);
+        this->clearMovesTo([this, &command](const UpstreamKey& target) {
+            const auto* upstream = this->findUpstream(target.name);
+            return upstream != nullptr && upstream->announcement.zone == command.zone;
+        });
     } else {
         this->evacuated.erase(position);
     }
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -110,7 +110,8 @@
     Status checkVersion(ItemKind kind, std::string_view name, std::uint64_t version, std::string_view document) const;
     bool isNewerVersion(ItemKind kind, std::string_view name, std::uint64_t version) const;
     void markDeparted(RegisteredUpstream& upstream, UpstreamState state);
-    void clearMovesTo(const UpstreamKey& target);
+    /// Ends the moves to upstreams for which the predicate returns true.
+    void clearMovesTo(const std::function<bool(const UpstreamKey&)>& isTarget);
 
     LogIndex index;
     LogIndex itemsIndex;
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -165,12 +165,14 @@
         typename Gateway<Protocol>::Effects effects;
         {
             const MutexLock lock { this->mutex };
+            // A first copy does not show how old its evacuation orders are.
+            const auto lastCurrentAt = this->replica.isComplete() ? this->replica.lastReplyAt() : Instant {};
             const auto changed = this->replica.handleFeedReply(this->reactor.now(), from, *reply);
             if (!changed) {
                 this->logger.log(LogEvent::MessageDropped, changed.failure().describe(), { { "from", from } });
             } else if (*changed && this->replica.isComplete()) {
                 // Until the replica has caught up, it holds an older configuration, which must not be applied.
-                effects = this->gateway.applyState(this->replica.state());
+                effects = this->gateway.applyState(this->replica.state(), lastCurrentAt);
             }
         }
         this->gateway.executeEffects(std::move(effects));
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -16,6 +16,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -56,8 +57,9 @@
     };
 
     /// Applies a newer state of the registry.
+    /// @param lastCurrentAt Time at which the copy of the registry was last known to be current. Empty if it always is.
     /// @return Effects, which the caller passes to executeEffects() once it holds no lock.
-    Effects applyState(const RegistryState& state);
+    Effects applyState(const RegistryState& state, std::optional<Instant> lastCurrentAt = std::nullopt);
     void executeEffects(Effects effects);
     void setEntryCount(std::uint32_t count);
 
@@ -113,6 +115,8 @@
     void advance();
     void closeExpiredConnections();
 
+    /// Logs and counts the evacuation orders that changed.
+    void recordEvacuations(std::span<const std::string> zones) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// Adds the effects of the decisions and schedules the dispatcher's next deadline.
     void applyDecisions(Instant now, DispatchDecisions& decisions, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void startAttempt(Instant now, const SendRequest& decision, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -139,6 +143,8 @@
     std::shared_ptr<const RouteIndex> routes ABSL_GUARDED_BY(mutex);
     LogIndex routesIndex ABSL_GUARDED_BY(mutex);
     LogIndex upstreamsIndex ABSL_GUARDED_BY(mutex);
+    LogIndex evacuationsIndex ABSL_GUARDED_BY(mutex);
+    std::vector<std::string> evacuatedZones ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<PendingRequestId, PendingRequest> pendingRequests ABSL_GUARDED_BY(mutex);
     absl::flat_hash_map<ConnectionId, ConnectionState> connections ABSL_GUARDED_BY(mutex);
     IdleConnectionPool pool ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -21,6 +21,8 @@
     Counter responsesDropped;
     /// Responses cut off because the budget for buffered bytes was exhausted.
     Counter responsesOverBudget;
+    /// Evacuation orders and withdrawals that were applied.
+    Counter evacuationChanges;
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -2,10 +2,12 @@
 
 #include "node/gateway/Gateway.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <numeric>
 #include <span>
+#include <utility>
 
 namespace teaselturn {
 
@@ -62,7 +64,27 @@
 }
 
 template <CallerProtocol Protocol>
-typename Gateway<Protocol>::Effects Gateway<Protocol>::applyState(const RegistryState& state)
+void Gateway<Protocol>::recordEvacuations(std::span<const std::string> zones)
+{
+    const std::vector<std::string> previous = std::exchange(this->evacuatedZones, { zones.begin(), zones.end() });
+    const auto record = [this, index = this->evacuationsIndex](const std::string& zone, bool isEvacuated) {
+        this->counters.evacuationChanges.add();
+        this->logger.log(LogEvent::EvacuationApplied, "", { { "index", index }, { "zone", zone }, { "evacuated", isEvacuated ? 1 : 0 } });
+    };
+    for (const auto& zone : this->evacuatedZones) {
+        if (!std::ranges::binary_search(previous, zone)) {
+            record(zone, true);
+        }
+    }
+    for (const auto& zone : previous) {
+        if (!std::ranges::binary_search(this->evacuatedZones, zone)) {
+            record(zone, false);
+        }
+    }
+}
+
+template <CallerProtocol Protocol>
+typename Gateway<Protocol>::Effects Gateway<Protocol>::applyState(const RegistryState& state, std::optional<Instant> lastCurrentAt)
 {
     const MutexLock lock { this->mutex };
     const auto now = this->reactor.now();
@@ -82,7 +104,11 @@
     }
     Effects effects;
     DispatchDecisions decisions;
-    this->dispatcher.sync(now, state, decisions);
+    if (state.evacuationsChangedAt() != this->evacuationsIndex) {
+        this->evacuationsIndex = state.evacuationsChangedAt();
+        this->recordEvacuations(state.evacuatedZones());
+    }
+    this->dispatcher.sync(now, lastCurrentAt.value_or(now), state, decisions);
     this->applyDecisions(now, decisions, effects);
     return effects;
 }
--- a/src/node/registry/ControlProtocol.h
+++ b/src/node/registry/ControlProtocol.h
@@ -23,13 +23,19 @@
 struct ReadItems {
 };
 
+/// A request that orders the evacuation of an availability zone, or withdraws the order.
+struct EvacuationOrder {
+    std::string zone;
+    bool isEvacuated {};
+};
+
 /// A request that cannot be parsed, or whose path or method is not supported.
 struct MalformedControlRequest {
     unsigned status { 400 };
     std::string detail;
 };
 
-using ControlRequest = std::variant<KeyHeartbeat, Departure, ChangeItems, ReadItems, MalformedControlRequest>;
+using ControlRequest = std::variant<KeyHeartbeat, Departure, ChangeItems, ReadItems, EvacuationOrder, MalformedControlRequest>;
 
 /// The HTTP encoding of control requests and their results.
 template <typename T>
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -202,6 +202,8 @@
         this->node->depart(id, departure->name, departure->incarnation);
     } else if (auto* change = std::get_if<ChangeItems>(&decoded)) {
         this->node->changeItems(id, std::move(*change));
+    } else if (auto* order = std::get_if<EvacuationOrder>(&decoded)) {
+        this->node->evacuate(id, { std::move(order->zone), order->isEvacuated });
     } else {
         OutgoingResponse response;
         auto redirect = this->node->read([&response](const RegistryState& state) { response = Protocol::encodeItems(state); });
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -77,6 +77,11 @@
         this->processInput([&](Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { this->service.changeItems(now, requestId, std::move(change)); });
     }
 
+    void evacuate(ControlRequestId requestId, EvacuateZone order)
+    {
+        this->processInput([&](Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { this->service.evacuate(now, requestId, std::move(order)); });
+    }
+
     /// Calls read with the state if this member is the leader. The lock is held during the call.
     /// @return Nothing if read was called, otherwise a redirect to the leader or LeaderUnavailable.
     template <typename Read>
@@ -194,6 +199,8 @@
                 this->logger.log(LogEvent::KeysAssigned, "", { { "index", entry.index }, { "service", assigned->service }, { "ranges", assigned->grants.size() } });
             } else if (const auto* moved = std::get_if<BeginKeyMoves>(&entry.command)) {
                 this->logger.log(LogEvent::KeyMovesBegun, "", { { "index", entry.index }, { "service", moved->service }, { "ranges", moved->moves.size() } });
+            } else if (const auto* order = std::get_if<EvacuateZone>(&entry.command)) {
+                this->logger.log(LogEvent::EvacuationRecorded, "", { { "index", entry.index }, { "zone", order->zone }, { "evacuated", order->isEvacuated ? 1 : 0 }, { "code", static_cast<unsigned>(outcome.code) } });
             } else if (const auto* members = std::get_if<ChangeMembers>(&entry.command)) {
                 this->logger.log(LogEvent::MembersChanged, "", { { "index", entry.index }, { "members", members->members.size() } });
             }
