--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -79,6 +79,8 @@
 private:
     DispatchService& findOrCreateService(std::string_view name);
     void syncUpstreams(Instant now, const RegistryState& state);
+    /// Confines pending requests to the regions that the newest versions of their routes allow.
+    void syncAllowedRegions(const RegistryState& state);
     /// Applies the known evacuation orders to all upstreams.
     void syncEvacuations(Instant now);
     /// @return Limit of an upstream that may be used again from now on.
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -83,6 +83,32 @@
     absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
 }
 
+void Dispatcher::syncAllowedRegions(const RegistryState& state)
+{
+    absl::flat_hash_map<std::string, RegionSet> confined;
+    state.forEachItem([this, &confined](const ConfigItem& item) {
+        const auto* route = std::get_if<RouteItem>(&item.content);
+        if (route != nullptr && !route->allowedRegions.empty()) {
+            confined.emplace(item.name, this->regions.allowed(route->allowedRegions));
+        }
+    });
+    for (auto& [id, pending] : this->pendingRequests) {
+        const auto found = confined.find(pending->request.route->name);
+        if (found == confined.end()) {
+            continue;
+        }
+        const auto shared = pending->allowedRegions.sharedWith(found->second);
+        const auto allowed = shared == RegionSet {} ? found->second : shared;
+        const bool wasQueued = pending->isQueued;
+        // The position in the queue contains the regions.
+        this->dequeue(*pending);
+        pending->allowedRegions = allowed;
+        if (wasQueued) {
+            this->enqueue(*pending);
+        }
+    }
+}
+
 ReturnRamp Dispatcher::makeReturnRamp(Instant now, const DispatchUpstream& upstream) const
 {
     const auto service = this->services.find(upstream.announcement.service);
@@ -157,6 +183,7 @@
                 routes.insert(item.name);
             }
         });
+        this->syncAllowedRegions(state);
         this->linkBudget.retainRoutes([&routes](const std::string& name) { return routes.contains(name); });
     }
     for (auto& [name, service] : this->services) {
--- a/tests/core/dispatch/AllowedRegionsTest.cpp
+++ b/tests/core/dispatch/AllowedRegionsTest.cpp
@@ -211,6 +211,32 @@
     CHECK(fixture.decisionsOf<RefuseRequest>().empty());
 }
 
+TEST_CASE("a request that waits follows a change of its route's regions")
+{
+    // Guards against requests that are sent to a region long after the route has left it.
+    Regions fixture;
+    fixture.registerIn("near", "z1", "plain", 1);
+    const auto far = fixture.registerIn("far", "z3", "plain", 1);
+    fixture.sync();
+    std::vector<PendingRequestId> running;
+    for (int i = 0; i < 6; ++i) {
+        running.push_back(fixture.submit(anywhereRoute));
+    }
+    REQUIRE(fixture.decisionsOf<RefuseRequest>().empty());
+    REQUIRE(fixture.decisionsOf<SendRequest>().size() < running.size());
+    auto changed = routeItem("r", "plain", 2, RequestKind::Idempotent);
+    std::get<RouteItem>(changed.content).allowedRegions = { "here" };
+    fixture.apply(ChangeItems { { changed }, {} });
+    fixture.sync();
+    const auto sentBefore = fixture.count(far);
+    const auto sends = fixture.decisionsOf<SendRequest>();
+    for (const auto& send : sends) {
+        fixture.endAttempt(send.id, AttemptOutcome::Answered);
+    }
+    CHECK(fixture.decisionsOf<SendRequest>().size() > sends.size());
+    CHECK(fixture.count(far) == sentBefore);
+}
+
 TEST_CASE("unknown names of regions allow nothing")
 {
     const RegionTable table { { { "z1", "here" }, { "z3", "there" } } };
--- a/tests/node/registry/RegistryDaemonTest.cpp
+++ b/tests/node/registry/RegistryDaemonTest.cpp
@@ -204,3 +204,22 @@
     // The time to stop is 0.4 s.
     CHECK(clock.now() - begunAt < milliseconds { 3'000 });
 }
+
+TEST_CASE("a member acknowledges evacuation orders and their withdrawals")
+{
+    // They were never acknowledged: the path was unknown.
+    const TemporaryFolder folder;
+    auto member = std::make_unique<MemberProcess>((folder.path() / "data").string(), memberAddress, findPeerPort(), std::vector<std::string> { memberAddress });
+    member->waitUntilLeader();
+    const auto request = [&member](const std::string& method, const std::string& path) {
+        SlowCaller caller { member->control };
+        REQUIRE(caller.send(method + " " + path + " HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n"));
+        caller.readToEnd();
+        return caller.received;
+    };
+    CHECK(request("POST", "/evacuations/zone-1").starts_with("HTTP/1.1 200"));
+    CHECK(request("POST", "/evacuations/zone-1").starts_with("HTTP/1.1 200"));
+    CHECK(request("DELETE", "/evacuations/zone-1").starts_with("HTTP/1.1 200"));
+    CHECK(request("PUT", "/evacuations/zone-1").starts_with("HTTP/1.1 405"));
+    MemberProcess::stop(std::move(member)).join();
+}
