--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "core/dispatch/DispatchTypes.h"
+#include "core/dispatch/RegionSet.h"
 #include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/ReturnRamp.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
 #include "core/registry/KeyRanges.h"
@@ -31,9 +33,15 @@
     double preferencePenalty {};
     /// Whether requests to it cross the narrow link between regions.
     bool isInOtherRegion {};
+    /// Region of its availability zone.
+    RegionSet region { RegionSet::all() };
     /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
     /// responses; empty if it is not.
     std::optional<Instant> drainingSince;
+    /// Earliest time at which the order to evacuate its zone can have been acknowledged; empty if there is none.
+    std::optional<Instant> evacuatedSince;
+    /// Limit after such an order was withdrawn.
+    std::optional<ReturnRamp> returnRamp;
     /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
     /// flight to it removes it.
     bool isRegistered { true };
@@ -64,6 +72,8 @@
     std::uint32_t priority {};
     std::uint64_t sequenceNumber {};
     PendingRequestId id;
+    /// Regions that may serve the request. Last, so that it does not affect the order.
+    RegionSet allowedRegions { RegionSet::all() };
 
     friend auto operator<=>(const QueuePosition&, const QueuePosition&) = default; // NOLINT(modernize-use-nullptr): clang-tidy 14 takes the zero of a rewritten comparison for a null pointer.
 };
@@ -121,6 +131,8 @@
     /// Upstreams that a retry does not use.
     std::vector<UpstreamKey> excludedUpstreams;
     std::uint32_t misdirections {};
+    /// Regions that may serve the request.
+    RegionSet allowedRegions { RegionSet::all() };
 
     const RouteItem& route() const noexcept { return this->request.route->item; }
 
@@ -130,7 +142,7 @@
     /// @return The range with the request's key; null if the request has no key or the service no ranges.
     const KeyRange* findRange() const { return this->request.key ? findKeyRange(this->service->ranges, *this->request.key) : nullptr; }
 
-    QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id }; }
+    QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id, this->allowedRegions }; }
 };
 
 }
