Limit what cold upstreams get from all entry VMs

Services state how long an upstream is cold after a start and how many requests it tolerates in that time. Nothing bounded what it got, so a restarted upstream had its full load at once.

The leader commits BeginWarmUp for the first statement of each start of an upstream and for each later statement that differs. Each entry VM sends at regular times with a phase of its own, at a rate for which the sum over all entry VMs exceeds the bound of a second with a probability of at most 1e-6. Cold upstreams get no keys while others can hold them.

--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -65,6 +65,7 @@
     ItemsChanged = 6015,
     FeedLost = 6016,
     FeedRegained = 6017,
+    WarmUpBegun = 6018,
 };
 
 /// Row of logEventTable.
@@ -76,7 +77,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 48> logEventTable;
+extern const std::array<LogEventRow, 49> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/include/teaselturn/Registry.h
+++ b/include/teaselturn/Registry.h
@@ -172,7 +172,8 @@
     friend bool operator==(const RemoveUpstream&, const RemoveUpstream&) = default;
 };
 
-/// Records that an upstream is cold: it serves requests slowly and tolerates few of them.
+/// Records that an upstream is cold: it serves requests slowly and tolerates few of them. With no time left, records that
+/// it is warm.
 struct BeginWarmUp {
     UpstreamKey key;
     /// Time from this command until the upstream is warm.
--- a/include/teaselturn/ResultCode.h
+++ b/include/teaselturn/ResultCode.h
@@ -52,6 +52,7 @@
     RequestCircuitOpen = 3110,
     RequestRetryBudgetExhausted = 3111,
     RequestLinkFull = 3112,
+    RequestUpstreamCold = 3113,
     RequestOutcomeUnknown = 3201,
     ResponseIncomplete = 3202,
     ResponseMismatched = 3203,
@@ -111,7 +112,7 @@
 };
 
 /// All result codes with name and message, in ascending order of number.
-extern const std::array<ResultCodeRow, 78> resultCodeTable;
+extern const std::array<ResultCodeRow, 79> resultCodeTable;
 
 /// @return The error category of ResultCode.
 const std::error_category& resultCategory() noexcept;
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 48> logEventTable { {
+const std::array<LogEventRow, 49> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -53,6 +53,7 @@
     { LogEvent::ItemsChanged, "ItemsChanged", LogLevel::Info, "configuration items changed" },
     { LogEvent::FeedLost, "FeedLost", LogLevel::Warning, "no member answers the feed of the registry" },
     { LogEvent::FeedRegained, "FeedRegained", LogLevel::Info, "a member answers the feed of the registry" },
+    { LogEvent::WarmUpBegun, "WarmUpBegun", LogLevel::Info, "an upstream is cold and gets few requests" },
 } };
 
 const LogEventRow& logEventRow(LogEvent event) noexcept
--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -5,7 +5,7 @@
 
 namespace teaselturn {
 
-const std::array<ResultCodeRow, 78> resultCodeTable { {
+const std::array<ResultCodeRow, 79> resultCodeTable { {
     { ResultCode::Ok, "Ok", "success" },
     { ResultCode::Internal, "Internal", "internal error" },
     { ResultCode::UsageError, "UsageError", "the command line is not valid" },
@@ -43,6 +43,7 @@
     { ResultCode::RequestCircuitOpen, "RequestCircuitOpen", "the circuit breaker of the upstream is open; the request was not run" },
     { ResultCode::RequestRetryBudgetExhausted, "RequestRetryBudgetExhausted", "the retry budget of the service is exhausted" },
     { ResultCode::RequestLinkFull, "RequestLinkFull", "the network link of the entry VM is full; the request was not run" },
+    { ResultCode::RequestUpstreamCold, "RequestUpstreamCold", "the upstream is warming up and has no room in the request's time; the request was not run" },
     { ResultCode::RequestOutcomeUnknown, "RequestOutcomeUnknown", "the request was sent but no whole answer arrived; it may have run" },
     { ResultCode::ResponseIncomplete, "RequestAnswerIncomplete", "the answer ended early; the request may have run" },
     { ResultCode::ResponseMismatched, "RequestAnswerMismatched", "the answer belongs to another request; this request may have run" },
--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <vector>
 
 namespace teaselturn {
 
@@ -60,7 +61,7 @@
     }
     const auto wait = this->estimateWait(now, pending);
     if (wait > Duration::zero() && now + wait + pending.service->averageLatency > pending.targetTime()) {
-        return ResultCode::RequestShed;
+        return this->isHeldForWarmUp(now, pending) ? ResultCode::RequestUpstreamCold : ResultCode::RequestShed;
     }
     return std::nullopt;
 }
@@ -74,11 +75,45 @@
     const auto waiting = queue == service.queues.end() ? 0.0 : requestsAhead(queue->second, pending.position());
     const auto* unconfirmed = service.unconfirmedRanges.find(range);
     const auto ownershipDelay = unconfirmed == nullptr ? Duration::zero() : std::max<Duration>(unconfirmed->expectedAt - now, Duration::zero());
-    if (owner->load.hasCapacity(now) && waiting == 0) {
+    if (owner->hasCapacity(now) && waiting == 0) {
         return ownershipDelay;
     }
     const auto pause = std::max<Duration>(owner->load.pauseEnd() - now, Duration::zero());
-    return ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+    const auto wait = ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+    return std::max<Duration>(wait, owner->warmUp.sendTime(now, static_cast<std::size_t>(waiting)) - now);
+}
+
+Duration Admission::estimateWaitForColdUpstreams(Instant now, const PendingDispatch& pending, std::size_t waiting) const
+{
+    if (!pending.service->item.hasWarmUp()) {
+        return Duration::zero();
+    }
+    std::vector<const DispatchUpstream*> cold;
+    for (const auto& key : pending.service->upstreams) {
+        const auto* candidate = this->upstreams.find(key);
+        if (candidate == nullptr || !this->eligibility.mayBeChosen(now, pending, *candidate)) {
+            continue;
+        }
+        if (!candidate->warmUp.isCold(now)) {
+            return Duration::zero();
+        }
+        cold.push_back(candidate);
+    }
+    auto earliest = Instant::max();
+    for (const auto* upstream : cold) {
+        earliest = std::min(earliest, upstream->warmUp.sendTime(now, waiting / cold.size()));
+    }
+    return cold.empty() ? Duration::zero() : earliest - now;
+}
+
+bool Admission::isHeldForWarmUp(Instant now, const PendingDispatch& pending) const
+{
+    if (!pending.service->item.isSharded) {
+        return this->estimateWaitForColdUpstreams(now, pending, 0) > Duration::zero();
+    }
+    const auto* range = pending.findRange();
+    const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+    return owner != nullptr && !owner->warmUp.hasRoom(now);
 }
 
 Duration Admission::estimateWait(Instant now, const PendingDispatch& pending) const
@@ -94,7 +129,8 @@
     }
     // Requests in flight in excess of the slots are queued at the upstreams.
     const auto parallel = this->capacity.slotShare(service);
-    return scaled(service.averageLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
+    const auto wait = scaled(service.averageLatency, std::max(1.0, waiting + 1 + service.inFlight - parallel) / parallel);
+    return std::max<Duration>(wait, this->estimateWaitForColdUpstreams(now, pending, static_cast<std::size_t>(waiting)));
 }
 
 }
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/RetryWindow.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
+#include "core/dispatch/WarmUpLimit.h"
 #include "core/registry/KeyRanges.h"
 
 #include <absl/container/btree_map.h>
@@ -37,6 +38,16 @@
     /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
     /// flight to it removes it.
     bool isRegistered { true };
+    WarmUpLimit warmUp;
+    /// True if the warm-up was assumed because the upstream is new, and the registry has not confirmed it.
+    bool isWarmUpAssumed {};
+    /// Log index of the registry's latest statement about the upstream's warm-up that this entry VM applied.
+    LogIndex warmUpIndex;
+    /// True until the sync that found the upstream first has checked whether it is cold.
+    bool isNew { true };
+
+    /// @return True if one more request may be sent now.
+    bool hasCapacity(Instant now) const { return this->load.hasCapacity(now) && this->warmUp.hasRoom(now); }
 };
 
 /// The upstreams of all services, by key.
@@ -113,6 +124,8 @@
     /// Upstream of the latest attempt.
     UpstreamKey sentTo;
     bool isSent {};
+    /// Whether the request had to wait because an upstream is cold.
+    bool isHeldForWarmUp {};
     Instant sentAt;
     Instant expiresAt;
     /// Bytes reserved in the link budget.
--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -40,6 +40,8 @@
     Endpoint endpoint;
     /// Time that the upstream has to respond.
     Duration timeLeft {};
+    /// True if the request had to wait because the upstream is cold.
+    bool wasHeldForWarmUp {};
 };
 
 /// Tells the caller that the request did not run and will not run.
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "core/dispatch/ReturnTime.h"
 #include "core/dispatch/UpstreamChoice.h"
 #include "core/dispatch/UpstreamEligibility.h"
+#include "core/dispatch/WarmUpShare.h"
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Message.h"
 
@@ -40,7 +41,7 @@
     void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions);
 
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
-    void setEntryCount(std::uint32_t count) noexcept { this->capacity.setEntryCount(count); }
+    void setEntryCount(std::uint32_t count);
 
     /// Refuses from now on new requests that may still be in progress when the process ends.
     void refuseRequestsBeyond(Instant processEnd) noexcept { this->admission.refuseRequestsBeyond(processEnd); }
@@ -75,6 +76,9 @@
 private:
     DispatchService& findOrCreateService(std::string_view name);
     void syncUpstreams(Instant now, const RegistryState& state);
+    /// Begins and ends warm-ups as the registry states them, and those of new upstreams that it states nothing about.
+    void syncWarmUps(Instant now, const RegistryState& state);
+    void beginWarmUp(Instant now, const ServiceItem& service, DispatchUpstream& upstream, Duration timeLeft);
     void syncKeys(Instant now, const RegistryState& state, DispatchService& service);
     Duration extraRoundTripTo(std::string_view zone) const;
     void recordLeaving(Instant now, DispatchUpstream& upstream);
@@ -98,6 +102,12 @@
     /// Sends queued requests of a service to upstreams with free capacity.
     void dispatchQueued(Instant now, DispatchService& service, DispatchDecisions& decisions);
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Refuses queued requests that a cold owner cannot be sent in their time.
+    void refuseWhileCold(Instant now, DispatchService& service, const DispatchUpstream& owner, DispatchDecisions& decisions);
+    /// Schedules the next dispatch of a queue for the time at which a cold owner may be sent a request.
+    void scheduleForWarmUp(Instant now, DispatchService& service, const DispatchUpstream& owner);
+    /// Schedules the next dispatch of a request without a key that waits for cold upstreams.
+    void scheduleForWarmUp(Instant now, DispatchService& service, PendingDispatch& pending);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
@@ -122,9 +132,12 @@
     std::uint64_t lastSequenceNumber {};
     LogIndex itemsIndex;
     LogIndex upstreamsIndex;
+    LogIndex warmUpsIndex;
+    bool hasSynced {};
     UpstreamTable upstreams;
     UpstreamEligibility eligibility { this->options };
     CapacityEstimate capacity { this->upstreams };
+    WarmUpShare warmUpShare { this->options };
     UpstreamChoice<> choice;
     Admission admission { this->upstreams, this->eligibility, this->capacity, this->choice };
     ReturnTime returnTime;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -65,6 +65,7 @@
         auto& pending = *this->pendingRequests.at(id);
         auto* target = this->chooseUpstream(now, service, pending);
         if (target == nullptr) {
+            this->scheduleForWarmUp(now, service, pending);
             return;
         }
         this->dequeue(pending);
@@ -105,12 +106,17 @@
     }
     for (const auto& key : owners) {
         auto* owner = this->upstreams.find(key);
-        if (owner == nullptr || owner->load.isCircuitOpen(now) || !owner->load.hasCapacity(now)) {
+        if (owner != nullptr && owner->warmUp.isLimited(now)) {
+            this->refuseWhileCold(now, service, *owner, decisions);
+            this->scheduleForWarmUp(now, service, *owner);
+        }
+        if (owner == nullptr || !service.queues.contains(key) || owner->load.isCircuitOpen(now) || !owner->hasCapacity(now)) {
             continue;
         }
         for (const auto id : this->selectSendable(now, service.queues.at(key), owner->load.averageLatency())) {
             auto& pending = *this->pendingRequests.at(id);
-            if (!owner->load.hasCapacity(now)) {
+            if (!owner->hasCapacity(now)) {
+                this->scheduleForWarmUp(now, service, *owner);
                 break;
             }
             // A request that was just sent may have been the probe of a range that the others have to wait for.
@@ -133,6 +139,7 @@
 void Dispatcher::send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions)
 {
     target.load.recordSent(now);
+    target.warmUp.recordSent(now);
     ++pending.service->inFlight;
     ++pending.attempts;
     pending.isSent = true;
@@ -142,7 +149,8 @@
         pending.service->unconfirmedRanges.recordProbe(now, *range);
     }
     const auto left = std::max<Duration>(pending.expiresAt - now - responseMargin, responseMargin);
-    decisions.push_back(SendRequest { pending.request.id, target.announcement.key, target.announcement.endpoint, left });
+    decisions.push_back(SendRequest { pending.request.id, target.announcement.key, target.announcement.endpoint, left, pending.isHeldForWarmUp });
+    pending.isHeldForWarmUp = false;
 }
 
 void Dispatcher::refuseWhilePaused(Instant now, DispatchService& service, const DispatchUpstream& upstream, DispatchDecisions& decisions)
@@ -165,6 +173,52 @@
     }
 }
 
+void Dispatcher::refuseWhileCold(Instant now, DispatchService& service, const DispatchUpstream& owner, DispatchDecisions& decisions)
+{
+    const auto& queue = service.queues.at(owner.announcement.key);
+    std::vector<PendingRequestId> waiting;
+    std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
+    std::size_t position = 0;
+    for (const auto id : waiting) {
+        auto& pending = *this->pendingRequests.at(id);
+        if (owner.warmUp.sendTime(now, position) + service.averageLatency > pending.expiresAt) {
+            this->refuseOrFail(now, pending, ResultCode::RequestUpstreamCold, decisions);
+        } else {
+            ++position;
+        }
+    }
+}
+
+void Dispatcher::scheduleForWarmUp(Instant now, DispatchService& service, const DispatchUpstream& owner)
+{
+    const auto queue = service.queues.find(owner.announcement.key);
+    if (queue == service.queues.end() || owner.warmUp.hasRoom(now)) {
+        return;
+    }
+    for (const auto& position : queue->second) {
+        this->pendingRequests.at(position.id)->isHeldForWarmUp = true;
+    }
+    this->deadlines.emplace(owner.warmUp.sendTime(now, 0), queue->second.begin()->id);
+}
+
+void Dispatcher::scheduleForWarmUp(Instant now, DispatchService& service, PendingDispatch& pending)
+{
+    if (!service.item.hasWarmUp()) {
+        return;
+    }
+    auto earliest = Instant::max();
+    for (const auto& key : service.upstreams) {
+        const auto* candidate = this->upstreams.find(key);
+        if (candidate != nullptr && !candidate->warmUp.hasRoom(now) && this->eligibility.mayBeChosen(now, pending, *candidate)) {
+            earliest = std::min(earliest, candidate->warmUp.sendTime(now, 0));
+        }
+    }
+    if (earliest != Instant::max()) {
+        pending.isHeldForWarmUp = true;
+        this->deadlines.emplace(earliest, pending.request.id);
+    }
+}
+
 bool Dispatcher::isLinkFull(Instant now, const PendingDispatch& pending)
 {
     const auto& route = pending.route();
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
+#include <utility>
 
 namespace teaselturn {
 
@@ -23,6 +24,27 @@
         return maxPreferencePenalty * static_cast<double>(hash % 1'024) / 1'024;
     }
 
+    /// @return The phase of this entry VM's slots for a cold upstream, in [0, 1): independent for each entry VM, upstream
+    /// and warm-up.
+    double computeSlotPhase(const UpstreamKey& key, LogIndex warmUpIndex, std::uint64_t preferenceSeed)
+    {
+        constexpr std::uint64_t steps = 1U << 20;
+        const auto hash = hashKey("warm-up:" + key.name + ":" + std::to_string(key.incarnation) + ":" + std::to_string(warmUpIndex.value) + ":" + std::to_string(preferenceSeed));
+        return static_cast<double>(hash % steps) / steps;
+    }
+
+    /// Incarnations are start times of different machines, whose clocks may differ by this much.
+    constexpr std::chrono::seconds maxClockDifference { 10 };
+
+    /// @param latestIncarnation Start time of the upstream that started last; it is in the past.
+    /// @return True if the upstream certainly started more than its warm-up time ago. An entry VM that was cut off sees
+    /// many upstreams for the first time that have been serving for long.
+    bool isKnownToBeOld(const UpstreamKey& key, std::uint64_t latestIncarnation, Duration warmUpTime)
+    {
+        const auto margin = std::chrono::duration_cast<std::chrono::milliseconds>(warmUpTime + maxClockDifference);
+        return latestIncarnation - key.incarnation >= static_cast<std::uint64_t>(margin.count());
+    }
+
 }
 
 DispatchService& Dispatcher::findOrCreateService(std::string_view name)
@@ -80,6 +102,71 @@
     absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
 }
 
+void Dispatcher::setEntryCount(std::uint32_t count)
+{
+    this->capacity.setEntryCount(count);
+    const auto previous = this->warmUpShare.entryCount();
+    this->warmUpShare.recordEntryCount(count);
+    if (this->warmUpShare.entryCount() == previous) {
+        return;
+    }
+    for (const auto& [name, service] : this->services) {
+        if (!service->item.hasWarmUp()) {
+            continue;
+        }
+        const auto rate = this->warmUpShare.sendsPerSecond(service->item);
+        for (const auto& key : service->upstreams) {
+            if (auto* upstream = this->upstreams.find(key)) {
+                upstream->warmUp.setRate(rate);
+            }
+        }
+    }
+}
+
+void Dispatcher::beginWarmUp(Instant now, const ServiceItem& service, DispatchUpstream& upstream, Duration timeLeft)
+{
+    const auto phase = computeSlotPhase(upstream.announcement.key, upstream.warmUpIndex, this->options.preferenceSeed);
+    upstream.warmUp.begin(now, now + timeLeft, service.warmUpTime, this->warmUpShare.sendsPerSecond(service), phase);
+    upstream.load.resetLimit();
+}
+
+void Dispatcher::syncWarmUps(Instant now, const RegistryState& state)
+{
+    std::uint64_t latestIncarnation = 0;
+    for (const auto& [key, upstream] : this->upstreams.map) {
+        latestIncarnation = std::max(latestIncarnation, key.incarnation);
+    }
+    for (auto& [key, upstream] : this->upstreams.map) {
+        const auto& service = this->findOrCreateService(upstream.announcement.service).item;
+        const bool isNew = std::exchange(upstream.isNew, false);
+        if (!service.hasWarmUp()) {
+            continue;
+        }
+        const auto stated = state.warmUps().find(key);
+        if (stated == state.warmUps().end()) {
+            if (isNew && this->hasSynced && !isKnownToBeOld(key, latestIncarnation, service.warmUpTime)) {
+                this->beginWarmUp(now, service, upstream, service.warmUpTime);
+                upstream.isWarmUpAssumed = true;
+            }
+            continue;
+        }
+        const auto& [timeLeft, changedAt] = stated->second;
+        if (upstream.warmUpIndex == changedAt) {
+            continue;
+        }
+        upstream.warmUpIndex = changedAt;
+        const bool wasAssumed = std::exchange(upstream.isWarmUpAssumed, false);
+        if (timeLeft > Duration::zero()) {
+            this->beginWarmUp(now, service, upstream, timeLeft);
+        } else if (wasAssumed) {
+            // It started warm, as all upstreams do that start before there is traffic.
+            upstream.warmUp.clear();
+        } else {
+            upstream.warmUp.endWarmUp(now);
+        }
+    }
+}
+
 void Dispatcher::syncKeys(Instant now, const RegistryState& state, DispatchService& service)
 {
     const auto ranges = state.keyRanges(service.name);
@@ -100,7 +187,8 @@
 
 void Dispatcher::sync(Instant now, const RegistryState& state, DispatchDecisions& decisions)
 {
-    if (this->upstreamsIndex != state.upstreamsChangedAt()) {
+    const bool hasNewUpstreams = this->upstreamsIndex != state.upstreamsChangedAt();
+    if (hasNewUpstreams) {
         this->upstreamsIndex = state.upstreamsChangedAt();
         this->syncUpstreams(now, state);
     }
@@ -119,6 +207,11 @@
         });
         this->linkBudget.retainRoutes([&routes](const std::string& name) { return routes.contains(name); });
     }
+    if (hasNewUpstreams || this->warmUpsIndex != state.warmUpsChangedAt()) {
+        this->warmUpsIndex = state.warmUpsChangedAt();
+        this->syncWarmUps(now, state);
+    }
+    this->hasSynced = true;
     for (auto& [name, service] : this->services) {
         const auto changedAt = state.keysChangedAt(name);
         if (service->item.isSharded && service->rangesIndex != changedAt) {
--- a/src/core/dispatch/UpstreamChoice.h
+++ b/src/core/dispatch/UpstreamChoice.h
@@ -5,6 +5,7 @@
 #include "core/dispatch/UpstreamEligibility.h"
 
 #include <concepts>
+#include <utility>
 
 namespace teaselturn {
 
@@ -49,13 +50,14 @@
     DispatchUpstream* choose(Instant now, const PendingDispatch& pending, UpstreamTable& upstreams, const UpstreamEligibility& eligibility) const
     {
         DispatchUpstream* best = nullptr;
-        Duration bestRank {};
+        std::pair<bool, Duration> bestRank {};
         for (const auto& key : pending.service->upstreams) {
             auto* candidate = upstreams.find(key);
-            if (candidate == nullptr || !candidate->load.hasCapacity(now) || !eligibility.mayBeChosen(now, pending, *candidate)) {
+            if (candidate == nullptr || !candidate->hasCapacity(now) || !eligibility.mayBeChosen(now, pending, *candidate)) {
                 continue;
             }
-            const auto candidateRank = this->rank(now, *pending.service, *candidate);
+            // A cold upstream is used only if no warm one has room.
+            const auto candidateRank = std::pair { candidate->warmUp.isCold(now), this->rank(now, *pending.service, *candidate) };
             if (best == nullptr || candidateRank < bestRank) {
                 best = candidate;
                 bestRank = candidateRank;
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -83,6 +83,8 @@
         this->limit.reset();
     }
     bool isPaused(Instant now) const noexcept { return now < this->pausedUntil; }
+    /// Lets the limit grow from one request again, because the upstream turned cold.
+    void resetLimit() noexcept { this->limit.reset(); }
     Instant pauseEnd() const noexcept { return this->pausedUntil; }
 
     void recordSent(Instant now) noexcept
--- a/src/core/registry/KeyBalance.cpp
+++ b/src/core/registry/KeyBalance.cpp
@@ -331,7 +331,7 @@
     addOwnedLoad(loads, ranges, keyWeights, [](const KeyRange&) { return true; });
     MovePlan plan { ranges, keyWeights };
     for (auto& load : loads.all()) {
-        if (!load.holder->acceptsKeys && load.load > 0) {
+        if (!load.holder->acceptsKeys && !load.holder->keepsKeys && load.load > 0) {
             drainHolder(plan, load, loads, bounds);
         }
     }
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -16,8 +16,10 @@
     double capacity { 1 };
     /// Largest load that it can serve, in the unit of the key weights. Zero if unknown.
     double maxLoad {};
-    /// False if the upstream is draining: its keys move away and it gets no new ones.
+    /// False if the upstream gets no new keys. Its keys move away unless keepsKeys is true.
     bool acceptsKeys { true };
+    /// True if an upstream that accepts no keys keeps those that it has: it is cold. False if it is draining.
+    bool keepsKeys {};
 };
 
 /// Limits of one round of moves.
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "core/registry/KeyCoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselturn {
 
@@ -68,6 +69,7 @@
     this->leaderSince = now;
     this->lastBalancedAt = now;
     this->contacts.clear();
+    this->warmUpWatch.becameLeader();
     this->revocations.clear();
     this->proposedAssignments.clear();
     this->loads.clear();
@@ -337,7 +339,7 @@
     }
 }
 
-std::vector<KeyHolder> KeyCoordinator::holders(std::string_view service, const RegistryState& state) const
+std::vector<KeyHolder> KeyCoordinator::holders(Instant now, std::string_view service, const RegistryState& state) const
 {
     std::vector<double> times;
     for (const auto& [key, time] : this->serviceTimes) {
@@ -356,14 +358,20 @@
         const auto slots = std::max(1U, announcement.requestSlots);
         const auto time = estimate == this->serviceTimes.end() ? 0.0 : std::max(1.0, estimate->second);
         const auto maxLoad = time == 0 ? 0.0 : slots * std::chrono::duration<double, std::milli> { KeyLoadTable::decayTime }.count() / time;
-        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() });
+        const bool isCold = upstream.isUsable() && this->warmUpWatch.isCold(now, announcement.key, state);
+        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() && !isCold, isCold });
+    }
+    if (std::ranges::none_of(result, &KeyHolder::acceptsKeys)) {
+        for (auto& holder : result) {
+            holder.acceptsKeys = std::exchange(holder.keepsKeys, false);
+        }
     }
     return result;
 }
 
 void KeyCoordinator::placeKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands)
 {
-    const auto available = this->holders(service, state);
+    const auto available = this->holders(now, service, state);
     if (available.empty()) {
         return;
     }
@@ -386,11 +394,11 @@
     }
 }
 
-void KeyCoordinator::balanceKeys(std::string_view service, const RegistryState& state, std::vector<Command>& commands)
+void KeyCoordinator::balanceKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands)
 {
     const auto found = this->loads.find(service);
     const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
-    auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
+    auto moves = planKeyMoves(state.keyRanges(service), this->holders(now, service, state), weights, {});
     if (!moves.empty()) {
         commands.push_back(BeginKeyMoves { std::string { service }, std::move(moves) });
     }
@@ -420,7 +428,7 @@
         }
         this->updateServiceTimes(now, state);
         for (const auto& service : sharded) {
-            this->balanceKeys(service, state, commands);
+            this->balanceKeys(now, service, state, commands);
         }
     }
     for (const auto& command : commands) {
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -4,6 +4,7 @@
 #include "core/registry/KeyHeartbeat.h"
 #include "core/registry/KeyLoadTable.h"
 #include "core/registry/RegistryState.h"
+#include "core/registry/WarmUpWatch.h"
 #include "teaselturn/Command.h"
 #include "teaselturn/Message.h"
 
@@ -57,6 +58,9 @@
     /// upstream; otherwise empty.
     std::optional<Command> registrationFor(const KeyHeartbeat& heartbeat, const RegistryState& state) const;
 
+    /// What this leader knows of warm-ups. Cold upstreams get no keys while others can hold them.
+    WarmUpWatch& warmUps() noexcept { return this->warmUpWatch; }
+
     /// Records a heartbeat of a registered upstream.
     /// @return False if a later heartbeat of the same incarnation arrived before it; its reply must then contain no
     /// grants.
@@ -136,14 +140,15 @@
     bool isProposedForAnother(std::string_view service, const KeyRange& range) const;
     /// @return Latest end of a lease that a reply can have given to the upstream, by this leader or the former one.
     Instant latestLeaseEnd(const UpstreamKey& key) const;
-    std::vector<KeyHolder> holders(std::string_view service, const RegistryState& state) const;
+    std::vector<KeyHolder> holders(Instant now, std::string_view service, const RegistryState& state) const;
     void removeUnresponsiveUpstreams(Instant now, const RegistryState& state, std::vector<Command>& commands) const;
     void placeKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
-    void balanceKeys(std::string_view service, const RegistryState& state, std::vector<Command>& commands);
+    void balanceKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands);
     void countResponses(Instant now, const ServiceKeyLoad& load, const RegistryState& state);
     void updateServiceTimes(Instant now, const RegistryState& state);
 
     KeyLeaseTiming timing;
+    WarmUpWatch warmUpWatch;
     Instant leaderSince;
     Instant lastBalancedAt;
     absl::flat_hash_map<std::string, Contact> contacts;
--- a/src/core/registry/RegistryHeartbeatInlines.h
+++ b/src/core/registry/RegistryHeartbeatInlines.h
@@ -21,14 +21,29 @@
             this->respond(requestId, KeyHeartbeatReply {});
             return;
         }
-        if (!this->propose(now, std::move(*command), HeartbeatWaiter { requestId, std::move(heartbeat) })) {
+        const auto* registered = this->registry.findUpstream(heartbeat.announcement.key.name);
+        const bool isRegistered = registered != nullptr && registered->announcement.key == heartbeat.announcement.key && registered->state != UpstreamState::Dead;
+        if (!this->propose(now, std::move(*command), HeartbeatWaiter { requestId, heartbeat })) {
             this->respond(requestId, LeaderUnavailable {});
+        } else if (!isRegistered) {
+            // Committed together with the registration, so that entry VMs learn both at the same time.
+            this->proposeWarmUp(now, heartbeat, false);
         }
         return;
     }
     this->handleRegisteredHeartbeat(now, requestId, std::move(heartbeat));
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+void RegistryService<Random, Codec>::proposeWarmUp(Instant now, const KeyHeartbeat& heartbeat, bool isRegistered)
+{
+    auto& warmUps = this->coordinator.warmUps();
+    const auto command = warmUps.commandFor(now, heartbeat, isRegistered, this->registry);
+    if (command && this->propose(now, *command, NoWaiter {})) {
+        warmUps.recordProposed(now, *command);
+    }
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::handleRegisteredHeartbeat(Instant now, ControlRequestId requestId, KeyHeartbeat heartbeat)
 {
@@ -39,6 +54,7 @@
         this->respond(requestId, KeyHeartbeatReply {});
         return;
     }
+    this->proposeWarmUp(now, heartbeat, true);
     this->coordinator.recordReleases(now, heartbeat, this->registry);
     const auto* service = this->registry.findService(announcement.service);
     const bool mayHoldKeys = service != nullptr && service->isSharded && this->registry.isAlive(announcement.key);
@@ -91,6 +107,8 @@
         this->updatedUpstreams.insert(removed->key.name);
     } else if (const auto* registered = std::get_if<RegisterUpstream>(&command)) {
         this->updatedUpstreams.insert(registered->key.name);
+    } else if (const auto* warmUp = std::get_if<BeginWarmUp>(&command)) {
+        this->coordinator.warmUps().recordApplied(*warmUp);
     }
 }
 
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -177,6 +177,8 @@
     bool propose(Instant now, Command command, ProposalWaiter waiter);
     /// Processes the heartbeat of a registered upstream. Delays the reply while the upstream's keys do not change.
     void handleRegisteredHeartbeat(Instant now, ControlRequestId requestId, KeyHeartbeat heartbeat);
+    /// Proposes to record what a heartbeat states about its sender's warm-up, if that is news.
+    void proposeWarmUp(Instant now, const KeyHeartbeat& heartbeat, bool isRegistered);
     void replyToHeartbeats(Instant now);
     void recordUpdatedUpstreams(const Command& command);
     void updateLeadership(Instant now);
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -258,7 +258,11 @@
     if (upstream == nullptr || upstream->announcement.key != command.key || upstream->state == UpstreamState::Gone) {
         return { ResultCode::AlreadyApplied };
     }
-    this->warmUpTimes[command.key] = command.timeLeft;
+    if (command.timeLeft > Duration::zero()) {
+        // Keys that the owner has released already are granted to it again.
+        this->clearMovesTo(command.key);
+    }
+    this->warmUpTimes[command.key] = { command.timeLeft, this->index };
     this->warmUpsIndex = this->index;
     return {};
 }
@@ -307,8 +311,8 @@
 RegistrySnapshot RegistryState::snapshot() const
 {
     RegistrySnapshot result { this->index, this->itemsIndex, {}, {}, {}, this->memberSpecs, this->evacuated, {} };
-    for (const auto& [key, timeLeft] : this->warmUpTimes) {
-        result.warmUps.push_back({ key, timeLeft });
+    for (const auto& [key, warmUp] : this->warmUpTimes) {
+        result.warmUps.push_back({ key, warmUp.timeLeft });
     }
     for (const auto& [key, record] : this->items) {
         result.items.push_back(record);
@@ -335,7 +339,7 @@
     this->evacuationsIndex = this->index;
     this->warmUpTimes.clear();
     for (const auto& warmUp : snapshot.warmUps) {
-        this->warmUpTimes.emplace(warmUp.key, warmUp.timeLeft);
+        this->warmUpTimes.emplace(warmUp.key, RecordedWarmUp { warmUp.timeLeft, this->index });
     }
     this->warmUpsIndex = this->index;
     this->items.clear();
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -15,6 +15,14 @@
 
 namespace teaselturn {
 
+/// The latest BeginWarmUp of an upstream.
+struct RecordedWarmUp {
+    /// Time that was left when the command was committed. Zero if the upstream was warm.
+    Duration timeLeft {};
+    /// Log index of the command; after a snapshot was restored, the index of the snapshot.
+    LogIndex changedAt;
+};
+
 /// The registry's replicated state machine. Applying the same commands in the same order gives the same state on every
 /// member and every entry VM. Not thread-safe.
 class RegistryState {
@@ -73,8 +81,8 @@
     /// @return Index of the latest command that changed an evacuation order; zero if none did.
     LogIndex evacuationsChangedAt() const noexcept { return this->evacuationsIndex; }
 
-    /// @return Warm-ups that were begun, with the time that was left when the command was committed.
-    const absl::btree_map<UpstreamKey, Duration>& warmUps() const noexcept { return this->warmUpTimes; }
+    /// @return What was last recorded about the warm-up of each upstream.
+    const absl::btree_map<UpstreamKey, RecordedWarmUp>& warmUps() const noexcept { return this->warmUpTimes; }
     /// @return Index of the latest command that began a warm-up; zero if none did.
     LogIndex warmUpsChangedAt() const noexcept { return this->warmUpsIndex; }
 
@@ -128,7 +136,7 @@
     std::vector<std::string> evacuated;
     LogIndex evacuationsIndex;
     /// Only of upstreams that are registered.
-    absl::btree_map<UpstreamKey, Duration> warmUpTimes;
+    absl::btree_map<UpstreamKey, RecordedWarmUp> warmUpTimes;
     LogIndex warmUpsIndex;
 };
 
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -21,6 +21,10 @@
     Counter responsesDropped;
     /// Responses cut off because the budget for buffered bytes was exhausted.
     Counter responsesOverBudget;
+    /// Requests sent after they had to wait because an upstream is cold.
+    Counter heldForWarmUp;
+    /// Requests refused because the owner of their key is cold.
+    Counter refusedForWarmUp;
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -192,6 +192,7 @@
             const auto found = this->pendingRequests.find(refusal->id);
             if (found != this->pendingRequests.end()) {
                 this->counters.refused.add();
+                this->counters.refusedForWarmUp.add(refusal->reason == ResultCode::RequestUpstreamCold ? 1 : 0);
                 this->logOutcome(LogEvent::RequestNotRun, found->second, refusal->reason, now);
                 this->respond(now, refusal->id, Protocol::refusal(found->second.info, refusal->reason, refusal->retryAfter), effects);
             }
@@ -264,6 +265,7 @@
     }
     auto& pending = found->second;
     this->counters.attempts.add();
+    this->counters.heldForWarmUp.add(decision.wasHeldForWarmUp ? 1 : 0);
     pending.upstream = decision.upstream.name;
     if (pending.attempts++ > 0) {
         this->logOutcome(LogEvent::RequestRetried, pending, ResultCode::Ok, now);
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -194,6 +194,8 @@
                 this->logger.log(LogEvent::KeysAssigned, "", { { "index", entry.index }, { "service", assigned->service }, { "ranges", assigned->grants.size() } });
             } else if (const auto* moved = std::get_if<BeginKeyMoves>(&entry.command)) {
                 this->logger.log(LogEvent::KeyMovesBegun, "", { { "index", entry.index }, { "service", moved->service }, { "ranges", moved->moves.size() } });
+            } else if (const auto* warmUp = std::get_if<BeginWarmUp>(&entry.command); warmUp != nullptr && warmUp->timeLeft > Duration::zero()) {
+                this->logger.log(LogEvent::WarmUpBegun, "", { { "index", entry.index }, { "name", warmUp->key.name }, { "incarnation", warmUp->key.incarnation }, { "leftMs", std::chrono::duration_cast<std::chrono::milliseconds>(warmUp->timeLeft).count() } });
             } else if (const auto* members = std::get_if<ChangeMembers>(&entry.command)) {
                 this->logger.log(LogEvent::MembersChanged, "", { { "index", entry.index }, { "members", members->members.size() } });
             }
--- /dev/null
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -0,0 +1,285 @@
+#include "core/dispatch/DispatchFixture.h"
+
+#include <catch2/catch.hpp>
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace teaselturn;
+using namespace teaselturn::support;
+using std::chrono::milliseconds;
+
+namespace {
+
+const auto plainRoute = DispatchFixture::route("plain", RequestKind::Idempotent, milliseconds { 800 });
+const auto keyedRoute = DispatchFixture::route("keys", RequestKind::AtMostOnce, milliseconds { 800 });
+constexpr milliseconds warmUpTime { 3'000 };
+
+DispatchOptions options()
+{
+    DispatchOptions result { "z1", {}, 1, 200, 100, milliseconds { 10'000 } };
+    result.warmUpOverage = 1.5;
+    result.warmUpSlack = 8;
+    return result;
+}
+
+ConfigItem warmUpService(const std::string& name, bool isSharded)
+{
+    auto item = serviceItem(name, isSharded, 2);
+    auto& content = std::get<ServiceItem>(item.content);
+    content.warmUpTime = warmUpTime;
+    content.warmUpMilliRequestsPerSecond = 5'200;
+    item.document += " with warm-up";
+    return item;
+}
+
+/// An entry VM that has synced with an owner of all keys and two upstreams without keys, all warm.
+struct EntryVm : DispatchFixture {
+    RegisterUpstream owner = registerUpstream("owner", "keys");
+    RegisterUpstream first = registerUpstream("first", "plain");
+    RegisterUpstream second = registerUpstream("second", "plain");
+
+    explicit EntryVm(std::uint32_t entryCount = 1)
+        : DispatchFixture(options())
+    {
+        this->apply(ChangeItems { { warmUpService("plain", false), warmUpService("keys", true) }, {} });
+        this->apply(AssignKeyRanges { "keys", { { 0, keyNumberCount - 1, this->owner.key, "" } } });
+        this->dispatcher.setEntryCount(entryCount);
+        this->sync();
+    }
+
+    void beginWarmUp(const UpstreamKey& key, Duration timeLeft = warmUpTime)
+    {
+        this->apply(BeginWarmUp { key, timeLeft });
+        this->sync();
+    }
+
+    /// Submits a request every 10 ms and answers each at once.
+    /// @return When requests reached the upstream.
+    std::vector<Instant> sendsTo(const UpstreamKey& key, const std::shared_ptr<const CompiledRoute>& route, Duration time)
+    {
+        std::vector<Instant> sends;
+        for (const auto end = this->now + time; this->now < end; this->now += milliseconds { 10 }) {
+            this->clearDecisions();
+            this->dispatcher.advance(this->now, this->decisions);
+            this->submit(route, KeyNumber { 5 });
+            for (std::size_t handled = 0; handled < this->decisions.size(); ++handled) {
+                if (const auto* send = std::get_if<SendRequest>(&this->decisions[handled])) {
+                    if (send->upstream == key) {
+                        sends.push_back(this->now);
+                    }
+                    this->endAttempt(send->id, AttemptOutcome::Answered);
+                }
+            }
+        }
+        return sends;
+    }
+};
+
+std::size_t busiestSecond(const std::vector<Instant>& sends)
+{
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < sends.size(); ++i) {
+        const auto end = std::ranges::find_if(sends, [&](Instant at) { return at > sends[i] + std::chrono::seconds { 1 }; });
+        most = std::max(most, static_cast<std::size_t>(end - sends.begin()) - i);
+    }
+    return most;
+}
+
+}
+
+TEST_CASE("a cold owner gets its share of requests, then load returns")
+{
+    // Guards against a crash of the cold owner: with one entry VM, the share is the rate that the upstream tolerates.
+    EntryVm vm;
+    CHECK(vm.sendsTo(vm.owner.key, keyedRoute, std::chrono::seconds { 1 }).size() > 90);
+    vm.beginWarmUp(vm.owner.key);
+    const auto cold = vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime);
+    CHECK(busiestSecond(cold) <= 7);
+    CHECK(cold.size() >= 13);
+    vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime);
+    CHECK(vm.sendsTo(vm.owner.key, keyedRoute, std::chrono::seconds { 1 }).size() > 90);
+}
+
+TEST_CASE("retries and probes of a cold owner count against its limit")
+{
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    std::size_t sends = 0;
+    const auto route = DispatchFixture::route("keys", RequestKind::Idempotent, milliseconds { 800 });
+    for (const auto end = vm.now + warmUpTime; vm.now < end; vm.now += milliseconds { 10 }) {
+        vm.clearDecisions();
+        vm.dispatcher.advance(vm.now, vm.decisions);
+        vm.submit(route, KeyNumber { 5 });
+        for (std::size_t handled = 0; handled < vm.decisions.size(); ++handled) {
+            if (const auto* send = std::get_if<SendRequest>(&vm.decisions[handled])) {
+                ++sends;
+                vm.endAttempt(send->id, sends % 2 == 0 ? AttemptOutcome::Overloaded : AttemptOutcome::Misdirected);
+            }
+        }
+    }
+    CHECK(sends > 0);
+    CHECK(sends <= 17);
+}
+
+TEST_CASE("a request for a cold owner without room is refused at once and told when to return")
+{
+    EntryVm vm { 63 };
+    vm.beginWarmUp(vm.owner.key);
+    std::size_t refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        vm.clearDecisions();
+        vm.submit(keyedRoute, KeyNumber { 5 });
+        for (const auto& refusal : vm.decisionsOf<RefuseRequest>()) {
+            CHECK(refusal.reason == ResultCode::RequestUpstreamCold);
+            CHECK(refusal.retryAfter >= milliseconds { 1'000 });
+            ++refused;
+        }
+    }
+    CHECK(refused >= 18);
+    // The callers return when load returns, not two seconds later.
+    vm.now += milliseconds { 2'900 };
+    vm.clearDecisions();
+    for (int i = 0; i < 20; ++i) {
+        vm.submit(keyedRoute, KeyNumber { 5 });
+    }
+    for (const auto& refusal : vm.decisionsOf<RefuseRequest>()) {
+        CHECK(refusal.retryAfter < milliseconds { 1'700 });
+    }
+}
+
+TEST_CASE("a request waits for a cold owner if its time allows it and is sent when the next send is due")
+{
+    // Guards against requests that wait until their deadline because no timer is set.
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    std::size_t sent = 0;
+    for (int i = 0; i < 8; ++i) {
+        vm.clearDecisions();
+        vm.submit(keyedRoute, KeyNumber { 5 });
+        for (int turn = 0; turn < 3; ++turn) {
+            for (const auto& send : vm.decisionsOf<SendRequest>()) {
+                CHECK(send.wasHeldForWarmUp == (turn > 0));
+                vm.clearDecisions();
+                vm.endAttempt(send.id, AttemptOutcome::Answered);
+                ++sent;
+            }
+            const auto next = vm.dispatcher.nextDeadline();
+            if (next && vm.dispatcher.pendingRequestCount() > 0) {
+                CHECK(*next > vm.now);
+                CHECK(*next - vm.now < milliseconds { 250 });
+                vm.now = *next;
+                vm.dispatcher.advance(vm.now, vm.decisions);
+            }
+        }
+    }
+    CHECK(sent == 8);
+    CHECK(vm.dispatcher.pendingRequestCount() == 0);
+}
+
+TEST_CASE("queued requests that a cold owner cannot be sent in their time are refused when the warm-up begins")
+{
+    EntryVm vm { 63 };
+    for (int i = 0; i < 6; ++i) {
+        vm.submit(keyedRoute, KeyNumber { 5 });
+    }
+    const auto before = vm.decisionsOf<SendRequest>().size();
+    REQUIRE(before < 6);
+    vm.clearDecisions();
+    vm.beginWarmUp(vm.owner.key);
+    CHECK(vm.decisionsOf<RefuseRequest>().size() >= 5 - before);
+    CHECK(vm.decisionsOf<SendRequest>().empty());
+}
+
+TEST_CASE("requests without keys go to warm upstreams")
+{
+    EntryVm vm;
+    vm.beginWarmUp(vm.first.key);
+    CHECK(vm.sendsTo(vm.first.key, plainRoute, warmUpTime).empty());
+    CHECK(vm.decisionsOf<RefuseRequest>().empty());
+    CHECK(!vm.sendsTo(vm.first.key, plainRoute, 2 * warmUpTime).empty());
+}
+
+TEST_CASE("requests without keys use the shares of cold upstreams if none is warm, and no more")
+{
+    EntryVm vm;
+    vm.beginWarmUp(vm.first.key);
+    vm.beginWarmUp(vm.second.key);
+    const auto toFirst = vm.sendsTo(vm.first.key, plainRoute, milliseconds { 1'500 });
+    CHECK(!toFirst.empty());
+    CHECK(busiestSecond(toFirst) <= 7);
+    CHECK(vm.sendsTo(vm.second.key, plainRoute, milliseconds { 1'500 }).size() <= 9);
+    const auto refused = vm.decisionsOf<RefuseRequest>();
+    CHECK(std::ranges::all_of(refused, [](const RefuseRequest& refusal) { return refusal.reason == ResultCode::RequestUpstreamCold; }));
+}
+
+TEST_CASE("an upstream that registers after the first sync is cold until the registry says otherwise")
+{
+    EntryVm vm;
+    const auto added = vm.registerUpstream("added", "plain");
+    vm.sync();
+    CHECK(vm.sendsTo(added.key, plainRoute, warmUpTime).empty());
+
+    SECTION("the registry states that it started warm")
+    {
+        const auto warm = vm.registerUpstream("warm", "plain");
+        vm.sync();
+        vm.beginWarmUp(warm.key, Duration::zero());
+        CHECK(!vm.sendsTo(warm.key, plainRoute, milliseconds { 500 }).empty());
+    }
+    SECTION("another upstream that is certainly older was not known before, because this entry VM was cut off")
+    {
+        auto young = announcement("young", "plain", 1'700'000'100'000);
+        auto old = announcement("old", "plain", 1'700'000'000'000);
+        vm.apply(young);
+        vm.apply(old);
+        vm.sync();
+        const auto start = vm.now;
+        CHECK(vm.sendsTo(young.key, plainRoute, milliseconds { 1'000 }).empty());
+        vm.now = start;
+        CHECK(!vm.sendsTo(old.key, plainRoute, milliseconds { 1'000 }).empty());
+    }
+}
+
+TEST_CASE("an entry VM that starts takes only those upstreams for cold that the registry states")
+{
+    DispatchFixture vm { options() };
+    vm.apply(ChangeItems { { warmUpService("plain", false), warmUpService("keys", true) }, {} });
+    const auto warm = vm.registerUpstream("warm", "plain");
+    const auto ended = vm.registerUpstream("ended", "plain");
+    const auto cold = vm.registerUpstream("cold", "plain");
+    vm.apply(BeginWarmUp { ended.key, warmUpTime });
+    vm.apply(BeginWarmUp { ended.key, Duration::zero() });
+    vm.apply(BeginWarmUp { cold.key, warmUpTime });
+    vm.sync();
+    std::set<std::string> used;
+    for (int i = 0; i < 6; ++i) {
+        vm.submit(plainRoute);
+    }
+    for (const auto& send : vm.decisionsOf<SendRequest>()) {
+        used.insert(send.upstream.name);
+    }
+    CHECK(used == std::set<std::string> { "ended", "warm" });
+}
+
+TEST_CASE("an upstream that turns cold again with the same time left is limited again")
+{
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    vm.sendsTo(vm.owner.key, keyedRoute, 3 * warmUpTime);
+    // The registry's statement that it was warm in between and the next one arrive together.
+    vm.apply(BeginWarmUp { vm.owner.key, Duration::zero() });
+    vm.beginWarmUp(vm.owner.key);
+    CHECK(vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime).size() <= 17);
+}
+
+TEST_CASE("an upstream of a service without a warm-up is not limited")
+{
+    DispatchFixture vm { options() };
+    vm.sync();
+    const auto added = vm.registerUpstream("added", "plain");
+    vm.sync();
+    vm.submit(plainRoute);
+    CHECK(vm.decisionsOf<SendRequest>().size() == 1);
+}
