Give no keys to an upstream before its load has returned

The leader moved keys to an upstream as soon as its warm-up ended, while entry VMs still limited what they sent to it, so that requests for these keys would have been refused. It now waits for the end of the recovery. The rate rises by a factor of 64 during the recovery, not 16: at 16, entry VMs with few requests would have refused about half of them until the end.

--- a/src/core/dispatch/ReturnTime.cpp
+++ b/src/core/dispatch/ReturnTime.cpp
@@ -12,7 +12,7 @@
     constexpr std::chrono::milliseconds minRetryAfter { 50 };
     constexpr std::chrono::milliseconds maxRetryAfter { 2'000 };
     /// Mean fraction of the recovery after a warm-up at which callers return that were refused because of it.
-    constexpr double recoveryShare = 0.3;
+    constexpr double recoveryShare = 0.4;
 
 }
 
--- a/src/core/dispatch/WarmUpLimit.h
+++ b/src/core/dispatch/WarmUpLimit.h
@@ -16,9 +16,9 @@
 public:
     /// Time for which a slot can be used. A request that arrives just after a slot is sent at once, and a timer may be late.
     static constexpr std::chrono::milliseconds slotValidity { 250 };
-    /// Factor by which the rate rises during the recovery. 43 to 61 requests per second for the upstreams of the known
-    /// deployments, which serve 12 to 25.
-    static constexpr double recoveryFactor = 16;
+    /// Factor by which the rate rises during the recovery. 63 entry VMs then have 2.7 slots per second each, so that
+    /// nearly all requests, which arrive at random, find one in their time, and the end of the limit is no step.
+    static constexpr double recoveryFactor = 64;
 
     /// Begins a warm-up, or changes the end of the current one.
     /// @param coldUntil When the upstream is warm.
--- a/src/core/registry/KeyBalance.h
+++ b/src/core/registry/KeyBalance.h
@@ -18,7 +18,8 @@
     double maxLoad {};
     /// False if the upstream gets no new keys. Its keys move away unless keepsKeys is true.
     bool acceptsKeys { true };
-    /// True if an upstream that accepts no keys keeps those that it has: it is cold. False if it is draining.
+    /// True if an upstream that accepts no keys keeps those that it has: it is cold, or load
+    /// returns to it. False if it is draining.
     bool keepsKeys {};
 };
 
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -358,8 +358,8 @@
         const auto slots = std::max(1U, announcement.requestSlots);
         const auto time = estimate == this->serviceTimes.end() ? 0.0 : std::max(1.0, estimate->second);
         const auto maxLoad = time == 0 ? 0.0 : slots * std::chrono::duration<double, std::milli> { KeyLoadTable::decayTime }.count() / time;
-        const bool isCold = upstream.isUsable() && this->warmUpWatch.isCold(now, announcement.key, state);
-        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() && !isCold, isCold });
+        const bool isLimited = upstream.isUsable() && this->warmUpWatch.isLimited(now, announcement.key, state);
+        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() && !isLimited, isLimited });
     }
     if (std::ranges::none_of(result, &KeyHolder::acceptsKeys)) {
         for (auto& holder : result) {
--- a/src/core/registry/KeyCoordinator.h
+++ b/src/core/registry/KeyCoordinator.h
@@ -58,7 +58,8 @@
     /// upstream; otherwise empty.
     std::optional<Command> registrationFor(const KeyHeartbeat& heartbeat, const RegistryState& state) const;
 
-    /// What this leader knows of warm-ups. Cold upstreams get no keys while others can hold them.
+    /// What this leader knows of warm-ups. Upstreams get no keys until their load has returned, if others
+    /// can hold them.
     WarmUpWatch& warmUps() noexcept { return this->warmUpWatch; }
 
     /// Records a heartbeat of a registered upstream.
--- a/src/core/registry/RegistryHeartbeatInlines.h
+++ b/src/core/registry/RegistryHeartbeatInlines.h
@@ -40,7 +40,8 @@
     auto& warmUps = this->coordinator.warmUps();
     const auto command = warmUps.commandFor(now, heartbeat, isRegistered, this->registry);
     if (command && this->propose(now, *command, NoWaiter {})) {
-        warmUps.recordProposed(now, *command);
+        const auto* service = this->registry.findService(heartbeat.announcement.service);
+        warmUps.recordProposed(now, *command, service == nullptr ? Duration::zero() : service->warmUpTime);
     }
 }
 
--- a/src/core/registry/WarmUpWatch.cpp
+++ b/src/core/registry/WarmUpWatch.cpp
@@ -1,5 +1,7 @@
 #include "core/registry/WarmUpWatch.h"
 
+#include <algorithm>
+
 namespace teaselturn {
 
 namespace {
@@ -41,10 +43,16 @@
     return isLater || hasEnded ? std::optional { command } : std::nullopt;
 }
 
-void WarmUpWatch::recordProposed(Instant now, const BeginWarmUp& command)
+void WarmUpWatch::recordProposed(Instant now, const BeginWarmUp& command, Duration recoveryTime)
 {
-    const auto coldUntil = command.timeLeft > Duration::zero() ? std::optional { now + command.timeLeft } : std::nullopt;
-    this->records[command.key.name] = Record { command.key, coldUntil, true };
+    const auto* previous = this->find(command.key);
+    if (command.timeLeft > Duration::zero()) {
+        const auto coldUntil = now + command.timeLeft;
+        this->records[command.key.name] = Record { command.key, coldUntil, coldUntil + recoveryTime, true };
+    } else {
+        const auto limitedUntil = previous == nullptr ? now : std::min(previous->limitedUntil, now + recoveryTime);
+        this->records[command.key.name] = Record { command.key, std::nullopt, limitedUntil, true };
+    }
 }
 
 void WarmUpWatch::recordApplied(const BeginWarmUp& command)
@@ -55,10 +63,10 @@
     }
 }
 
-bool WarmUpWatch::isCold(Instant now, const UpstreamKey& key, const RegistryState& state) const
+bool WarmUpWatch::isLimited(Instant now, const UpstreamKey& key, const RegistryState& state) const
 {
     if (const auto* record = this->find(key)) {
-        return record->coldUntil && now < *record->coldUntil;
+        return now < record->limitedUntil;
     }
     const auto stated = state.warmUps().find(key);
     return stated != state.warmUps().end() && stated->second.timeLeft > Duration::zero();
--- a/src/core/registry/WarmUpWatch.h
+++ b/src/core/registry/WarmUpWatch.h
@@ -21,17 +21,20 @@
     /// @return The command to propose; empty if entry VMs know as much already.
     std::optional<BeginWarmUp> commandFor(Instant now, const KeyHeartbeat& heartbeat, bool isRegistered, const RegistryState& state) const;
     /// Records a command that was proposed.
-    void recordProposed(Instant now, const BeginWarmUp& command);
+    /// @param recoveryTime Time after the warm-up during which load returns to the upstream.
+    void recordProposed(Instant now, const BeginWarmUp& command, Duration recoveryTime);
     /// Records that a command of this or a former leader was applied.
     void recordApplied(const BeginWarmUp& command);
 
-    bool isCold(Instant now, const UpstreamKey& key, const RegistryState& state) const;
+    /// @return True while entry VMs limit what they send to the upstream: while it is cold and while load returns to it.
+    bool isLimited(Instant now, const UpstreamKey& key, const RegistryState& state) const;
 
 private:
     struct Record {
         UpstreamKey key;
         /// When the upstream is warm; empty if it stated that it is.
         std::optional<Instant> coldUntil;
+        Instant limitedUntil;
         /// True until the command is applied.
         bool isProposed {};
     };
