--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -67,6 +67,7 @@
     FeedRegained = 6017,
     EvacuationRecorded = 6018,
     EvacuationApplied = 6019,
+    WarmUpBegun = 6020,
 };
 
 /// Row of logEventTable.
@@ -78,7 +79,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 50> logEventTable;
+extern const std::array<LogEventRow, 51> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/include/teaselturn/ResultCode.h
+++ b/include/teaselturn/ResultCode.h
@@ -54,6 +54,7 @@
     RequestLinkFull = 3112,
     RequestRegionUnavailable = 3113,
     RequestZoneEvacuated = 3114,
+    RequestUpstreamCold = 3115,
     RequestOutcomeUnknown = 3201,
     ResponseIncomplete = 3202,
     ResponseMismatched = 3203,
@@ -113,7 +114,7 @@
 };
 
 /// All result codes with name and message, in ascending order of number.
-extern const std::array<ResultCodeRow, 80> resultCodeTable;
+extern const std::array<ResultCodeRow, 81> resultCodeTable;
 
 /// @return The error category of ResultCode.
 const std::error_category& resultCategory() noexcept;
--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -5,7 +5,7 @@
 
 namespace teaselturn {
 
-const std::array<ResultCodeRow, 80> resultCodeTable { {
+const std::array<ResultCodeRow, 81> resultCodeTable { {
     { ResultCode::Ok, "Ok", "success" },
     { ResultCode::Internal, "Internal", "internal error" },
     { ResultCode::UsageError, "UsageError", "the command line is not valid" },
@@ -45,6 +45,7 @@
     { ResultCode::RequestLinkFull, "RequestLinkFull", "the network link of the entry VM is full; the request was not run" },
     { ResultCode::RequestRegionUnavailable, "RequestRegionUnavailable", "no upstream in a region that the route allows can run the request; it was not run" },
     { ResultCode::RequestZoneEvacuated, "RequestZoneEvacuated", "the upstreams that can run the request are in an evacuated availability zone; it was not run" },
+    { ResultCode::RequestUpstreamCold, "RequestUpstreamCold", "the upstream is warming up and has no room in the request's time; the request was not run" },
     { ResultCode::RequestOutcomeUnknown, "RequestOutcomeUnknown", "the request was sent but no whole answer arrived; it may have run" },
     { ResultCode::ResponseIncomplete, "RequestAnswerIncomplete", "the answer ended early; the request may have run" },
     { ResultCode::ResponseMismatched, "RequestAnswerMismatched", "the answer belongs to another request; this request may have run" },
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -8,6 +8,7 @@
 #include "core/dispatch/ReturnTime.h"
 #include "core/dispatch/UpstreamChoice.h"
 #include "core/dispatch/UpstreamEligibility.h"
+#include "core/dispatch/WarmUpShare.h"
 #include "core/dispatch/ZoneEvacuations.h"
 #include "core/registry/RegistryState.h"
 #include "teaselturn/Message.h"
@@ -44,7 +45,7 @@
     void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions) { this->sync(now, now, state, decisions); }
 
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
-    void setEntryCount(std::uint32_t count) noexcept { this->capacity.setEntryCount(count); }
+    void setEntryCount(std::uint32_t count);
 
     /// Refuses from now on new requests that may still be in progress when the process ends.
     void refuseRequestsBeyond(Instant processEnd) noexcept { this->admission.refuseRequestsBeyond(processEnd); }
@@ -87,6 +88,9 @@
     ReturnRamp makeReturnRamp(Instant now, const DispatchUpstream& upstream) const;
     /// Moves queued requests to the queues of their keys' owners.
     void requeueByOwner(DispatchService& service);
+    /// Begins and ends warm-ups as the registry states them, and those of new upstreams that it states nothing about.
+    void syncWarmUps(Instant now, const RegistryState& state);
+    void beginWarmUp(Instant now, const ServiceItem& service, DispatchUpstream& upstream, Duration timeLeft);
     void syncKeys(Instant now, const RegistryState& state, DispatchService& service);
     Duration extraRoundTripTo(std::string_view zone) const;
     void recordLeaving(Instant now, DispatchUpstream& upstream);
@@ -112,6 +116,12 @@
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
     /// Refuses the requests of a queue that no upstream may be sent any more.
     void refuseUnplaceable(Instant now, const RequestQueue& queue, DispatchDecisions& decisions);
+    /// Refuses queued requests that a cold owner cannot be sent in their time.
+    void refuseWhileCold(Instant now, DispatchService& service, const DispatchUpstream& owner, DispatchDecisions& decisions);
+    /// Schedules the next dispatch of a queue for the time at which a cold owner may be sent a request.
+    void scheduleForWarmUp(Instant now, DispatchService& service, const DispatchUpstream& owner);
+    /// Schedules the next dispatch of a request without a key that waits for cold upstreams.
+    void scheduleForWarmUp(Instant now, DispatchService& service, PendingDispatch& pending);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
@@ -141,9 +151,12 @@
     ZoneEvacuations evacuations;
     /// When the last ramp of an upstream that returned from an evacuation ends.
     Instant rampsEnd;
+    LogIndex warmUpsIndex;
+    bool hasSynced {};
     UpstreamTable upstreams;
     UpstreamEligibility eligibility { this->options };
     CapacityEstimate capacity { this->upstreams };
+    WarmUpShare warmUpShare { this->options };
     UpstreamChoice<> choice;
     Admission admission { this->upstreams, this->eligibility, this->capacity, this->choice };
     ReturnTime returnTime;
--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -1,6 +1,7 @@
 #include "core/registry/KeyCoordinator.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace teaselturn {
 
@@ -72,6 +73,7 @@
     this->lastBalancedAt = now;
     this->balancedEvacuations = {};
     this->contacts.clear();
+    this->warmUpWatch.becameLeader();
     this->revocations.clear();
     this->proposedAssignments.clear();
     this->loads.clear();
@@ -341,7 +343,7 @@
     }
 }
 
-std::vector<KeyHolder> KeyCoordinator::holders(std::string_view service, const RegistryState& state) const
+std::vector<KeyHolder> KeyCoordinator::holders(Instant now, std::string_view service, const RegistryState& state) const
 {
     std::vector<double> times;
     for (const auto& [key, time] : this->serviceTimes) {
@@ -360,14 +362,21 @@
         const auto slots = std::max(1U, announcement.requestSlots);
         const auto time = estimate == this->serviceTimes.end() ? 0.0 : std::max(1.0, estimate->second);
         const auto maxLoad = time == 0 ? 0.0 : slots * std::chrono::duration<double, std::milli> { KeyLoadTable::decayTime }.count() / time;
-        result.push_back({ announcement.key, slots * speed, maxLoad, upstream.isUsable() && !state.isEvacuated(announcement.zone) });
+        const bool acceptsKeys = upstream.isUsable() && !state.isEvacuated(announcement.zone);
+        const bool isLimited = acceptsKeys && this->warmUpWatch.isLimited(now, announcement.key, state);
+        result.push_back({ announcement.key, slots * speed, maxLoad, acceptsKeys && !isLimited, isLimited });
+    }
+    if (std::ranges::none_of(result, &KeyHolder::acceptsKeys)) {
+        for (auto& holder : result) {
+            holder.acceptsKeys = std::exchange(holder.keepsKeys, false);
+        }
     }
     return result;
 }
 
 void KeyCoordinator::placeKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands)
 {
-    const auto available = this->holders(service, state);
+    const auto available = this->holders(now, service, state);
     if (available.empty()) {
         return;
     }
@@ -390,11 +399,11 @@
     }
 }
 
-void KeyCoordinator::balanceKeys(std::string_view service, const RegistryState& state, std::vector<Command>& commands)
+void KeyCoordinator::balanceKeys(Instant now, std::string_view service, const RegistryState& state, std::vector<Command>& commands)
 {
     const auto found = this->loads.find(service);
     const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
-    auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
+    auto moves = planKeyMoves(state.keyRanges(service), this->holders(now, service, state), weights, {});
     for (std::size_t begin = 0; begin < moves.size(); begin += maxMovesPerCommand) {
         const auto end = std::min(begin + maxMovesPerCommand, moves.size());
         commands.push_back(BeginKeyMoves { std::string { service }, { moves.begin() + static_cast<std::ptrdiff_t>(begin), moves.begin() + static_cast<std::ptrdiff_t>(end) } });
@@ -426,7 +435,7 @@
         }
         this->updateServiceTimes(now, state);
         for (const auto& service : sharded) {
-            this->balanceKeys(service, state, commands);
+            this->balanceKeys(now, service, state, commands);
         }
     }
     for (const auto& command : commands) {
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -23,6 +23,10 @@
     Counter responsesOverBudget;
     /// Evacuation orders and withdrawals that were applied.
     Counter evacuationChanges;
+    /// Requests sent after they had to wait because an upstream is cold.
+    Counter heldForWarmUp;
+    /// Requests refused because the owner of their key is cold.
+    Counter refusedForWarmUp;
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
 
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -201,6 +201,8 @@
                 this->logger.log(LogEvent::KeyMovesBegun, "", { { "index", entry.index }, { "service", moved->service }, { "ranges", moved->moves.size() } });
             } else if (const auto* order = std::get_if<EvacuateZone>(&entry.command)) {
                 this->logger.log(LogEvent::EvacuationRecorded, "", { { "index", entry.index }, { "zone", order->zone }, { "evacuated", order->isEvacuated ? 1 : 0 }, { "code", static_cast<unsigned>(outcome.code) } });
+            } else if (const auto* warmUp = std::get_if<BeginWarmUp>(&entry.command); warmUp != nullptr && warmUp->timeLeft > Duration::zero()) {
+                this->logger.log(LogEvent::WarmUpBegun, "", { { "index", entry.index }, { "name", warmUp->key.name }, { "incarnation", warmUp->key.incarnation }, { "leftMs", std::chrono::duration_cast<std::chrono::milliseconds>(warmUp->timeLeft).count() } });
             } else if (const auto* members = std::get_if<ChangeMembers>(&entry.command)) {
                 this->logger.log(LogEvent::MembersChanged, "", { { "index", entry.index }, { "members", members->members.size() } });
             }
