--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -260,7 +260,7 @@
     }
     if (command.timeLeft > Duration::zero()) {
         // Keys that the owner has released already are granted to it again.
-        this->clearMovesTo(command.key);
+        this->clearMovesTo([&command](const UpstreamKey& target) { return target == command.key; });
     }
     this->warmUpTimes[command.key] = { command.timeLeft, this->index };
     this->warmUpsIndex = this->index;
