Split the moves and assignments of many keys into small log entries

The coordinator assigned all released keys of a service in one entry, and the keys of a whole zone move at once. A large entry does not fit the datagrams of the feed.

--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -12,9 +12,9 @@
     constexpr double serviceTimeWeight = 0.3;
     /// Minimum number of responses for a new estimate of an upstream's service time.
     constexpr double minimumResponses = 8;
-    /// Maximum number of moves in one command. All keys of an evacuated zone move in one round, but the feed sends entries
-    /// to entry VMs in datagrams of 2,000 bytes.
-    constexpr std::size_t maxMovesPerCommand = 48;
+    /// Maximum number of moves or grants in one command. All keys of an evacuated zone move in one round, but the feed
+    /// sends entries to entry VMs in datagrams of 2,000 bytes.
+    constexpr std::size_t maxRangesPerCommand = 48;
     /// Bounds of an upstream's speed relative to the median upstream.
     constexpr double lowestSpeed = 0.25;
     constexpr double highestSpeed = 2.5;
@@ -30,6 +30,17 @@
         return std::uint32_t { keys.last } - keys.first + 1;
     }
 
+    /// Adds commands for a service that together contain all the moves or grants.
+    template <typename CommandType, typename Item>
+    void addInParts(std::vector<Command>& commands, std::string_view service, std::span<const Item> items)
+    {
+        while (!items.empty()) {
+            const auto part = items.first(std::min(maxRangesPerCommand, items.size()));
+            commands.push_back(CommandType { std::string { service }, { part.begin(), part.end() } });
+            items = items.subspan(part.size());
+        }
+    }
+
     /// @return Number of keys of a range that are held under its fence.
     std::uint32_t heldKeyCount(std::span<const HeldKeys> held, const KeyRange& range) noexcept
     {
@@ -144,7 +155,7 @@
 
 std::vector<Command> KeyCoordinator::assignReleased(Instant now, const RegistryState& state)
 {
-    absl::btree_map<std::string, AssignKeyRanges> assignments;
+    absl::btree_map<std::string, std::vector<KeyRangeGrant>> assignments;
     // A revocation is kept until its assignment is applied: until then, no reply may grant the keys to the old owner
     // again.
     std::erase_if(this->revocations, [&](const Revocation& revocation) {
@@ -153,16 +164,14 @@
             return true;
         }
         if (revocation.assignAt && now >= *revocation.assignAt) {
-            auto& assignment = assignments[revocation.service];
-            assignment.service = revocation.service;
             // The range may have been joined with a later move, whose keys were not released.
-            assignment.grants.push_back({ revocation.first, std::min(range->last, revocation.last), range->target, revocation.handover, this->timeUntilReachable(now, range->target) });
+            assignments[revocation.service].push_back({ revocation.first, std::min(range->last, revocation.last), range->target, revocation.handover, this->timeUntilReachable(now, range->target) });
         }
         return false;
     });
     std::vector<Command> commands;
-    for (auto& [service, assignment] : assignments) {
-        commands.push_back(std::move(assignment));
+    for (const auto& [service, grants] : assignments) {
+        addInParts<AssignKeyRanges, KeyRangeGrant>(commands, service, grants);
     }
     return commands;
 }
@@ -394,11 +403,8 @@
 {
     const auto found = this->loads.find(service);
     const auto weights = found == this->loads.end() ? std::span<const float> {} : found->second.weights();
-    auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
-    for (std::size_t begin = 0; begin < moves.size(); begin += maxMovesPerCommand) {
-        const auto end = std::min(begin + maxMovesPerCommand, moves.size());
-        commands.push_back(BeginKeyMoves { std::string { service }, { moves.begin() + static_cast<std::ptrdiff_t>(begin), moves.begin() + static_cast<std::ptrdiff_t>(end) } });
-    }
+    const auto moves = planKeyMoves(state.keyRanges(service), this->holders(service, state), weights, {});
+    addInParts<BeginKeyMoves, KeyRangeMove>(commands, service, moves);
 }
 
 std::vector<Command> KeyCoordinator::decide(Instant now, const RegistryState& state)
