Count the bound of an evacuation from the last request for which the registry copy was current

The time of the previous feed reply was too late after a cut: the first of several datagrams, or a delayed reply, made an old order look new, and owners in the zone would have been sent requests for 3.5 s again.

--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -43,6 +43,9 @@
     NodeId source() const noexcept { return this->currentSource; }
     /// @return True once this copy has applied everything that a member had applied when it replied.
     bool isComplete() const noexcept { return this->hasCaughtUp; }
+    /// @return Time since which commits may be missing: when the last request was sent whose reply left nothing to apply.
+    /// Zero before that. A reply may be late, so its arrival shows nothing.
+    Instant lastCurrentAt() const noexcept { return this->currentAt; }
     /// @return Time of the last feed reply.
     Instant lastReplyAt() const noexcept { return this->lastFeedReplyAt; }
 
@@ -82,6 +85,7 @@
     std::optional<Instant> lastProbeAt;
     Instant requestedAt;
     Instant lastFeedReplyAt;
+    Instant currentAt;
     bool isRequestOutstanding {};
     bool isSearching { true };
     bool hasCaughtUp {};
--- a/src/core/registry/RegistryReplicaInlines.h
+++ b/src/core/registry/RegistryReplicaInlines.h
@@ -141,6 +141,9 @@
         }
     }
     this->hasCaughtUp = this->hasCaughtUp || this->registry.appliedIndex() >= reply.lastIndex;
+    if (isAwaited && this->registry.appliedIndex() >= reply.lastIndex) {
+        this->currentAt = this->requestedAt;
+    }
     return this->registry.appliedIndex() != before;
 }
 
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -165,8 +165,7 @@
         typename Gateway<Protocol>::Effects effects;
         {
             const MutexLock lock { this->mutex };
-            // A first copy does not show how old its evacuation orders are.
-            const auto lastCurrentAt = this->replica.isComplete() ? this->replica.lastReplyAt() : Instant {};
+            const auto lastCurrentAt = this->replica.lastCurrentAt();
             const auto changed = this->replica.handleFeedReply(this->reactor.now(), from, *reply);
             if (!changed) {
                 this->logger.log(LogEvent::MessageDropped, changed.failure().describe(), { { "from", from } });
--- a/tests/core/registry/ZoneEvacuationTest.cpp
+++ b/tests/core/registry/ZoneEvacuationTest.cpp
@@ -1,4 +1,5 @@
 #include "core/registry/KeyCoordinator.h"
+#include "core/registry/RegistryReplica.h"
 #include "core/registry/RegistryService.h"
 
 #include "adapters/codec/RegistryCodec.h"
@@ -214,6 +215,33 @@
     CHECK(service.keysIn("z1") == 0);
 }
 
+TEST_CASE("a replica knows since when commits may be missing")
+{
+    // Guards against an entry VM that takes an old evacuation order for a new one, because it was cut off, or because the
+    // reply with the order is the last of several datagrams.
+    RegistryReplica<BinaryRegistryCodec> replica { { NodeId { 1 } }, {} };
+    Instant now { std::chrono::seconds { 1 } };
+    const auto probe = std::get<MemberProbe>(replica.nextMessages(now)[0].message).sequence;
+    replica.handleProbeReply(now, NodeId { 1 }, { probe });
+    const auto request = [&replica, &now] {
+        now += milliseconds { 50 };
+        return std::get<FeedRequest>(replica.nextMessages(now).back().message).sequence;
+    };
+    const auto entry = [](std::uint64_t index) { return LogEntry { Term { 1 }, LogIndex { index }, EvacuateZone { "z" + std::to_string(index), true } }; };
+    const auto first = request();
+    CHECK(replica.lastCurrentAt() == Instant {});
+    const auto firstRequestedAt = now;
+    now += milliseconds { 300 };
+    REQUIRE(replica.handleFeedReply(now, NodeId { 1 }, { first, LogIndex { 1 }, { entry(1) }, 0, 0, {}, {} }));
+    CHECK(replica.lastCurrentAt() == firstRequestedAt);
+    const auto second = request();
+    // The first datagram of two. It counts as the reply to an earlier request.
+    REQUIRE(replica.handleFeedReply(now, NodeId { 1 }, { second - 1, LogIndex { 3 }, { entry(2) }, 0, 0, {}, {} }));
+    CHECK(replica.lastCurrentAt() == firstRequestedAt);
+    REQUIRE(replica.handleFeedReply(now, NodeId { 1 }, { second, LogIndex { 3 }, { entry(3) }, 0, 0, {}, {} }));
+    CHECK(replica.lastCurrentAt() == now);
+}
+
 TEST_CASE("evacuation orders survive a snapshot")
 {
     RegistryState state;
