Collect the requests of all pending proposals before they are failed

With one more kind of waiter, GCC 12 inlined the responses of each kind and reported their variant as uninitialized, which broke the build of the load model (-O2, -Werror). One loop responds to all of them now. The load model's main.cpp compiles.

--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -196,6 +196,8 @@
     void proposeDecisions(Instant now);
     void changeMembers(Instant now);
     void requestToJoin(Instant now);
+    /// @return The control requests that wait for a proposal.
+    static std::vector<ControlRequestId> requestIdsOf(const ProposalWaiter& waiter);
     void failPendingProposals();
     void installSnapshot(const LedgerSnapshot& snapshot);
     void applyCommitted(Instant now, std::vector<LogEntry> entries);
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -314,26 +314,34 @@
     }
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+std::vector<ControlRequestId> RegistryService<Random, Codec>::requestIdsOf(const ProposalWaiter& waiter)
+{
+    if (const auto* heartbeat = std::get_if<HeartbeatWaiter>(&waiter)) {
+        return { heartbeat->requestId };
+    }
+    if (const auto* items = std::get_if<ItemsWaiter>(&waiter)) {
+        return items->requestIds;
+    }
+    if (const auto* departure = std::get_if<DepartureWaiter>(&waiter)) {
+        return { departure->requestId };
+    }
+    const auto* evacuation = std::get_if<EvacuationWaiter>(&waiter);
+    return evacuation == nullptr ? std::vector<ControlRequestId> {} : evacuation->requestIds;
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::failPendingProposals()
 {
-    for (auto& [index, proposal] : this->pending) {
-        if (const auto* heartbeat = std::get_if<HeartbeatWaiter>(&proposal.waiter)) {
-            this->respond(heartbeat->requestId, LeaderUnavailable {});
-        } else if (const auto* items = std::get_if<ItemsWaiter>(&proposal.waiter)) {
-            for (const auto requestId : items->requestIds) {
-                this->respond(requestId, LeaderUnavailable {});
-            }
-        } else if (const auto* departure = std::get_if<DepartureWaiter>(&proposal.waiter)) {
-            this->respond(departure->requestId, LeaderUnavailable {});
-        } else if (const auto* evacuation = std::get_if<EvacuationWaiter>(&proposal.waiter)) {
-            for (const auto requestId : evacuation->requestIds) {
-                this->respond(requestId, LeaderUnavailable {});
-            }
-        }
+    std::vector<ControlRequestId> requestIds;
+    for (const auto& [index, proposal] : this->pending) {
+        std::ranges::copy(requestIdsOf(proposal.waiter), std::back_inserter(requestIds));
     }
     while (const auto held = this->heldHeartbeats.takeAny()) {
-        this->respond(held->requestId, LeaderUnavailable {});
+        requestIds.push_back(held->requestId);
+    }
+    for (const auto requestId : requestIds) {
+        this->respond(requestId, LeaderUnavailable {});
     }
     this->pending.clear();
     this->pendingDecisions = 0;
