--- a/tests/core/dispatch/AllowedRegionsTest.cpp
+++ b/tests/core/dispatch/AllowedRegionsTest.cpp
@@ -218,9 +218,9 @@
     fixture.registerIn("near", "z1", "plain", 1);
     const auto far = fixture.registerIn("far", "z3", "plain", 1);
     fixture.sync();
-    std::vector<PendingRequestId> running;
-    for (int i = 0; i < 6; ++i) {
-        running.push_back(fixture.submit(anywhereRoute));
+    std::vector<PendingRequestId> running(6);
+    for (auto& id : running) {
+        id = fixture.submit(anywhereRoute);
     }
     REQUIRE(fixture.decisionsOf<RefuseRequest>().empty());
     REQUIRE(fixture.decisionsOf<SendRequest>().size() < running.size());
