--- a/tests/core/dispatch/DispatcherWarmUpTest.cpp
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -182,6 +182,21 @@
     CHECK(vm.dispatcher.pendingRequestCount() == 0);
 }
 
+TEST_CASE("a request that a cold owner could be sent only after its target latency is refused at once")
+{
+    // Guards against an admission that does not see the limit: requests would wait until they are late.
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    const auto route = DispatchFixture::route("keys", RequestKind::AtMostOnce, milliseconds { 300 });
+    for (int i = 0; i < 10; ++i) {
+        vm.submit(route, KeyNumber { 5 });
+    }
+    CHECK(vm.dispatcher.pendingRequestCount() <= 2);
+    for (const auto& refusal : vm.decisionsOf<RefuseRequest>()) {
+        CHECK(refusal.reason == ResultCode::RequestUpstreamCold);
+    }
+}
+
 TEST_CASE("queued requests that a cold owner cannot be sent in their time are refused when the warm-up begins")
 {
     EntryVm vm { 63 };
@@ -243,8 +258,16 @@
     EntryVm vm;
     const auto added = vm.registerUpstream("added", "plain");
     vm.sync();
-    CHECK(vm.sendsTo(added.key, plainRoute, warmUpTime).empty());
 
+    SECTION("no other upstream is left")
+    {
+        vm.apply(RemoveUpstream { vm.first.key, true });
+        vm.apply(RemoveUpstream { vm.second.key, true });
+        vm.sync();
+        const auto sends = vm.sendsTo(added.key, plainRoute, warmUpTime);
+        CHECK(!sends.empty());
+        CHECK(sends.size() <= 17);
+    }
     SECTION("the registry states that it started warm")
     {
         const auto warm = vm.registerUpstream("warm", "plain");
