Do not take upstreams for cold that registered before their service was configured

The leader states nothing about the warm-up of such an upstream. An entry VM that learned of the upstream and the service in one sync limited it for two warm-up times at the start of the whole system.

Adds a test of the metric at the gateway, not run yet.

--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -144,7 +144,10 @@
         }
         const auto stated = state.warmUps().find(key);
         if (stated == state.warmUps().end()) {
-            if (isNew && this->hasSynced && !isKnownToBeOld(key, latestIncarnation, service.warmUpTime)) {
+            // The leader states nothing about an upstream that registered before the service was configured.
+            const auto* registered = state.findUpstream(key.name);
+            const bool isStatementDue = registered != nullptr && registered->changedAt > state.itemsChangedAt();
+            if (isNew && this->hasSynced && isStatementDue && !isKnownToBeOld(key, latestIncarnation, service.warmUpTime)) {
                 this->beginWarmUp(now, service, upstream, service.warmUpTime);
                 upstream.isWarmUpAssumed = true;
             }
--- a/tests/core/dispatch/DispatcherWarmUpTest.cpp
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -315,6 +315,18 @@
     CHECK(used == std::set<std::string> { "ended", "warm" });
 }
 
+TEST_CASE("an upstream that registered before its service was configured is not taken for cold")
+{
+    // Guards against a delayed start of the whole system if an entry VM learns of both at once.
+    DispatchFixture vm { options() };
+    vm.sync();
+    const auto early = vm.registerUpstream("early", "plain");
+    vm.apply(ChangeItems { { warmUpService("plain", false) }, {} });
+    vm.sync();
+    vm.submit(plainRoute);
+    CHECK(vm.decisionsOf<SendRequest>().size() == 1);
+}
+
 TEST_CASE("an upstream that turns cold again with the same time left is limited again")
 {
     EntryVm vm;
--- a/tests/core/registry/WarmUpWatchTest.cpp
+++ b/tests/core/registry/WarmUpWatchTest.cpp
@@ -1,5 +1,6 @@
 #include "core/registry/WarmUpWatch.h"
 
+#include "adapters/codec/RegistryCodec.h"
 #include "core/registry/RegistryFixture.h"
 
 #include <catch2/catch.hpp>
@@ -35,7 +36,7 @@
     {
         auto message = heartbeat(this->upstream, ++this->sequence);
         message.warmUpLeft = timeLeft;
-        const auto command = this->watch.commandFor(this->now, message, isRegistered, this->state);
+        auto command = this->watch.commandFor(this->now, message, isRegistered, this->state);
         if (command) {
             this->watch.recordProposed(this->now, *command, std::chrono::seconds { 3 });
         }
@@ -148,7 +149,9 @@
     CHECK(leader.commit(milliseconds { 3'000 }));
     CHECK(!leader.state.findRange("k", 5)->isMoving());
     RegistryState restored;
-    restored.restore(leader.state.snapshot());
+    const auto decoded = decodeRegistrySnapshot(encodeRegistrySnapshot(leader.state.snapshot()));
+    REQUIRE(decoded);
+    restored.restore(*decoded);
     REQUIRE(restored.warmUps().contains(leader.upstream.key));
     CHECK(restored.warmUps().at(leader.upstream.key).timeLeft == milliseconds { 3'000 });
     CHECK(restored.warmUps().at(leader.upstream.key).changedAt == restored.appliedIndex());
--- a/tests/node/gateway/GatewayTest.cpp
+++ b/tests/node/gateway/GatewayTest.cpp
@@ -189,3 +189,21 @@
     }
     CHECK(fixture.gateway.openRequests() == 0);
 }
+
+TEST_CASE("a request that a cold upstream has no room for is refused as not run and counted")
+{
+    GatewayFixture fixture { [](const ReceivedRequest& request) { return FakeUpstream::validResponse(request, "x"); }, RequestKind::Idempotent };
+    auto service = serviceItem("a", false, 2);
+    auto& content = std::get<ServiceItem>(service.content);
+    content.warmUpTime = std::chrono::seconds { 60 };
+    content.warmUpMilliRequestsPerSecond = 100;
+    fixture.apply(ChangeItems { { service }, {} });
+    fixture.apply(BeginWarmUp { fixture.state.findUpstream("u")->announcement.key, content.warmUpTime });
+    fixture.publish();
+    const auto received = fixture.sendAndReceive(callerRequest("1"), 1);
+    CHECK(received.starts_with("HTTP/1.1 503"));
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+    CHECK(fixture.upstream.requests == 0);
+    CHECK(fixture.gateway.statistics().refusedForWarmUp.value() == 1);
+    CHECK(fixture.gateway.metricsText().find("teaselturn_requests_refused_for_warm_up_total 1\n") != std::string::npos);
+}
