--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -343,3 +343,18 @@
         CHECK(notice(503, { { "Retry-After", absurd } }).pause == Duration::zero());
     }
 }
+
+TEST_CASE("the load that an upstream states is read, and a malformed report states no load")
+{
+    // Guards against reports that are cut off, out of range or of another form and would steer requests.
+    const auto load = [](const char* text) { return CallerHeaders::readNotice(response(200, { { "Upstream-Load", text } })).load; };
+    CHECK(load("2,0,3") == ReportedLoad { 2, 0, 3, 100 });
+    CHECK(load("3,7,3,310") == ReportedLoad { 3, 7, 3, 310 });
+    CHECK(CallerHeaders::readNotice(response(503, { { "upstream-load", "1,2,3" } })).load == ReportedLoad { 1, 2, 3, 100 });
+    CHECK(!CallerHeaders::readNotice(response(200, {})).load);
+    for (const auto* malformed : { "", ",", "1", "1,2", "1,2,", "1,2,3,", "1,2,3,100,", "1,2,3,100,5", "-1,2,3", "+1,2,3", "1, 2,3", " 1,2,3", "1,2,3 ", "1.5,2,3", "0x1,2,3", "a,b,c", "1,2,0", "1,2,3,0",
+             "1,2,3,10001", "100001,0,3", "4294967296,0,3", "99999999999999999999,0,3" }) {
+        INFO(malformed);
+        CHECK(!load(malformed));
+    }
+}
