Place requests by the expected wait in a subset of the upstreams

Cause: an entry VM of many knows little of an upstream from its own requests. All of them compared all upstreams by latency, so fast upstreams were overloaded in turn and each entry VM kept connections to many.

Change: LoadEstimate combines reports, their age, requests sent since and latency against that of peers. UpstreamChoice compares a subset given by weighted rendezvous hashing and takes the shortest expected wait. DispatchOptions::placement keeps the earlier choice for comparison. The load model gains patterns with 63 entry VMs and figures for connections and spread.

--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -89,7 +89,7 @@
     }
     const auto waiting = requestsAhead(service.queue, pending.position());
     const bool isBelowLimit = service.inFlight < this->capacity.inFlightLimit(service);
-    if (waiting == 0 && isBelowLimit && this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr) {
+    if (waiting == 0 && isBelowLimit && this->choice.hasCandidate(now, pending, this->upstreams, this->eligibility)) {
         return Duration::zero();
     }
     // Requests in flight in excess of the slots are queued at the upstreams.
--- a/src/core/dispatch/Admission.h
+++ b/src/core/dispatch/Admission.h
@@ -15,7 +15,7 @@
 class Admission {
 public:
     /// The references must outlive this object.
-    Admission(UpstreamTable& upstreams, const UpstreamEligibility& eligibility, const CapacityEstimate& capacity, const UpstreamChoice<>& choice) noexcept
+    Admission(UpstreamTable& upstreams, const UpstreamEligibility& eligibility, const CapacityEstimate& capacity, const UpstreamChoice& choice) noexcept
         : upstreams(upstreams)
         , eligibility(eligibility)
         , capacity(capacity)
@@ -41,7 +41,7 @@
     UpstreamTable& upstreams;
     const UpstreamEligibility& eligibility;
     const CapacityEstimate& capacity;
-    const UpstreamChoice<>& choice;
+    const UpstreamChoice& choice;
     /// When the process ends; empty if it is not stopping.
     std::optional<Instant> processEnd;
 };
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -29,6 +29,9 @@
     /// differs between entry VMs, so that each uses few upstreams and connections while the load of all entry VMs
     /// spreads evenly over the upstreams.
     double preferencePenalty {};
+    /// Weighted rendezvous hash of the upstream and this entry VM; upstreams with lower values are preferred. Upstreams with
+    /// more slots have low values at more entry VMs.
+    double preferenceOrder {};
     /// Whether requests to it cross the narrow link between regions.
     bool isInOtherRegion {};
     /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
@@ -84,6 +87,7 @@
     std::vector<KeyRange> ranges;
     /// Log index at which `ranges` last changed.
     LogIndex rangesIndex;
+    /// In ascending order of DispatchUpstream::preferenceOrder.
     std::vector<UpstreamKey> upstreams;
     RetryWindow retries;
     /// Exponential moving average of the response time of the service's upstreams.
--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -69,6 +69,14 @@
 using DispatchDecision = std::variant<SendRequest, RefuseRequest, FailRequest, DeliverResponse, CancelAttempt>;
 using DispatchDecisions = std::vector<DispatchDecision>;
 
+/// How the upstreams of requests without a key are chosen.
+enum class Placement : std::uint8_t {
+    /// The shortest expected wait in a subset of the upstreams.
+    Subset,
+    /// The lowest expected latency of all upstreams.
+    LowestLatency,
+};
+
 /// Settings of the dispatcher.
 struct DispatchOptions {
     /// Availability zone of this entry VM.
@@ -91,6 +99,8 @@
     /// entry VMs together.
     double warmUpOverage { 1.0 };
     std::uint32_t warmUpSlack {};
+    /// The load model compares the values; deployments use the default.
+    Placement placement { Placement::Subset };
 };
 
 }
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -269,6 +269,9 @@
     if (notice.isLeaving) {
         this->recordLeaving(now, *upstream);
     }
+    if (notice.load) {
+        upstream->load.recordReport(now, *notice.load);
+    }
     if (notice.pause > Duration::zero()) {
         upstream->load.pause(now + std::min<Duration>(notice.pause, maxUpstreamPause));
         this->refuseWhilePaused(now, *found->second->service, *upstream, decisions);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -125,7 +125,7 @@
     UpstreamTable upstreams;
     UpstreamEligibility eligibility { this->options };
     CapacityEstimate capacity { this->upstreams };
-    UpstreamChoice<> choice;
+    UpstreamChoice choice { this->options, this->capacity };
     Admission admission { this->upstreams, this->eligibility, this->capacity, this->choice };
     ReturnTime returnTime;
     /// Upstreams whose responses said that they leave. Kept apart from `upstreams`, so that a late heartbeat or an older
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_set.h>
 #include <algorithm>
+#include <cmath>
 
 namespace teaselturn {
 
@@ -16,11 +17,18 @@
     /// Largest preference penalty, as a fraction of the service's average latency.
     constexpr double maxPreferencePenalty = 0.3;
 
-    /// @return A penalty in [0, maxPreferencePenalty) that is a function of the arguments only, equal in every process.
-    double computePreferencePenalty(const UpstreamKey& key, std::uint64_t preferenceSeed)
+    /// @return A number that is a function of the arguments only, equal in every process.
+    std::uint64_t preferenceHash(const UpstreamKey& key, std::uint64_t preferenceSeed) { return hashKey(key.name + ":" + std::to_string(preferenceSeed)); }
+
+    /// @return A penalty in [0, maxPreferencePenalty).
+    double computePreferencePenalty(std::uint64_t hash) { return maxPreferencePenalty * static_cast<double>(hash % 1'024) / 1'024; }
+
+    /// @return Position by weighted rendezvous hashing: the probability that an upstream comes first is its share of the slots.
+    double computePreferenceOrder(std::uint64_t hash, std::uint32_t slots)
     {
-        const auto hash = hashKey(key.name + ":" + std::to_string(preferenceSeed));
-        return maxPreferencePenalty * static_cast<double>(hash % 1'024) / 1'024;
+        constexpr double steps = 1ULL << 53U;
+        const auto share = (static_cast<double>(hash >> 11U) + 0.5) / steps;
+        return -std::log(share) / std::max(1U, slots);
     }
 
 }
@@ -67,7 +75,9 @@
         upstream.load.setSlots(announcement.requestSlots);
         upstream.extraRoundTrip = this->extraRoundTripTo(announcement.zone);
         upstream.isInOtherRegion = upstream.extraRoundTrip >= interRegionRoundTrip;
-        upstream.preferencePenalty = computePreferencePenalty(announcement.key, this->options.preferenceSeed);
+        const auto hash = preferenceHash(announcement.key, this->options.preferenceSeed);
+        upstream.preferencePenalty = computePreferencePenalty(hash);
+        upstream.preferenceOrder = computePreferenceOrder(hash, announcement.requestSlots);
         if (registered.state == UpstreamState::Draining && !upstream.drainingSince) {
             upstream.drainingSince = now;
         }
@@ -77,6 +87,9 @@
         upstream.isRegistered = true;
         this->findOrCreateService(announcement.service).upstreams.push_back(announcement.key);
     }
+    for (auto& [name, service] : this->services) {
+        std::ranges::sort(service->upstreams, {}, [this](const UpstreamKey& key) { return this->upstreams.find(key)->preferenceOrder; });
+    }
     absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
 }
 
--- a/src/core/dispatch/UpstreamChoice.h
+++ b/src/core/dispatch/UpstreamChoice.h
@@ -1,61 +1,113 @@
 #pragma once
 
+#include "core/dispatch/CapacityEstimate.h"
 #include "core/dispatch/DispatchTables.h"
-#include "core/dispatch/ScaledDuration.h"
 #include "core/dispatch/UpstreamEligibility.h"
+#include "core/dispatch/UpstreamRank.h"
 
-#include <concepts>
+#include <absl/container/inlined_vector.h>
+#include <algorithm>
+#include <cstdint>
 
 namespace teaselturn {
 
-/// Ranks an upstream for the next request; the lowest value is chosen.
-template <typename T>
-concept UpstreamRank = requires(const T& rank, Instant now, const DispatchService& service, const DispatchUpstream& upstream)
-{
+/// Chooses the upstream of a request without a key: the best ranked one of a subset of those that may be sent it and have
+/// free capacity.
+///
+/// The subset are the first upstreams in the order of DispatchService::upstreams, which differs between entry VMs; those of
+/// another region form one of their own. Answers many entry VMs that choose at the same moment by slightly stale loads: few
+/// of them compare the same upstreams, each asks its own often enough to know their load, and each upstream keeps few
+/// connections. The subset moves on when its upstreams are busy, leave or fail.
+class UpstreamChoice {
+public:
+    /// The references must outlive this object.
+    UpstreamChoice(const DispatchOptions& options, const CapacityEstimate& capacity) noexcept
+        : options(options)
+        , capacity(capacity)
     {
-        rank(now, service, upstream)
-        } -> std::totally_ordered;
-};
+    }
 
-/// Ranks by the latency that the next request is expected to have.
-struct ExpectedLatencyRank {
-    /// Handicap of upstreams in another region, as a fraction of the service's average latency, beside the longer way
-    /// there. All traffic shares the narrow link between regions, so a request crosses it only if the upstreams of its own
-    /// region are clearly busier.
-    static constexpr double otherRegionPenalty = 1.0;
-    /// Heartbeats of a dead upstream have stopped, but it may still serve requests.
-    static constexpr int deadFactor = 3;
+    /// @return True if an upstream may be sent the request now.
+    bool hasCandidate(Instant now, const PendingDispatch& pending, const UpstreamTable& upstreams, const UpstreamEligibility& eligibility) const
+    {
+        return std::ranges::any_of(pending.service->upstreams, [&](const UpstreamKey& key) {
+            const auto* candidate = upstreams.find(key);
+            return candidate != nullptr && isUsable(now, pending, *candidate, eligibility);
+        });
+    }
 
-    Duration operator()(Instant now, const DispatchService& service, const DispatchUpstream& upstream) const
+    /// @return The chosen upstream; null if none may be sent the request now.
+    DispatchUpstream* choose(Instant now, const PendingDispatch& pending, UpstreamTable& upstreams, const UpstreamEligibility& eligibility) const
     {
-        const auto expected = upstream.load.expectedLatency(now, service.averageLatency + upstream.extraRoundTrip);
-        const auto penalty = upstream.preferencePenalty + (upstream.isInOtherRegion ? otherRegionPenalty : 0.0);
-        const auto latency = expected + scaled(service.averageLatency, penalty);
-        return upstream.state == UpstreamState::Dead ? latency * deadFactor : latency;
+        const auto& service = *pending.service;
+        const auto count = service.upstreams.size();
+        if (this->options.placement == Placement::LowestLatency) {
+            return findBest(now, service, findCandidates(now, pending, upstreams, eligibility, count), ExpectedLatencyRank {});
+        }
+        const auto candidates = findCandidates(now, pending, upstreams, eligibility, subsetSize(count, this->capacity.entryCount()));
+        return findBest(now, service, candidates, ExpectedWaitRank { computePeerWorkTime(now, service, candidates) });
     }
-};
 
-/// Chooses the upstream of a request without a key: the best ranked one that may be sent it and has free capacity.
-/// @tparam Rank Order of the upstreams.
-template <UpstreamRank Rank = ExpectedLatencyRank>
-class UpstreamChoice {
-public:
-    explicit UpstreamChoice(Rank rank = {})
-        : rank(std::move(rank))
+    /// @param entryCount Entry VMs that share the upstreams; at least 1.
+    /// @return Number of upstreams that an entry VM compares. Each upstream is compared by several entry VMs, so that the
+    /// numbers of these differ little between upstreams, and each entry VM has some to choose from.
+    static std::size_t subsetSize(std::size_t upstreamCount, std::uint32_t entryCount) noexcept
     {
+        const auto overlapping = (upstreamCount * minEntryVmsPerUpstream + entryCount - 1) / entryCount;
+        return std::min(upstreamCount, std::max(minSubsetSize, overlapping));
     }
 
-    /// @return The chosen upstream; null if none may be sent the request now.
-    DispatchUpstream* choose(Instant now, const PendingDispatch& pending, UpstreamTable& upstreams, const UpstreamEligibility& eligibility) const
+private:
+    static constexpr std::size_t minSubsetSize = 8;
+    static constexpr std::size_t minEntryVmsPerUpstream = 10;
+
+    using Candidates = absl::InlinedVector<DispatchUpstream*, 32>;
+
+    static bool isUsable(Instant now, const PendingDispatch& pending, const DispatchUpstream& upstream, const UpstreamEligibility& eligibility)
     {
-        DispatchUpstream* best = nullptr;
-        Duration bestRank {};
+        return upstream.load.hasCapacity(now) && eligibility.mayBeChosen(now, pending, upstream);
+    }
+
+    /// @param size Limit of the upstreams of this region and of those of other regions.
+    static Candidates findCandidates(Instant now, const PendingDispatch& pending, UpstreamTable& upstreams, const UpstreamEligibility& eligibility, std::size_t size)
+    {
+        Candidates candidates;
+        std::size_t nearCount = 0;
+        std::size_t farCount = 0;
         for (const auto& key : pending.service->upstreams) {
-            auto* candidate = upstreams.find(key);
-            if (candidate == nullptr || !candidate->load.hasCapacity(now) || !eligibility.mayBeChosen(now, pending, *candidate)) {
+            auto* upstream = upstreams.find(key);
+            if (upstream == nullptr || !isUsable(now, pending, *upstream, eligibility)) {
                 continue;
             }
-            const auto candidateRank = this->rank(now, *pending.service, *candidate);
+            auto& count = upstream->isInOtherRegion ? farCount : nearCount;
+            if (count < size) {
+                ++count;
+                candidates.push_back(upstream);
+            }
+        }
+        return candidates;
+    }
+
+    static Duration computePeerWorkTime(Instant now, const DispatchService& service, const Candidates& candidates)
+    {
+        double sum = 0;
+        double samples = 0;
+        for (const auto* candidate : candidates) {
+            const auto& estimate = candidate->load.estimate();
+            const auto weight = estimate.samples(now);
+            sum += weight * std::chrono::duration<double> { estimate.averageWorkTime() }.count();
+            samples += weight;
+        }
+        return samples <= 0 ? service.averageLatency : std::chrono::duration_cast<Duration>(std::chrono::duration<double> { sum / samples });
+    }
+
+    template <UpstreamRank Rank>
+    static DispatchUpstream* findBest(Instant now, const DispatchService& service, const Candidates& candidates, const Rank& rank)
+    {
+        DispatchUpstream* best = nullptr;
+        Duration bestRank {};
+        for (auto* candidate : candidates) {
+            const auto candidateRank = rank(now, service, *candidate);
             if (best == nullptr || candidateRank < bestRank) {
                 best = candidate;
                 bestRank = candidateRank;
@@ -64,8 +116,8 @@
         return best;
     }
 
-private:
-    Rank rank;
+    const DispatchOptions& options;
+    const CapacityEstimate& capacity;
 };
 
 }
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -2,6 +2,9 @@
 
 #include "core/dispatch/InFlightLimit.h"
 #include "core/dispatch/LatencyEstimate.h"
+#include "core/dispatch/LoadEstimate.h"
+#include "core/dispatch/ReportedLoad.h"
+#include "core/dispatch/ScaledDuration.h"
 #include "teaselturn/Types.h"
 
 #include <algorithm>
@@ -27,17 +30,6 @@
     Lost,
 };
 
-/// Load that an upstream states in a response.
-struct ReportedLoad {
-    std::uint32_t running {};
-    std::uint32_t waiting {};
-    std::uint32_t slots {};
-    /// How long work takes on the upstream's machine at the moment, in percent of the usual time.
-    std::uint32_t workTimePercent { 100 };
-
-    friend bool operator==(const ReportedLoad&, const ReportedLoad&) = default;
-};
-
 /// What an upstream states about itself in a response, beside the response itself.
 struct UpstreamNotice {
     /// It is shutting down and takes no new work soon.
@@ -88,6 +80,7 @@
     void recordSent(Instant now) noexcept
     {
         ++this->inFlightCount;
+        this->load.recordSent();
         if (!this->noResponseSince) {
             this->noResponseSince = now;
         }
@@ -132,6 +125,10 @@
         }
     }
 
+    /// Records a load report that came with a response. Called before recordEnded() of the same attempt.
+    void recordReport(Instant now, const ReportedLoad& report) noexcept { this->load.recordReport(now, report); }
+    const LoadEstimate& estimate() const noexcept { return this->load; }
+
     int inFlight() const noexcept { return this->inFlightCount; }
     double currentLimit() const noexcept { return this->limit.value(); }
 
@@ -142,14 +139,20 @@
         if (!this->latency.hasSamples()) {
             return fallback;
         }
-        auto expected = this->latency.expected(now);
-        // Requests without a response for much longer than the average reveal a slow or unresponsive upstream early.
-        if (this->noResponseSince && now - *this->noResponseSince > this->latency.longTerm() * overdueFactor) {
-            expected = std::max<Duration>(expected, now - *this->noResponseSince);
-        }
+        const auto expected = std::max(this->latency.expected(now), this->overdueTime(now));
         const auto inFlightFactor = inFlightPenalty * this->inFlightCount;
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { expected } * ((1 + inFlightFactor) * (1 + errorPenalty * this->errorShare)));
+        return scaled(expected, (1 + inFlightFactor) * this->errorFactor());
+    }
+
+    /// @return Time since the last response if it is much longer than the average while requests are in flight, which reveals
+    /// a slow or unresponsive upstream early; otherwise zero.
+    Duration overdueTime(Instant now) const noexcept
+    {
+        const bool isOverdue = this->noResponseSince && this->latency.hasSamples() && now - *this->noResponseSince > this->latency.longTerm() * overdueFactor;
+        return isOverdue ? now - *this->noResponseSince : Duration::zero();
     }
+    /// @return Factor by which failures raise the expected latency; 1 without failures.
+    double errorFactor() const noexcept { return 1 + errorPenalty * this->errorShare; }
 
     /// @return Moving average of the latency over the last dozens of responses; zero before the first response.
     Duration averageLatency() const noexcept { return this->latency.longTerm(); }
@@ -170,6 +173,7 @@
     void recordLatency(Instant now, Duration duration) noexcept
     {
         this->latency.record(now, duration);
+        this->load.recordLatency(now, duration);
         if (this->latency.isCongested()) {
             this->limit.decrease(now);
         } else {
@@ -187,6 +191,7 @@
 
     InFlightLimit limit;
     LatencyEstimate latency;
+    LoadEstimate load;
     int inFlightCount {};
     Instant circuitOpenUntil;
     Instant pausedUntil;
--- a/tests/tools/load-model/LoadModelTest.cpp
+++ b/tests/tools/load-model/LoadModelTest.cpp
@@ -14,6 +14,19 @@
     return *found;
 }
 
+/// @return Mean of a figure over three seeds.
+double meanOf(double (*figure)(const Figures&), const Pattern& played, Placement placement)
+{
+    constexpr std::uint64_t seeds = 3;
+    double sum = 0;
+    SimulationOptions options;
+    options.placement = placement;
+    for (options.seed = 1; options.seed <= seeds; ++options.seed) {
+        sum += figure(Simulation<Dispatcher> { played, options }.run());
+    }
+    return sum / seeds;
+}
+
 template <typename Policy>
 double meanWorth(const Pattern& played, SimulationOptions options = {})
 {
@@ -90,3 +103,28 @@
     const auto& played = pattern("narrow-link");
     CHECK(meanWorth<Dispatcher>(played) > meanWorth<Dispatcher>(played, unknownLinkSpeed) + 0.05);
 }
+
+TEST_CASE("many entry VMs serve more requests in time over fewer connections than by the lowest latency")
+{
+    // Guards against entry VMs that all use the same upstreams at the same moment, or keep connections to all of them.
+    const auto* name = GENERATE("many-calm", "many-calm-silent", "many-momentary", "many-momentary-silent", "many-lasting", "many-lasting-silent", "many-burst");
+    const auto& played = pattern(name);
+    const auto worth = [](const Figures& figures) { return figures.worth(); };
+    const auto connections = [](const Figures& figures) { return static_cast<double>(figures.connections); };
+    INFO(name);
+    CHECK(meanOf(worth, played, Placement::Subset) > meanOf(worth, played, Placement::LowestLatency));
+    CHECK(meanOf(connections, played, Placement::Subset) < 0.8 * meanOf(connections, played, Placement::LowestLatency));
+}
+
+TEST_CASE("uneven upstreams that report their load get requests in proportion to what they can do")
+{
+    // The earlier choice gave the busiest upstream 1.51 (calm) and 1.58 (lasting) times its share.
+    const auto* name = GENERATE("many-calm", "many-momentary", "many-lasting", "many-burst");
+    const auto& played = pattern(name);
+    const auto busiest = [](const Figures& figures) { return figures.busiestToSpeed; };
+    const auto deviation = [](const Figures& figures) { return figures.windowDeviation; };
+    INFO(name);
+    CHECK(meanOf(busiest, played, Placement::Subset) < 1.45);
+    CHECK(meanOf(busiest, played, Placement::Subset) < meanOf(busiest, played, Placement::LowestLatency));
+    CHECK(meanOf(deviation, played, Placement::Subset) < meanOf(deviation, played, Placement::LowestLatency));
+}
--- a/tools/load-model/Figures.h
+++ b/tools/load-model/Figures.h
@@ -21,6 +21,14 @@
     std::uint64_t arrivals {};
     /// Attempts refused by an upstream because it did not hold the key.
     std::uint64_t misdirected {};
+    /// Connections to upstreams opened by all entry VMs, if each keeps an idle connection for its next request.
+    std::uint64_t connections {};
+    /// Attempts received by the busiest upstream relative to the mean of all upstreams.
+    double busiestToMean {};
+    /// The same relative to the lasting speed of each upstream: 1 if each gets its share of what all can do.
+    double busiestToSpeed {};
+    /// Standard deviation of the attempts that an upstream receives in 100 ms, relative to their mean.
+    double windowDeviation {};
     /// Upper bound of the worth of any policy: upstreams always work on requests that can still be answered in time.
     double bound {};
     /// Time from a caller's first attempt to its response.
--- a/tools/load-model/Pattern.cpp
+++ b/tools/load-model/Pattern.cpp
@@ -8,6 +8,13 @@
 
 std::span<const Pattern> patterns()
 {
+    // 63 entry VMs with 10 to 30 requests a second each: every one of them sees a small part of an upstream's load.
+    const auto many = [](std::string_view name, std::string_view summary, bool reportsLoad, std::vector<Disturbance> disturbances) {
+        return Pattern { .name = name, .summary = summary, .entryVms = 63, .entrySpread = 0.5, .upstreams = 76, .speeds = { 0.5, 1, 1, 1.5 }, .reportsLoad = reportsLoad, .requestsPerSecond = 1'260, .disturbances = std::move(disturbances) };
+    };
+    const Disturbance momentary { DisturbanceKind::MomentarySlowness, milliseconds { 0 }, milliseconds { 12'000 }, 0.2, 3 };
+    const Disturbance lasting { DisturbanceKind::SlowUpstreams, milliseconds { 4'000 }, milliseconds { 12'000 }, 0.2, 3 };
+    const Disturbance burst { DisturbanceKind::Burst, milliseconds { 4'000 }, milliseconds { 6'000 }, 0, 2 };
     static const std::vector<Pattern> all {
         { .name = "burst", .summary = "twice the arrivals for two seconds, above capacity", .disturbances = { { DisturbanceKind::Burst, milliseconds { 4'000 }, milliseconds { 6'000 }, 0, 2 } } },
         { .name = "hot-range", .summary = "a third of the requests turns to 200 neighbouring keys, twice", .isSharded = true, .disturbances = { { DisturbanceKind::HotRange, milliseconds { 3'000 }, milliseconds { 7'000 }, 0.36, 1, 200 }, { DisturbanceKind::HotRange, milliseconds { 8'000 }, milliseconds { 12'000 }, 0.3, 1, 60 } } },
@@ -19,6 +26,13 @@
         { .name = "release", .summary = "half of the owners of keys are replaced, one at a time", .isSharded = true, .requestsPerSecond = 380, .disturbances = { { DisturbanceKind::Replacement, milliseconds { 3'000 }, milliseconds { 9'000 }, 0.5 } } },
         { .name = "cold-fleet", .summary = "all upstreams start cold under full load", .coldTime = milliseconds { 4'000 }, .coldFactor = 2 },
         { .name = "narrow-link", .summary = "answers of 12 kB over links of 2 Mbit/s, in a burst", .requestsPerSecond = 150, .linkBytesPerSecond = 250'000, .responseBytes = 12'000, .disturbances = { { DisturbanceKind::Burst, milliseconds { 4'000 }, milliseconds { 7'000 }, 0, 1.8 } } },
+        many("many-calm", "many entry VMs, uneven upstreams that report their load", true, {}),
+        many("many-calm-silent", "many entry VMs, uneven upstreams without load reports", false, {}),
+        many("many-momentary", "a fifth of the upstreams slow for 400 ms at a time, with load reports", true, { momentary }),
+        many("many-momentary-silent", "a fifth of the upstreams slow for 400 ms at a time, without load reports", false, { momentary }),
+        many("many-lasting", "a fifth of the upstreams turns slow for good, with load reports", true, { lasting }),
+        many("many-lasting-silent", "a fifth of the upstreams turns slow for good, without load reports", false, { lasting }),
+        many("many-burst", "twice the arrivals for two seconds beside momentary slowness, with load reports", true, { momentary, burst }),
     };
     return all;
 }
--- a/tools/load-model/Pattern.h
+++ b/tools/load-model/Pattern.h
@@ -23,6 +23,8 @@
     Shedding,
     /// A `share` of the upstreams leave one after the other; the replacement of each starts before it drains.
     Replacement,
+    /// At any moment a `share` of the upstreams takes `factor` times as long, each for 400 ms at a time.
+    MomentarySlowness,
 };
 
 struct Disturbance {
@@ -42,9 +44,15 @@
     /// True if each key is owned by one upstream.
     bool isSharded {};
     std::uint32_t entryVms { 9 };
+    /// Arrival rates of the entry VMs range evenly from (1 - entrySpread) to (1 + entrySpread) times their mean.
+    double entrySpread {};
     std::uint32_t upstreams { 17 };
     /// Requests that an upstream runs concurrently.
     std::uint32_t slots { 3 };
+    /// Lasting speeds, assigned to the upstreams in turn. If empty, each upstream's speed is drawn from 0.75 to 1.25.
+    std::vector<double> speeds;
+    /// True if upstreams state their load in responses.
+    bool reportsLoad {};
     /// Queue capacity of an upstream; it refuses requests beyond it.
     std::uint32_t queueLength { 12 };
     double requestsPerSecond { 480 };
--- a/tools/load-model/Policies.h
+++ b/tools/load-model/Policies.h
@@ -22,6 +22,7 @@
     policy.setEntryCount(1U);
     policy.submit(now, request, decisions);
     policy.responseReceived(id, std::size_t {});
+    policy.noticeReceived(now, id, UpstreamNotice {}, decisions);
     policy.attemptEnded(now, id, outcome, decisions);
     policy.advance(now, decisions);
     {
@@ -75,6 +76,7 @@
 
     void setEntryCount(std::uint32_t) noexcept { }
     void responseReceived(PendingRequestId, std::size_t) noexcept { }
+    void noticeReceived(Instant, PendingRequestId, const UpstreamNotice&, DispatchDecisions&) noexcept { }
 
     void sync(Instant, const RegistryState& state, DispatchDecisions&)
     {
--- a/tools/load-model/Simulation.h
+++ b/tools/load-model/Simulation.h
@@ -19,6 +19,7 @@
     RegistryOptions registry;
     /// False if entry VMs are not configured with the bandwidth of their network link.
     bool isLinkSpeedKnown { true };
+    Placement placement { Placement::Subset };
 };
 
 /// Simulates a load pattern: callers, entry VMs with a policy each, upstreams and the registry.
@@ -40,6 +41,7 @@
     static constexpr std::chrono::milliseconds releaseInterval { 100 };
     static constexpr std::chrono::milliseconds reportInterval { 500 };
     static constexpr std::chrono::milliseconds impatientRetryDelay { 5 };
+    static constexpr std::chrono::milliseconds momentaryTime { 400 };
     static constexpr std::size_t requestBytes { 300 };
     static constexpr std::size_t maxReportedKeys { 96 };
 
@@ -58,18 +60,29 @@
         UpstreamModel* upstream {};
     };
 
+    /// Connections of one entry VM to one upstream.
+    struct Connections {
+        std::uint32_t open {};
+        std::uint32_t busy {};
+    };
+
     struct Entry {
         NodeId node;
         std::unique_ptr<Policy> policy;
         absl::flat_hash_map<PendingRequestId, Attempt> attempts;
         std::optional<Instant> timer;
         Instant linkFreeAt;
+        absl::flat_hash_map<const UpstreamModel*, Connections> connections;
     };
 
     bool isActive(const Disturbance& disturbance) const;
     double arrivalRate() const;
     KeyNumber chooseKey();
+    Entry& chooseEntry();
     void scheduleDisturbances();
+    /// Slows an upstream down now and then, for the rest of the disturbance.
+    void slowDownMomentarily(UpstreamModel& upstream, const Disturbance& disturbance);
+    void recordSpread();
     void addUpstream(std::size_t number);
     void sendHeartbeat(UpstreamModel& upstream, bool isRegular);
     void replaceUpstreams(std::size_t number, std::size_t count, Duration interval);
@@ -78,7 +91,7 @@
     void attempt(const std::shared_ptr<Caller>& caller);
     void executeDecisions(Entry& entry, const DispatchDecisions& decisions);
     void sendTo(Entry& entry, const SendRequest& send);
-    void handleAttemptEnd(Entry& entry, PendingRequestId id, std::uint64_t work, AttemptOutcome outcome);
+    void handleAttemptEnd(Entry& entry, PendingRequestId id, std::uint64_t work, AttemptOutcome outcome, std::optional<ReportedLoad> load);
     void handleRefusal(Entry& entry, const RefuseRequest& refusal);
     void handleDelivery(Entry& entry, PendingRequestId id);
     void scheduleTimer(Entry& entry);
--- a/tools/load-model/SimulationInlines.h
+++ b/tools/load-model/SimulationInlines.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/dispatch/ScaledDuration.h"
 #include "load-model/Simulation.h"
 
 #include <algorithm>
@@ -27,8 +28,9 @@
         DispatchOptions dispatch;
         dispatch.zone = "zone";
         dispatch.preferenceSeed = i + 1;
+        dispatch.placement = options.placement;
         dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? pattern.linkBytesPerSecond : 0;
-        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, {} });
+        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, {}, {} });
         this->entries.back().policy->setEntryCount(pattern.entryVms);
     }
 }
@@ -71,7 +73,9 @@
     const auto incarnation = static_cast<std::uint64_t>(number + 1);
     const Endpoint endpoint { "10.0.0.1", static_cast<std::uint16_t>(1'000 + number) };
     RegisterUpstream announcement { { name, incarnation }, "service", endpoint, "zone", this->pattern.slots, false };
-    this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), 0.75 + 0.5 * this->random.share());
+    const auto drawnSpeed = 0.75 + 0.5 * this->random.share();
+    const auto speed = this->pattern.speeds.empty() ? drawnSpeed : this->pattern.speeds[number % this->pattern.speeds.size()];
+    this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), speed);
     auto& upstream = this->upstreams.back();
     this->events.after(Duration { static_cast<Duration::rep>(this->random.below(static_cast<std::uint64_t>(Duration { heartbeatInterval }.count()))) }, [this, &upstream] { this->sendHeartbeat(upstream, true); });
 }
@@ -95,6 +99,34 @@
     }
 }
 
+template <DispatchPolicy Policy>
+void Simulation<Policy>::slowDownMomentarily(UpstreamModel& upstream, const Disturbance& disturbance)
+{
+    if (!this->isActive(disturbance)) {
+        return;
+    }
+    if (this->random.share() < disturbance.share) {
+        upstream.slowDownUntil(this->events.now() + momentaryTime, disturbance.factor);
+    }
+    this->events.after(momentaryTime, [this, &upstream, &disturbance] { this->slowDownMomentarily(upstream, disturbance); });
+}
+
+template <DispatchPolicy Policy>
+typename Simulation<Policy>::Entry& Simulation<Policy>::chooseEntry()
+{
+    // Rejection sampling: the rate of entry VM i rises linearly with i.
+    for (;;) {
+        const auto number = this->random.below(this->entries.size());
+        if (this->pattern.entrySpread == 0 || this->entries.size() < 2) {
+            return this->entries[number];
+        }
+        const auto position = 2 * static_cast<double>(number) / static_cast<double>(this->entries.size() - 1) - 1;
+        if (this->random.share() * (1 + this->pattern.entrySpread) < 1 + this->pattern.entrySpread * position) {
+            return this->entries[number];
+        }
+    }
+}
+
 template <DispatchPolicy Policy>
 void Simulation<Policy>::scheduleDisturbances()
 {
@@ -118,6 +150,13 @@
                 }
             };
             during([set, &disturbance] { set(disturbance.share); }, [set] { set(0); });
+        } else if (disturbance.kind == DisturbanceKind::MomentarySlowness) {
+            this->events.at(this->startAt + disturbance.from, [this, &disturbance] {
+                for (auto& upstream : this->upstreams) {
+                    const auto phase = scaled(momentaryTime, this->random.share());
+                    this->events.after(phase, [this, &upstream, &disturbance] { this->slowDownMomentarily(upstream, disturbance); });
+                }
+            });
         } else if (disturbance.kind == DisturbanceKind::Replacement) {
             const auto interval = (disturbance.until - disturbance.from) / std::max<std::size_t>(affected, 1);
             this->events.at(this->startAt + disturbance.from, [this, affected, interval] { this->replaceUpstreams(0, affected, interval); });
@@ -171,7 +210,7 @@
 template <DispatchPolicy Policy>
 void Simulation<Policy>::attempt(const std::shared_ptr<Caller>& caller)
 {
-    auto& entry = this->entries[this->random.below(this->entries.size())];
+    auto& entry = this->chooseEntry();
     this->events.after(networkDelay, [this, &entry, caller] {
         const auto now = this->events.now();
         const PendingRequestId id { ++this->lastId };
@@ -199,6 +238,10 @@
         } else if (const auto* cancel = std::get_if<CancelAttempt>(&decision)) {
             auto& attempt = entry.attempts.at(cancel->id);
             if (attempt.upstream != nullptr) {
+                // A connection with an unanswered request carries no other, so it is closed.
+                auto& connections = entry.connections[attempt.upstream];
+                --connections.busy;
+                --connections.open;
                 attempt.upstream->cancel(attempt.work);
                 attempt.work = 0;
             }
@@ -215,15 +258,21 @@
     const auto work = ++this->lastId;
     attempt.work = work;
     attempt.upstream = &*target;
+    auto& connections = entry.connections[&*target];
+    ++connections.busy;
+    if (connections.busy > connections.open) {
+        ++connections.open;
+        ++this->figures.connections;
+    }
     this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline] {
-        upstream->receive({ work, key, deadline, [this, &entry, id, work](AttemptOutcome outcome) {
-                               this->events.after(networkDelay, [this, &entry, id, work, outcome] { this->handleAttemptEnd(entry, id, work, outcome); });
+        upstream->receive({ work, key, deadline, [this, &entry, id, work](AttemptOutcome outcome, std::optional<ReportedLoad> load) {
+                               this->events.after(networkDelay, [this, &entry, id, work, outcome, load] { this->handleAttemptEnd(entry, id, work, outcome, load); });
                            } });
     });
 }
 
 template <DispatchPolicy Policy>
-void Simulation<Policy>::handleAttemptEnd(Entry& entry, PendingRequestId id, std::uint64_t work, AttemptOutcome outcome)
+void Simulation<Policy>::handleAttemptEnd(Entry& entry, PendingRequestId id, std::uint64_t work, AttemptOutcome outcome, std::optional<ReportedLoad> load)
 {
     const auto found = entry.attempts.find(id);
     if (found == entry.attempts.end() || found->second.work != work) {
@@ -232,7 +281,12 @@
     if (outcome == AttemptOutcome::Answered) {
         entry.policy->responseReceived(id, this->pattern.responseBytes);
     }
+    --entry.connections[found->second.upstream].busy;
+    found->second.work = 0;
     DispatchDecisions decisions;
+    if (load) {
+        entry.policy->noticeReceived(this->events.now(), id, { false, {}, load }, decisions);
+    }
     entry.policy->attemptEnded(this->events.now(), id, outcome, decisions);
     this->executeDecisions(entry, decisions);
 }
@@ -332,6 +386,42 @@
     return offered == 0 ? 0 : std::min(1.0, (inTime + lateWorth * (offered - inTime)) / offered);
 }
 
+template <DispatchPolicy Policy>
+void Simulation<Policy>::recordSpread()
+{
+    double speeds = 0;
+    double arrivals = 0;
+    double most = 0;
+    double mostBySpeed = 0;
+    for (const auto& upstream : this->upstreams) {
+        const auto count = static_cast<double>(upstream.arrivals());
+        speeds += upstream.speed();
+        arrivals += count;
+        most = std::max(most, count);
+        mostBySpeed = std::max(mostBySpeed, count / upstream.speed());
+    }
+    if (arrivals == 0) {
+        return;
+    }
+    this->figures.busiestToMean = most * static_cast<double>(this->upstreams.size()) / arrivals;
+    this->figures.busiestToSpeed = mostBySpeed * speeds / arrivals;
+    const auto firstWindow = UpstreamModel::windowOf(this->startAt);
+    const auto endWindow = UpstreamModel::windowOf(this->startAt + this->pattern.duration);
+    double sum = 0;
+    double squares = 0;
+    for (const auto& upstream : this->upstreams) {
+        for (const auto& [window, count] : upstream.arrivalsByWindow()) {
+            if (window >= firstWindow && window < endWindow) {
+                sum += count;
+                squares += static_cast<double>(count) * count;
+            }
+        }
+    }
+    const auto windows = static_cast<double>(this->upstreams.size()) * static_cast<double>(endWindow - firstWindow);
+    const auto mean = sum / windows;
+    this->figures.windowDeviation = std::sqrt(std::max(0.0, squares / windows - mean * mean)) / mean;
+}
+
 template <DispatchPolicy Policy>
 Figures Simulation<Policy>::run()
 {
@@ -353,6 +443,7 @@
         this->figures.arrivals += upstream.arrivals();
         this->figures.misdirected += upstream.misdirected();
     }
+    this->recordSpread();
     this->figures.bound = this->bound();
     return this->figures;
 }
--- a/tools/load-model/UpstreamModel.cpp
+++ b/tools/load-model/UpstreamModel.cpp
@@ -1,6 +1,9 @@
 #include "load-model/UpstreamModel.h"
 
+#include "core/dispatch/ScaledDuration.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace teaselturn::model {
 
@@ -44,21 +47,31 @@
     return !requestedKey || (this->isGranted[*requestedKey] && this->events.now() < this->leaseEnd);
 }
 
+std::optional<ReportedLoad> UpstreamModel::load() const
+{
+    if (!this->pattern.reportsLoad) {
+        return std::nullopt;
+    }
+    const auto factor = this->slowness * (this->events.now() < this->slowUntil ? this->momentarySlowness : 1);
+    return ReportedLoad { this->running, static_cast<std::uint32_t>(this->waiting.size()), this->pattern.slots, static_cast<std::uint32_t>(std::lround(100 * factor)) };
+}
+
 void UpstreamModel::receive(UpstreamWork work)
 {
     if (this->hasStopped) {
-        work.onEnded(AttemptOutcome::NotSent);
+        work.onEnded(AttemptOutcome::NotSent, std::nullopt);
         return;
     }
     ++this->arrived;
+    ++this->windows[windowOf(this->events.now())];
     if (!this->holds(work.key)) {
         ++this->misdirections;
-        work.onEnded(AttemptOutcome::Misdirected);
+        work.onEnded(AttemptOutcome::Misdirected, this->load());
         return;
     }
     const bool isRefused = this->refusedShare > 0 && this->random.share() < this->refusedShare;
     if (isRefused || (this->running >= this->pattern.slots && this->waiting.size() >= this->pattern.queueLength)) {
-        work.onEnded(AttemptOutcome::Overloaded);
+        work.onEnded(AttemptOutcome::Overloaded, this->load());
     } else if (this->running < this->pattern.slots) {
         this->begin(std::move(work));
     } else {
@@ -80,10 +93,13 @@
     const bool isCold = this->events.now() - this->startedAt < this->pattern.coldTime;
     const auto saturationFactor = 1 + saturationSlowdown * (this->running - 1) / this->pattern.slots;
     const auto mean = std::chrono::duration<double> { this->pattern.work }.count() * this->slowness * saturationFactor * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
-    const auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.workingTime(mean) });
+    auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.workingTime(mean) });
+    if (const auto slowTime = this->slowUntil - this->events.now(); slowTime > Duration::zero()) {
+        length = std::min(scaled(length, this->momentarySlowness), slowTime + std::max<Duration>(length - scaled(slowTime, 1 / this->momentarySlowness), Duration::zero()));
+    }
     this->events.after(length, [this, key = work.key, onEnded = std::move(work.onEnded)] {
-        onEnded(AttemptOutcome::Answered);
         this->finish(key);
+        onEnded(AttemptOutcome::Answered, this->load());
     });
 }
 
@@ -103,7 +119,7 @@
             this->begin(std::move(work));
         } else {
             ++this->misdirections;
-            work.onEnded(AttemptOutcome::Misdirected);
+            work.onEnded(AttemptOutcome::Misdirected, this->load());
         }
     }
 }
--- a/tools/load-model/UpstreamModel.h
+++ b/tools/load-model/UpstreamModel.h
@@ -20,7 +20,8 @@
     std::optional<KeyNumber> key;
     /// Deadline of the request; the upstream drops a request that has not started by then.
     Instant deadline;
-    std::function<void(AttemptOutcome)> onEnded;
+    /// The load is empty if the upstream states none.
+    std::function<void(AttemptOutcome, std::optional<ReportedLoad>)> onEnded;
 };
 
 /// A simulated upstream with a few request slots and a short queue. Its service times grow while it is cold and as its
@@ -45,15 +46,27 @@
     void stop() noexcept { this->hasStopped = true; }
     bool isStopped() const noexcept { return this->hasStopped; }
     void setSlowness(double factor) noexcept { this->slowness = factor; }
+    /// Makes work done before `until` take `factor` times as long.
+    void slowDownUntil(Instant until, double factor) noexcept
+    {
+        this->slowUntil = until;
+        this->momentarySlowness = factor;
+    }
     void setRefusedShare(double share) noexcept { this->refusedShare = share; }
 
     const UpstreamKey& key() const noexcept { return this->announcement.key; }
     const std::string& service() const noexcept { return this->announcement.service; }
     double speed() const noexcept { return this->ownSpeed; }
     std::uint64_t arrivals() const noexcept { return this->arrived; }
+    /// @return Attempts received in each interval of 100 ms since the start of the simulated clock.
+    const absl::flat_hash_map<std::int64_t, std::uint32_t>& arrivalsByWindow() const noexcept { return this->windows; }
     std::uint64_t misdirected() const noexcept { return this->misdirections; }
 
+    static constexpr std::chrono::milliseconds windowLength { 100 };
+    static std::int64_t windowOf(Instant time) noexcept { return time.time_since_epoch() / windowLength; }
+
 private:
+    std::optional<ReportedLoad> load() const;
     bool holds(std::optional<KeyNumber> requestedKey) const noexcept;
     void begin(UpstreamWork work);
     void finish(const std::optional<KeyNumber>& finishedKey);
@@ -66,12 +79,15 @@
     Instant startedAt;
     bool hasStopped {};
     double slowness { 1 };
+    Instant slowUntil;
+    double momentarySlowness { 1 };
     double refusedShare {};
     std::uint32_t running {};
     std::deque<UpstreamWork> waiting;
     absl::flat_hash_map<KeyNumber, std::uint32_t> busyKeys;
     std::uint64_t sequence {};
     std::uint64_t arrived {};
+    absl::flat_hash_map<std::int64_t, std::uint32_t> windows;
     std::uint64_t misdirections {};
     /// Fence by key; 0 if the key is not held. A revoked key stays held while requests run on it.
     std::vector<std::uint64_t> fences;
--- a/tools/load-model/main.cpp
+++ b/tools/load-model/main.cpp
@@ -14,7 +14,8 @@
     = "usage: load-model [--pattern NAME] [--policy NAME] [--seeds N] [--first-seed N] [--load PERCENT]\n"
       "Plays load patterns on a simulated clock and prints one line of CSV for each run.\n"
       "  --pattern NAME   only this pattern\n"
-      "  --policy NAME    only this policy: teaselturn, round-robin, least-outstanding or two-choices\n"
+      "  --policy NAME    only this policy: teaselturn, lowest-latency (teaselturn with its earlier\n"
+      "                   choice of upstreams), round-robin, least-outstanding or two-choices\n"
       "  --seeds N        runs of each pair, with consecutive seeds (default 1)\n"
       "  --first-seed N   seed of the first run (default 1)\n"
       "  --load PERCENT   arrivals as a part of those of the pattern (default 100)\n";
@@ -47,11 +48,12 @@
     }
 }
 
-template <typename Policy>
+template <typename Policy, Placement placement = Placement::Subset>
 Figures runPattern(const Pattern& pattern, std::uint64_t seed)
 {
     SimulationOptions options;
     options.seed = seed;
+    options.placement = placement;
     return Simulation<Policy> { pattern, options }.run();
 }
 
@@ -62,6 +64,7 @@
 
 constexpr NamedPolicy policies[] = {
     { "teaselturn", runPattern<Dispatcher> },
+    { "lowest-latency", runPattern<Dispatcher, Placement::LowestLatency> },
     { "round-robin", runPattern<DirectPolicy<RoundRobin>> },
     { "least-outstanding", runPattern<DirectPolicy<LeastOutstanding>> },
     { "two-choices", runPattern<DirectPolicy<TwoChoices>> },
@@ -70,9 +73,10 @@
 void print(const Pattern& pattern, const NamedPolicy& policy, std::uint64_t seed, const Figures& figures)
 {
     const auto milliseconds = [&figures](double share) { return std::chrono::duration<double, std::milli> { figures.latencies->percentile(share) }.count(); };
-    std::printf("%.*s,%.*s,%llu,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.1f,%.1f,%.3f,%llu\n", static_cast<int>(pattern.name.size()), pattern.name.data(), static_cast<int>(policy.name.size()), policy.name.data(),
+    std::printf("%.*s,%.*s,%llu,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.1f,%.1f,%.3f,%llu,%llu,%.2f,%.2f,%.2f\n", static_cast<int>(pattern.name.size()), pattern.name.data(), static_cast<int>(policy.name.size()), policy.name.data(),
         static_cast<unsigned long long>(seed), figures.worth(), figures.bound, figures.share(figures.inTime), figures.share(figures.late), figures.share(figures.refused), figures.share(figures.failed),
-        milliseconds(0.5), milliseconds(0.99), figures.share(figures.arrivals), static_cast<unsigned long long>(figures.misdirected));
+        milliseconds(0.5), milliseconds(0.99), figures.share(figures.arrivals), static_cast<unsigned long long>(figures.misdirected), static_cast<unsigned long long>(figures.connections), figures.busiestToMean,
+        figures.busiestToSpeed, figures.windowDeviation);
 }
 
 }
@@ -87,7 +91,7 @@
             return 2;
         }
     }
-    std::puts("pattern,policy,seed,worth,bound,in_time,late,refused,failed,p50_ms,p99_ms,arrivals_per_request,misdirected");
+    std::puts("pattern,policy,seed,worth,bound,in_time,late,refused,failed,p50_ms,p99_ms,arrivals_per_request,misdirected,connections,busiest_to_mean,busiest_to_speed,window_deviation");
     for (auto pattern : patterns()) {
         pattern.requestsPerSecond *= options.loadPercent / 100.0;
         for (const auto& policy : policies) {
