--- a/tools/load-model/Pattern.cpp
+++ b/tools/load-model/Pattern.cpp
@@ -12,6 +12,9 @@
     const auto many = [](std::string_view name, std::string_view summary, bool reportsLoad, std::vector<Disturbance> disturbances) {
         return Pattern { .name = name, .summary = summary, .entryVms = 63, .entrySpread = 0.5, .upstreams = 76, .speeds = { 0.5, 1, 1, 1.5 }, .reportsLoad = reportsLoad, .requestsPerSecond = 1'260, .disturbances = std::move(disturbances) };
     };
+    const auto uneven = [](std::string_view name, std::string_view summary) {
+        return Pattern { .name = name, .summary = summary, .isSharded = true, .entryVms = 63, .entrySpread = 0.5, .upstreams = 40, .speeds = { 0.5, 1, 1, 1.5 }, .reportsLoad = true, .requestsPerSecond = 800 };
+    };
     const Disturbance momentary { DisturbanceKind::MomentarySlowness, milliseconds { 0 }, milliseconds { 12'000 }, 0.2, 3 };
     const Disturbance lasting { DisturbanceKind::SlowUpstreams, milliseconds { 4'000 }, milliseconds { 12'000 }, 0.2, 3 };
     const Disturbance burst { DisturbanceKind::Burst, milliseconds { 4'000 }, milliseconds { 6'000 }, 0, 2 };
@@ -33,6 +36,7 @@
         many("many-lasting", "a fifth of the upstreams turns slow for good, with load reports", true, { lasting }),
         many("many-lasting-silent", "a fifth of the upstreams turns slow for good, without load reports", false, { lasting }),
         many("many-burst", "twice the arrivals for two seconds beside momentary slowness, with load reports", true, { momentary, burst }),
+        uneven("uneven-owners", "owners of keys with lasting speeds of 0.5 to 1.5"),
     };
     return all;
 }
