Add load patterns of silent upstreams, varied work and waves

The load model had one kind of work, upstreams that refuse what they cannot queue, and a steady load on equal entry VMs. It gains constant, uniform and long-tailed work, upstreams that never respond to what they cannot queue, partitions, routes of different priority and value, waves over groups of entry VMs, links of two speeds, and callers that keep their deadline.

--- a/tools/load-model/Figures.h
+++ b/tools/load-model/Figures.h
@@ -21,12 +21,17 @@
     std::uint64_t arrivals {};
     /// Attempts refused by an upstream because it did not hold the key.
     std::uint64_t misdirected {};
+    /// Attempts to which an upstream never responds.
+    std::uint64_t ignored {};
+    /// Worth of the responses, and of responses in time to all requests.
+    double earned {};
+    double possible {};
     /// Upper bound of the worth of any policy: upstreams always work on requests that can still be answered in time.
     double bound {};
     /// Time from a caller's first attempt to its response.
     std::shared_ptr<LatencyHistogram> latencies = std::make_shared<LatencyHistogram>();
 
-    double worth() const noexcept { return this->requests == 0 ? 0 : (static_cast<double>(this->inTime) + lateWorth * static_cast<double>(this->late)) / static_cast<double>(this->requests); }
+    double worth() const noexcept { return this->possible == 0 ? 0 : this->earned / this->possible; }
     double share(std::uint64_t part) const noexcept { return this->requests == 0 ? 0 : static_cast<double>(part) / static_cast<double>(this->requests); }
 };
 
--- a/tools/load-model/ModelRandom.h
+++ b/tools/load-model/ModelRandom.h
@@ -25,6 +25,9 @@
     /// @return An interval between arrivals of a Poisson process, in the unit of `mean`.
     double exponential(double mean) { return boost::random::exponential_distribution<double> { 1 / mean }(this->engine); }
 
+    /// @return A number in [low, high).
+    double between(double low, double high) { return low + (high - low) * this->share(); }
+
     /// @return A gamma-distributed service time in the unit of `mean`: rarely much shorter than the mean, sometimes twice
     /// as long.
     double workingTime(double mean)
--- a/tools/load-model/Pattern.h
+++ b/tools/load-model/Pattern.h
@@ -23,6 +23,33 @@
     Shedding,
     /// A `share` of the upstreams leave one after the other; the replacement of each starts before it drains.
     Replacement,
+    /// A `share` of the upstreams receive no requests, and never respond to those sent to them.
+    Partition,
+};
+
+/// How the work of a request varies around its mean.
+enum class WorkDistribution : std::uint8_t {
+    /// Rarely much shorter than the mean, sometimes twice as long.
+    Gamma,
+    Constant,
+    /// Uniform within `Pattern::workSpread` of the mean, as a fraction of it.
+    Uniform,
+    /// As Gamma, but 3 requests in 100 take seven times as long.
+    LongTail,
+};
+
+/// A part of the requests of a pattern that has a route of its own.
+struct RouteLoad {
+    std::string_view name;
+    /// Fraction of the pattern's requests.
+    double share {};
+    RequestKind kind { RequestKind::Idempotent };
+    std::uint32_t priority { 1 };
+    std::chrono::milliseconds work {};
+    std::chrono::milliseconds targetLatency {};
+    std::chrono::milliseconds deadline {};
+    /// Worth of a response within the target latency; a later one has 0.3 of it.
+    double value { 1 };
 };
 
 struct Disturbance {
@@ -60,6 +87,27 @@
     std::size_t responseBytes { 1'500 };
     std::chrono::milliseconds duration { 12'000 };
     std::vector<Disturbance> disturbances;
+    WorkDistribution workDistribution { WorkDistribution::Gamma };
+    double workSpread {};
+    /// Bounds of the upstreams' permanent speeds.
+    double minSpeed { 0.75 };
+    double maxSpeed { 1.25 };
+    /// Relative increase of the service time as the slots fill up, approached when all are busy.
+    double saturationSlowdown { 0.4 };
+    /// True if upstreams never respond to a request that they cannot queue, instead of refusing it.
+    bool isSilentWhenFull {};
+    RequestKind kind { RequestKind::Idempotent };
+    /// The arrivals at each of four groups of entry VMs vary by this fraction, in waves of `wavePeriod`. The peak reaches
+    /// each group an eighth of the period after the one before.
+    double waveShare {};
+    std::chrono::milliseconds wavePeriod { 17'000 };
+    /// True if callers keep the deadline of their first attempt, and wait at most a third of the time left before a retry.
+    /// Otherwise each attempt has a deadline of its own.
+    bool keepsDeadline {};
+    /// Every fourth entry VM has a link of this multiple of `linkBytesPerSecond`.
+    double largeLinkFactor { 1 };
+    /// If not empty, replaces the pattern's own work, target latency, deadline and kind.
+    std::vector<RouteLoad> routes;
 };
 
 /// @return All load patterns, in the order in which they are reported.
--- a/tools/load-model/Simulation.h
+++ b/tools/load-model/Simulation.h
@@ -33,8 +33,10 @@
 private:
     /// Time before the first request, in which upstreams register and keys are assigned.
     static constexpr std::chrono::milliseconds settleTime { 3'000 };
-    /// Time after the last arrival in which responses are still counted.
+    /// Shortest time after the last arrival in which responses are still counted.
     static constexpr std::chrono::milliseconds tailTime { 3'000 };
+    /// Groups of entry VMs that the waves of the arrivals reach one after the other.
+    static constexpr std::size_t waveGroups = 4;
     static constexpr std::chrono::milliseconds networkDelay { 2 };
     static constexpr std::chrono::milliseconds heartbeatInterval { 870 };
     static constexpr std::chrono::milliseconds releaseInterval { 100 };
@@ -46,6 +48,8 @@
     struct Caller {
         Instant firstAt;
         std::optional<KeyNumber> key;
+        /// Number of its route.
+        std::size_t route {};
         std::uint32_t retriesLeft {};
         bool isImpatient {};
     };
@@ -63,12 +67,17 @@
         std::unique_ptr<Policy> policy;
         absl::flat_hash_map<PendingRequestId, Attempt> attempts;
         std::optional<Instant> timer;
+        double linkBytesPerSecond {};
         Instant linkFreeAt;
     };
 
     bool isActive(const Disturbance& disturbance) const;
+    /// @return Arrivals at an entry VM's group at the moment, relative to the mean over time.
+    double waveFactor(std::size_t entryNumber) const;
     double arrivalRate() const;
     KeyNumber chooseKey();
+    std::size_t chooseRoute();
+    Entry& chooseEntry();
     void scheduleDisturbances();
     void addUpstream(std::size_t number);
     void sendHeartbeat(UpstreamModel& upstream, bool isRegular);
@@ -89,7 +98,8 @@
     EventQueue events;
     ModelRandom random;
     Instant startAt;
-    std::shared_ptr<const CompiledRoute> route;
+    std::vector<RouteLoad> routeLoads;
+    std::vector<std::shared_ptr<const CompiledRoute>> routes;
     std::deque<UpstreamModel> upstreams;
     std::deque<Entry> entries;
     RegistryModel registry;
--- a/tools/load-model/SimulationInlines.h
+++ b/tools/load-model/SimulationInlines.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace teaselturn::model {
 
@@ -21,14 +22,21 @@
         }
     })
 {
-    const RouteItem item { "host.example", "/", RequestKind::Idempotent, pattern.deadline, pattern.targetLatency, 1, 2, { { "service", 1 } } };
-    this->route = std::make_shared<const CompiledRoute>(CompiledRoute { "route", 1, item });
+    this->routeLoads = pattern.routes;
+    if (this->routeLoads.empty()) {
+        this->routeLoads.push_back({ "route", 1, pattern.kind, 1, pattern.work, pattern.targetLatency, pattern.deadline });
+    }
+    for (const auto& load : this->routeLoads) {
+        const RouteItem item { "host.example", "/" + std::string { load.name }, load.kind, load.deadline, load.targetLatency, load.priority, 2, { { "service", 1 } } };
+        this->routes.push_back(std::make_shared<const CompiledRoute>(CompiledRoute { std::string { load.name }, 1, item }));
+    }
     for (std::uint32_t i = 0; i < pattern.entryVms; ++i) {
         DispatchOptions dispatch;
         dispatch.zone = "zone";
         dispatch.preferenceSeed = i + 1;
-        dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? pattern.linkBytesPerSecond : 0;
-        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, {} });
+        const auto linkSpeed = static_cast<double>(pattern.linkBytesPerSecond) * (i % 4 == 0 ? pattern.largeLinkFactor : 1);
+        dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? static_cast<std::size_t>(linkSpeed) : 0;
+        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, linkSpeed, {} });
         this->entries.back().policy->setEntryCount(pattern.entryVms);
     }
 }
@@ -40,6 +48,16 @@
     return elapsed >= disturbance.from && elapsed < disturbance.until;
 }
 
+template <DispatchPolicy Policy>
+double Simulation<Policy>::waveFactor(std::size_t entryNumber) const
+{
+    // Numbers that differ by one are in the same group, so that each group has large entry VMs.
+    const auto delay = static_cast<double>(entryNumber / waveGroups % waveGroups) / (2 * waveGroups);
+    const std::chrono::duration<double> elapsed { this->events.now() - this->startAt };
+    const auto phase = elapsed / std::chrono::duration<double> { this->pattern.wavePeriod } - delay;
+    return 1 + this->pattern.waveShare * std::sin(2 * std::numbers::pi * phase);
+}
+
 template <DispatchPolicy Policy>
 double Simulation<Policy>::arrivalRate() const
 {
@@ -47,6 +65,13 @@
     for (const auto& disturbance : this->pattern.disturbances) {
         rate *= disturbance.kind == DisturbanceKind::Burst && this->isActive(disturbance) ? disturbance.factor : 1;
     }
+    if (this->pattern.waveShare > 0) {
+        double sum = 0;
+        for (std::size_t i = 0; i < this->entries.size(); ++i) {
+            sum += this->waveFactor(i);
+        }
+        rate *= sum / static_cast<double>(this->entries.size());
+    }
     return rate;
 }
 
@@ -64,6 +89,33 @@
     return static_cast<KeyNumber>(std::pow(this->random.share(), 3) * keyNumberCount);
 }
 
+template <DispatchPolicy Policy>
+std::size_t Simulation<Policy>::chooseRoute()
+{
+    if (this->routeLoads.size() == 1) {
+        return 0;
+    }
+    auto share = this->random.share();
+    for (std::size_t i = 0; i + 1 < this->routeLoads.size(); ++i) {
+        share -= this->routeLoads[i].share;
+        if (share < 0) {
+            return i;
+        }
+    }
+    return this->routeLoads.size() - 1;
+}
+
+template <DispatchPolicy Policy>
+typename Simulation<Policy>::Entry& Simulation<Policy>::chooseEntry()
+{
+    while (true) {
+        const auto number = this->random.below(this->entries.size());
+        if (this->pattern.waveShare == 0 || this->random.share() * (1 + this->pattern.waveShare) < this->waveFactor(number)) {
+            return this->entries[number];
+        }
+    }
+}
+
 template <DispatchPolicy Policy>
 void Simulation<Policy>::addUpstream(std::size_t number)
 {
@@ -71,7 +123,7 @@
     const auto incarnation = static_cast<std::uint64_t>(number + 1);
     const Endpoint endpoint { "10.0.0.1", static_cast<std::uint16_t>(1'000 + number) };
     RegisterUpstream announcement { { name, incarnation }, "service", endpoint, "zone", this->pattern.slots, false };
-    this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), 0.75 + 0.5 * this->random.share());
+    this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), this->random.between(this->pattern.minSpeed, this->pattern.maxSpeed));
     auto& upstream = this->upstreams.back();
     this->events.after(Duration { static_cast<Duration::rep>(this->random.below(static_cast<std::uint64_t>(Duration { heartbeatInterval }.count()))) }, [this, &upstream] { this->sendHeartbeat(upstream, true); });
 }
@@ -118,6 +170,13 @@
                 }
             };
             during([set, &disturbance] { set(disturbance.share); }, [set] { set(0); });
+        } else if (disturbance.kind == DisturbanceKind::Partition) {
+            const auto set = [this, affected](bool isPartitioned) {
+                for (std::size_t i = 0; i < affected; ++i) {
+                    this->upstreams[i].setPartitioned(isPartitioned);
+                }
+            };
+            during([set] { set(true); }, [set] { set(false); });
         } else if (disturbance.kind == DisturbanceKind::Replacement) {
             const auto interval = (disturbance.until - disturbance.from) / std::max<std::size_t>(affected, 1);
             this->events.at(this->startAt + disturbance.from, [this, affected, interval] { this->replaceUpstreams(0, affected, interval); });
@@ -156,7 +215,7 @@
     if (this->events.now() >= this->startAt + this->pattern.duration) {
         return;
     }
-    auto caller = std::make_shared<Caller>(Caller { this->events.now(), this->pattern.isSharded ? std::optional { this->chooseKey() } : std::nullopt, 1, false });
+    auto caller = std::make_shared<Caller>(Caller { this->events.now(), this->pattern.isSharded ? std::optional { this->chooseKey() } : std::nullopt, this->chooseRoute(), 1, false });
     for (const auto& disturbance : this->pattern.disturbances) {
         if (disturbance.kind == DisturbanceKind::ImpatientCallers && this->isActive(disturbance) && this->random.share() < disturbance.share) {
             caller->isImpatient = true;
@@ -164,6 +223,7 @@
         }
     }
     ++this->figures.requests;
+    this->figures.possible += this->routeLoads[caller->route].value;
     this->attempt(caller);
     this->events.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.exponential(1 / this->arrivalRate()) }), [this] { this->handleArrival(); });
 }
@@ -171,14 +231,14 @@
 template <DispatchPolicy Policy>
 void Simulation<Policy>::attempt(const std::shared_ptr<Caller>& caller)
 {
-    auto& entry = this->entries[this->random.below(this->entries.size())];
+    auto& entry = this->chooseEntry();
     this->events.after(networkDelay, [this, &entry, caller] {
         const auto now = this->events.now();
         const PendingRequestId id { ++this->lastId };
-        const auto deadline = now + this->pattern.deadline;
+        const auto deadline = (this->pattern.keepsDeadline ? caller->firstAt : now) + this->routeLoads[caller->route].deadline;
         entry.attempts.emplace(id, Attempt { caller, deadline });
         DispatchDecisions decisions;
-        entry.policy->submit(now, DispatchRequest { id, this->route, caller->key, now, deadline, requestBytes }, decisions);
+        entry.policy->submit(now, DispatchRequest { id, this->routes[caller->route], caller->key, now, deadline, requestBytes }, decisions);
         this->executeDecisions(entry, decisions);
     });
 }
@@ -215,8 +275,8 @@
     const auto work = ++this->lastId;
     attempt.work = work;
     attempt.upstream = &*target;
-    this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline] {
-        upstream->receive({ work, key, deadline, [this, &entry, id, work](AttemptOutcome outcome) {
+    this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline, length = this->routeLoads[attempt.caller->route].work] {
+        upstream->receive({ work, key, deadline, length, [this, &entry, id, work](AttemptOutcome outcome) {
                                this->events.after(networkDelay, [this, &entry, id, work, outcome] { this->handleAttemptEnd(entry, id, work, outcome); });
                            } });
     });
@@ -247,7 +307,11 @@
         return;
     }
     --caller->retriesLeft;
-    this->events.after(networkDelay + (caller->isImpatient ? Duration { impatientRetryDelay } : refusal.retryAfter), [this, caller] { this->attempt(caller); });
+    auto wait = caller->isImpatient ? Duration { impatientRetryDelay } : refusal.retryAfter;
+    if (this->pattern.keepsDeadline) {
+        wait = std::clamp<Duration>((caller->firstAt + this->routeLoads[caller->route].deadline - this->events.now()) / 3, Duration::zero(), wait);
+    }
+    this->events.after(networkDelay + wait, [this, caller] { this->attempt(caller); });
 }
 
 template <DispatchPolicy Policy>
@@ -256,8 +320,8 @@
     const auto attempt = entry.attempts.at(id);
     entry.attempts.erase(id);
     auto arrivesAt = this->events.now();
-    if (this->pattern.linkBytesPerSecond > 0) {
-        const std::chrono::duration<double> transfer { static_cast<double>(this->pattern.responseBytes) / static_cast<double>(this->pattern.linkBytesPerSecond) };
+    if (entry.linkBytesPerSecond > 0) {
+        const std::chrono::duration<double> transfer { static_cast<double>(this->pattern.responseBytes) / entry.linkBytesPerSecond };
         entry.linkFreeAt = std::max(entry.linkFreeAt, arrivesAt) + std::chrono::duration_cast<Duration>(transfer);
         arrivesAt = entry.linkFreeAt;
     }
@@ -267,7 +331,10 @@
         ++this->figures.failed;
         return;
     }
-    ++(latency <= this->pattern.targetLatency ? this->figures.inTime : this->figures.late);
+    const auto& load = this->routeLoads[attempt.caller->route];
+    const bool isInTime = latency <= load.targetLatency;
+    ++(isInTime ? this->figures.inTime : this->figures.late);
+    this->figures.earned += load.value * (isInTime ? 1 : lateWorth);
     this->figures.latencies->record(latency);
 }
 
@@ -295,6 +362,10 @@
 template <DispatchPolicy Policy>
 double Simulation<Policy>::bound() const
 {
+    if (this->routeLoads.size() > 1) {
+        // Requests of different value and work are not one fluid.
+        return 1;
+    }
     constexpr std::chrono::milliseconds step { 10 };
     const auto seconds = [](Duration duration) { return std::chrono::duration<double> { duration }.count(); };
     double waiting = 0;
@@ -348,10 +419,15 @@
     }
     this->scheduleDisturbances();
     this->events.at(this->startAt, [this] { this->handleArrival(); });
-    this->events.runUntil(this->startAt + this->pattern.duration + tailTime);
+    Duration tail = tailTime;
+    for (const auto& load : this->routeLoads) {
+        tail = std::max<Duration>(tail, 3 * load.deadline);
+    }
+    this->events.runUntil(this->startAt + this->pattern.duration + tail);
     for (const auto& upstream : this->upstreams) {
         this->figures.arrivals += upstream.arrivals();
         this->figures.misdirected += upstream.misdirected();
+        this->figures.ignored += upstream.ignored();
     }
     this->figures.bound = this->bound();
     return this->figures;
--- a/tools/load-model/UpstreamModel.cpp
+++ b/tools/load-model/UpstreamModel.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-    /// Relative increase of the service time as the slots fill up, approached when all are busy.
-    constexpr double saturationSlowdown = 0.4;
-
     /// Calls visit(first, last) for each range of adjacent keys with the same non-zero value.
     template <typename Visit>
     void forEachRun(const std::vector<std::uint64_t>& values, Visit visit)
@@ -50,6 +47,10 @@
         work.onEnded(AttemptOutcome::NotSent);
         return;
     }
+    if (this->isPartitioned) {
+        ++this->ignoredRequests;
+        return;
+    }
     ++this->arrived;
     if (!this->holds(work.key)) {
         ++this->misdirections;
@@ -58,7 +59,11 @@
     }
     const bool isRefused = this->refusedShare > 0 && this->random.share() < this->refusedShare;
     if (isRefused || (this->running >= this->pattern.slots && this->waiting.size() >= this->pattern.queueLength)) {
-        work.onEnded(AttemptOutcome::Overloaded);
+        if (this->pattern.isSilentWhenFull) {
+            ++this->ignoredRequests;
+        } else {
+            work.onEnded(AttemptOutcome::Overloaded);
+        }
     } else if (this->running < this->pattern.slots) {
         this->begin(std::move(work));
     } else {
@@ -71,6 +76,27 @@
     std::erase_if(this->waiting, [number](const UpstreamWork& work) { return work.number == number; });
 }
 
+Duration UpstreamModel::drawWorkingTime(double mean)
+{
+    constexpr double tailShare = 0.03;
+    constexpr double tailFactor = 7;
+    auto length = mean;
+    switch (this->pattern.workDistribution) {
+    case WorkDistribution::Gamma:
+        length = this->random.workingTime(mean);
+        break;
+    case WorkDistribution::Constant:
+        break;
+    case WorkDistribution::Uniform:
+        length = mean * this->random.between(1 - this->pattern.workSpread, 1 + this->pattern.workSpread);
+        break;
+    case WorkDistribution::LongTail:
+        length = this->random.workingTime(mean / (1 + tailShare * (tailFactor - 1))) * (this->random.share() < tailShare ? tailFactor : 1);
+        break;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { length });
+}
+
 void UpstreamModel::begin(UpstreamWork work)
 {
     ++this->running;
@@ -78,10 +104,9 @@
         ++this->busyKeys[*work.key];
     }
     const bool isCold = this->events.now() - this->startedAt < this->pattern.coldTime;
-    const auto saturationFactor = 1 + saturationSlowdown * (this->running - 1) / this->pattern.slots;
-    const auto mean = std::chrono::duration<double> { this->pattern.work }.count() * this->slowness * saturationFactor * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
-    const auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.workingTime(mean) });
-    this->events.after(length, [this, key = work.key, onEnded = std::move(work.onEnded)] {
+    const auto saturationFactor = 1 + this->pattern.saturationSlowdown * (this->running - 1) / this->pattern.slots;
+    const auto mean = std::chrono::duration<double> { work.work }.count() * this->slowness * saturationFactor * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
+    this->events.after(this->drawWorkingTime(mean), [this, key = work.key, onEnded = std::move(work.onEnded)] {
         onEnded(AttemptOutcome::Answered);
         this->finish(key);
     });
--- a/tools/load-model/UpstreamModel.h
+++ b/tools/load-model/UpstreamModel.h
@@ -20,11 +20,13 @@
     std::optional<KeyNumber> key;
     /// Deadline of the request; the upstream drops a request that has not started by then.
     Instant deadline;
+    /// Mean work of such a request at an upstream of speed 1.
+    std::chrono::milliseconds work {};
     std::function<void(AttemptOutcome)> onEnded;
 };
 
 /// A simulated upstream with a few request slots and a short queue. Its service times grow while it is cold and as its
-/// slots fill up. It refuses requests when its queue is full and runs requests only for keys that are granted to it.
+/// slots fill up. When its queue is full it refuses requests, or never responds to them if the pattern says so. It runs requests only for keys that are granted to it.
 class UpstreamModel {
 public:
     /// @param speed Speed relative to the mean of all upstreams; divides service times.
@@ -46,15 +48,19 @@
     bool isStopped() const noexcept { return this->hasStopped; }
     void setSlowness(double factor) noexcept { this->slowness = factor; }
     void setRefusedShare(double share) noexcept { this->refusedShare = share; }
+    void setPartitioned(bool value) noexcept { this->isPartitioned = value; }
 
     const UpstreamKey& key() const noexcept { return this->announcement.key; }
     const std::string& service() const noexcept { return this->announcement.service; }
     double speed() const noexcept { return this->ownSpeed; }
     std::uint64_t arrivals() const noexcept { return this->arrived; }
     std::uint64_t misdirected() const noexcept { return this->misdirections; }
+    /// @return Requests that got no response because the queue was full or the upstream was partitioned.
+    std::uint64_t ignored() const noexcept { return this->ignoredRequests; }
 
 private:
     bool holds(std::optional<KeyNumber> requestedKey) const noexcept;
+    Duration drawWorkingTime(double mean);
     void begin(UpstreamWork work);
     void finish(const std::optional<KeyNumber>& finishedKey);
 
@@ -67,12 +73,14 @@
     bool hasStopped {};
     double slowness { 1 };
     double refusedShare {};
+    bool isPartitioned {};
     std::uint32_t running {};
     std::deque<UpstreamWork> waiting;
     absl::flat_hash_map<KeyNumber, std::uint32_t> busyKeys;
     std::uint64_t sequence {};
     std::uint64_t arrived {};
     std::uint64_t misdirections {};
+    std::uint64_t ignoredRequests {};
     /// Fence by key; 0 if the key is not held. A revoked key stays held while requests run on it.
     std::vector<std::uint64_t> fences;
     std::vector<bool> isGranted;
--- a/tools/load-model/main.cpp
+++ b/tools/load-model/main.cpp
@@ -70,9 +70,9 @@
 void print(const Pattern& pattern, const NamedPolicy& policy, std::uint64_t seed, const Figures& figures)
 {
     const auto milliseconds = [&figures](double share) { return std::chrono::duration<double, std::milli> { figures.latencies->percentile(share) }.count(); };
-    std::printf("%.*s,%.*s,%llu,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.1f,%.1f,%.3f,%llu\n", static_cast<int>(pattern.name.size()), pattern.name.data(), static_cast<int>(policy.name.size()), policy.name.data(),
+    std::printf("%.*s,%.*s,%llu,%.4f,%.4f,%.4f,%.4f,%.4f,%.4f,%.1f,%.1f,%.3f,%llu,%llu\n", static_cast<int>(pattern.name.size()), pattern.name.data(), static_cast<int>(policy.name.size()), policy.name.data(),
         static_cast<unsigned long long>(seed), figures.worth(), figures.bound, figures.share(figures.inTime), figures.share(figures.late), figures.share(figures.refused), figures.share(figures.failed),
-        milliseconds(0.5), milliseconds(0.99), figures.share(figures.arrivals), static_cast<unsigned long long>(figures.misdirected));
+        milliseconds(0.5), milliseconds(0.99), figures.share(figures.arrivals), static_cast<unsigned long long>(figures.misdirected), static_cast<unsigned long long>(figures.ignored));
 }
 
 }
@@ -87,7 +87,7 @@
             return 2;
         }
     }
-    std::puts("pattern,policy,seed,worth,bound,in_time,late,refused,failed,p50_ms,p99_ms,arrivals_per_request,misdirected");
+    std::puts("pattern,policy,seed,worth,bound,in_time,late,refused,failed,p50_ms,p99_ms,arrivals_per_request,misdirected,ignored");
     for (auto pattern : patterns()) {
         pattern.requestsPerSecond *= options.loadPercent / 100.0;
         for (const auto& policy : policies) {
