Start the in-flight limit at the entry VM's share of the slots

The limit of each upstream started at two requests and grew by one a round trip, so that slow work left slots empty for tens of seconds. Its baseline was the least recent latency, so ordinary variation of the work halved it. A target latency below the work's own length refused every request that had to wait.

The limit starts at this entry VM's share of the stated slots once the number of entry VMs is known, and returns to it within a second. It shrinks if the least of three latencies exceeds a running quantile. Requests that cannot meet the target latency anyhow are admitted up to their deadline. A single entry VM no longer counts on more slots than there are.

--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -59,10 +59,10 @@
         return refusal;
     }
     const auto wait = this->estimateWait(now, pending);
-    if (wait > Duration::zero() && now + wait + pending.service->averageLatency > pending.targetTime()) {
-        return ResultCode::RequestShed;
-    }
-    return std::nullopt;
+    const auto typical = pending.service->averageLatency;
+    // Work that never meets the target latency would otherwise be refused as soon as it had to wait.
+    const auto latest = typical > pending.route().targetLatency ? pending.expiresAt : pending.targetTime();
+    return wait > Duration::zero() && now + wait + typical > latest ? std::optional { ResultCode::RequestShed } : std::nullopt;
 }
 
 Duration Admission::estimateWaitForOwner(Instant now, const PendingDispatch& pending) const
@@ -78,7 +78,7 @@
         return ownershipDelay;
     }
     const auto pause = std::max<Duration>(owner->load.pauseEnd() - now, Duration::zero());
-    return ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+    return ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit(now)));
 }
 
 Duration Admission::estimateWait(Instant now, const PendingDispatch& pending) const
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -40,7 +40,7 @@
     void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions);
 
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
-    void setEntryCount(std::uint32_t count) noexcept { this->capacity.setEntryCount(count); }
+    void setEntryCount(std::uint32_t count) noexcept;
 
     /// Refuses from now on new requests that may still be in progress when the process ends.
     void refuseRequestsBeyond(Instant processEnd) noexcept { this->admission.refuseRequestsBeyond(processEnd); }
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -25,6 +25,17 @@
 
 }
 
+void Dispatcher::setEntryCount(std::uint32_t count) noexcept
+{
+    if (this->capacity.knowsEntryCount() && std::max(1U, count) == this->capacity.entryCount()) {
+        return;
+    }
+    this->capacity.setEntryCount(count);
+    for (auto& [key, upstream] : this->upstreams.map) {
+        upstream.load.setSlots(upstream.announcement.requestSlots, this->capacity.slotShare(upstream.announcement));
+    }
+}
+
 DispatchService& Dispatcher::findOrCreateService(std::string_view name)
 {
     const auto found = this->services.find(name);
@@ -64,7 +75,7 @@
         auto& upstream = found->second;
         upstream.announcement = announcement;
         upstream.state = registered.state;
-        upstream.load.setSlots(announcement.requestSlots);
+        upstream.load.setSlots(announcement.requestSlots, this->capacity.slotShare(announcement));
         upstream.extraRoundTrip = this->extraRoundTripTo(announcement.zone);
         upstream.isInOtherRegion = upstream.extraRoundTrip >= interRegionRoundTrip;
         upstream.preferencePenalty = computePreferencePenalty(announcement.key, this->options.preferenceSeed);
--- a/src/core/dispatch/InFlightLimit.h
+++ b/src/core/dispatch/InFlightLimit.h
@@ -8,25 +8,51 @@
 
 namespace teaselturn {
 
-/// Limit of the requests that this entry VM has in flight to one upstream. Answers upstreams that queue or refuse: the limit
-/// grows with each response at normal latency, and is halved by each sign of congestion. Deterministic, allocates
-/// nothing; not thread-safe.
+/// Limit of the requests that this entry VM has in flight to one upstream. Answers upstreams that queue, refuse or fall
+/// silent. The limit starts at this entry VM's share of the upstream's slots, since slow work would otherwise leave slots
+/// empty for many round trips. Each sign of congestion halves it; it grows with each response at normal latency, and
+/// without further signs returns to the share within `recoveryTime`. Deterministic, allocates nothing; not thread-safe.
 class InFlightLimit {
 public:
     /// @param requestSlots Requests that the upstream runs concurrently, for all entry VMs together.
     explicit InFlightLimit(std::uint32_t requestSlots) noexcept
         : slots(std::max(1U, requestSlots))
-        , limit(std::min<double>(this->slots, initialLimit))
+        , limit(this->shareOfSlots())
     {
     }
 
-    void setSlots(std::uint32_t requestSlots) noexcept { this->slots = std::max(1U, requestSlots); }
+    /// @param requestSlots Requests that the upstream runs concurrently, for all entry VMs together.
+    /// @param share Slots that this entry VM may use if all entry VMs use theirs.
+    void setSlots(std::uint32_t requestSlots, double share) noexcept
+    {
+        const bool isAtShare = this->limit == this->shareOfSlots();
+        this->slots = std::max(1U, requestSlots);
+        this->share = share;
+        this->limit = isAtShare ? this->shareOfSlots() : std::min(this->limit, this->maxLimit());
+    }
 
     /// @return Requests that may be in flight; at least 1.
-    double allowed() const noexcept { return std::max(1.0, std::floor(this->limit + limitTolerance)); }
-    double value() const noexcept { return this->limit; }
+    double allowed(Instant now) const noexcept { return std::max(1.0, std::floor(this->value(now) + limitTolerance)); }
+
+    double value(Instant now) const noexcept
+    {
+        // Not beyond the share itself, which is less than one request where many entry VMs share an owner of hot keys.
+        const auto target = std::clamp(std::ceil(this->share), 1.0, this->shareOfSlots());
+        const std::chrono::duration<double> elapsed { std::max<Duration>(now - this->limitSince, Duration::zero()) };
+        return std::max(this->limit, std::min(target, this->limit + (target - 1) * (elapsed / recoveryTime)));
+    }
+
+    /// @return Limit without any sign of congestion.
+    double shareOfSlots() const noexcept { return std::min<double>(this->slots, std::max(minShare, std::ceil(this->share))); }
 
-    void increase() noexcept { this->limit = std::min<double>(this->slots + maxLimitExcess, this->limit + limitIncrease / std::max(1.0, this->limit)); }
+    /// @return True if congestion holds the limit at less than half of the share.
+    bool isFarBelowShare(Instant now) const noexcept { return this->shareOfSlots() > 1 && 2 * this->allowed(now) < this->shareOfSlots() + 1; }
+
+    void increase(Instant now) noexcept
+    {
+        const auto current = this->value(now);
+        this->set(std::min(this->maxLimit(), current + limitIncrease / std::max(1.0, current)), now);
+    }
 
     /// Halves the limit, once for a burst of signs.
     void decrease(Instant now) noexcept
@@ -34,15 +60,17 @@
         if (now - this->lastDecreaseAt < decreaseInterval) {
             return;
         }
+        this->set(std::max(1.0, this->value(now) * decreaseFactor), now);
         this->lastDecreaseAt = now;
-        this->limit = std::max(1.0, this->limit * decreaseFactor);
     }
 
     /// Lets the limit grow from one request again.
-    void reset() noexcept { this->limit = 1; }
+    /// @param from Time from which it grows.
+    void reset(Instant from) noexcept { this->set(1, from); }
 
 private:
-    static constexpr double initialLimit = 2;
+    /// One request more than a single one keeps an upstream in use between two requests.
+    static constexpr double minShare = 2;
     /// Keeps floor() from losing a whole request to rounding errors of the limit.
     static constexpr double limitTolerance = 1e-6;
     static constexpr double decreaseFactor = 0.5;
@@ -50,9 +78,22 @@
     /// Number of requests by which the limit may exceed the upstream's slots.
     static constexpr double maxLimitExcess = 1;
     static constexpr std::chrono::milliseconds decreaseInterval { 100 };
+    /// A limit that stays low after the congestion leaves slots empty for as long.
+    static constexpr std::chrono::duration<double> recoveryTime { 1 };
+
+    void set(double value, Instant since) noexcept
+    {
+        this->limit = value;
+        this->limitSince = since;
+    }
+
+    double maxLimit() const noexcept { return this->slots + maxLimitExcess; }
 
     std::uint32_t slots;
+    double share {};
+    /// The limit at `limitSince`; value() adds the recovery since then.
     double limit;
+    Instant limitSince;
     Instant lastDecreaseAt;
 };
 
--- a/src/core/dispatch/LatencyEstimate.h
+++ b/src/core/dispatch/LatencyEstimate.h
@@ -20,9 +20,6 @@
             this->average += std::chrono::duration_cast<Duration>((latency - this->average) * averageWeight);
         }
         this->lastResponseAt = now;
-        // The baseline drops with the latency immediately and rises slowly, so that long congestion does not become the
-        // baseline.
-        this->baseline = this->baseline == Duration::zero() || this->recent < this->baseline ? this->recent : this->baseline + std::chrono::duration_cast<Duration>((this->recent - this->baseline) * baselineWeight);
     }
 
     bool hasSamples() const noexcept { return this->average != Duration::zero(); }
@@ -37,21 +34,14 @@
         return this->average + std::chrono::duration_cast<Duration>(excess);
     }
 
-    /// @return True if the recent latency shows that requests queue at the upstream.
-    bool isCongested() const noexcept { return this->recent > std::chrono::duration<double> { this->baseline } * congestionFactor; }
-
 private:
     /// Weights of one sample in the exponential moving averages.
     static constexpr double recentWeight = 0.3;
     static constexpr double averageWeight = 0.05;
-    static constexpr double baselineWeight = 0.005;
-    /// Recent latency above this multiple of the baseline means that requests queue at the upstream.
-    static constexpr double congestionFactor = 2.2;
     static constexpr std::chrono::milliseconds recentTimeConstant { 1'000 };
 
     Duration recent {};
     Duration average {};
-    Duration baseline {};
     Instant lastResponseAt;
 };
 
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/InFlightLimit.h"
 #include "core/dispatch/LatencyEstimate.h"
+#include "core/dispatch/QueueingSign.h"
 #include "teaselturn/Types.h"
 
 #include <algorithm>
@@ -60,18 +61,13 @@
     {
     }
 
-    void setSlots(std::uint32_t requestSlots) noexcept { this->limit.setSlots(requestSlots); }
+    /// @param share Slots that this entry VM may use if all entry VMs use theirs.
+    void setSlots(std::uint32_t requestSlots, double share) noexcept { this->limit.setSlots(requestSlots, share); }
 
     /// @return True if one more request may be sent now.
-    bool hasCapacity(Instant now) const noexcept
-    {
-        if (now < this->circuitOpenUntil || this->isPaused(now)) {
-            return false;
-        }
-        // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
-        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : this->limit.allowed();
-        return this->inFlightCount < allowed;
-    }
+    bool hasCapacity(Instant now) const noexcept { return this->hasCapacityBeside(now, this->inFlightCount); }
+    /// @return True if one more request may be sent now once one of those in flight has been cancelled.
+    bool hasCapacityAfterCancel(Instant now) const noexcept { return this->hasCapacityBeside(now, this->inFlightCount - 1); }
 
     /// @return True while the circuit breaker blocks all requests to the upstream after failures.
     bool isCircuitOpen(Instant now) const noexcept { return now < this->circuitOpenUntil; }
@@ -80,7 +76,7 @@
     void pause(Instant until) noexcept
     {
         this->pausedUntil = std::max(this->pausedUntil, until);
-        this->limit.reset();
+        this->limit.reset(until);
     }
     bool isPaused(Instant now) const noexcept { return now < this->pausedUntil; }
     Instant pauseEnd() const noexcept { return this->pausedUntil; }
@@ -123,6 +119,10 @@
         }
     }
 
+    /// Records that an attempt has probably been dropped without a response; it is still in flight. Only the limit shrinks:
+    /// half of such attempts may be long work, and the circuit breaker counts those that their deadline ends.
+    void recordSilence(Instant now) noexcept { this->limit.decrease(now); }
+
     /// Records an attempt that was cancelled because the caller disconnected. It does not affect latency or failures.
     void recordCancelled() noexcept
     {
@@ -133,7 +133,10 @@
     }
 
     int inFlight() const noexcept { return this->inFlightCount; }
-    double currentLimit() const noexcept { return this->limit.value(); }
+    double currentLimit(Instant now) const noexcept { return this->limit.value(now); }
+    /// @return True if congestion holds requests back: the limit is reached and is less than half of this entry VM's share of
+    /// the slots.
+    bool isHeldBack(Instant now) const noexcept { return this->limit.isFarBelowShare(now) && this->inFlightCount >= this->limit.allowed(now); }
 
     /// @param fallback Latency assumed for an upstream without a response yet.
     /// @return Expected latency of the next request.
@@ -155,6 +158,16 @@
     Duration averageLatency() const noexcept { return this->latency.longTerm(); }
 
 private:
+    bool hasCapacityBeside(Instant now, int others) const noexcept
+    {
+        if (now < this->circuitOpenUntil || this->isPaused(now)) {
+            return false;
+        }
+        // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
+        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : this->limit.allowed(now);
+        return others < allowed;
+    }
+
     /// Weight of one outcome in the share of errors.
     static constexpr double errorWeight = 0.2;
     /// At this value, an upstream that fails every second request counts as three times as slow.
@@ -170,10 +183,10 @@
     void recordLatency(Instant now, Duration duration) noexcept
     {
         this->latency.record(now, duration);
-        if (this->latency.isCongested()) {
+        if (this->queueing.record(duration)) {
             this->limit.decrease(now);
         } else {
-            this->limit.increase();
+            this->limit.increase(now);
         }
     }
 
@@ -187,6 +200,7 @@
 
     InFlightLimit limit;
     LatencyEstimate latency;
+    QueueingSign queueing;
     int inFlightCount {};
     Instant circuitOpenUntil;
     Instant pausedUntil;
--- a/tests/core/dispatch/UpstreamLoadTest.cpp
+++ b/tests/core/dispatch/UpstreamLoadTest.cpp
@@ -14,16 +14,16 @@
         load.recordSent(now);
         load.recordEnded(now, AttemptOutcome::Answered, milliseconds { 50 });
     }
-    const auto before = load.currentLimit();
+    const auto before = load.currentLimit(now);
     CHECK(before >= 4);
     load.recordSent(now);
     load.recordEnded(now, AttemptOutcome::Overloaded, milliseconds { 1 });
-    const auto after = load.currentLimit();
+    const auto after = load.currentLimit(now);
     CHECK(after <= before * 0.65);
     // The second refusal of a burst does not decrease the limit again.
     load.recordSent(now);
     load.recordEnded(now, AttemptOutcome::Overloaded, milliseconds { 1 });
-    CHECK(load.currentLimit() == after);
+    CHECK(load.currentLimit(now) == after);
 }
 
 TEST_CASE("rising latency decreases the limit before the upstream refuses requests")
@@ -34,13 +34,13 @@
         load.recordSent(now);
         load.recordEnded(now, AttemptOutcome::Answered, milliseconds { 50 });
     }
-    const auto before = load.currentLimit();
+    const auto before = load.currentLimit(now);
     for (int i = 0; i < 4; ++i) {
         now += milliseconds { 150 };
         load.recordSent(now);
         load.recordEnded(now, AttemptOutcome::Answered, milliseconds { 250 });
     }
-    CHECK(load.currentLimit() < before);
+    CHECK(load.currentLimit(now) < before);
 }
 
 TEST_CASE("expected latency rises while an upstream does not respond, before its requests are lost")
