Give up requests that an upstream has dropped without a response

An upstream that never responds to what it cannot queue was noticed at the request's deadline, when nothing could be done for it. Each service now estimates from its last attempts, by the product-limit method, after which time a request is more probably dropped than still at work; long work delays that time unless silence is more frequent. Then the upstream's limit shrinks, and an idempotent request is cancelled and sent to another upstream, or to its owner on another connection if the owner is not full, within attempts, deadline and retry budget. At-most-once requests are never sent again. A service whose upstreams respond to all requests is served as before.

--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -2,6 +2,7 @@
 
 #include "core/dispatch/DispatchTypes.h"
 #include "core/dispatch/RetryWindow.h"
+#include "core/dispatch/SilenceEstimate.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
 #include "core/registry/KeyRanges.h"
@@ -86,6 +87,7 @@
     LogIndex rangesIndex;
     std::vector<UpstreamKey> upstreams;
     RetryWindow retries;
+    SilenceEstimate silence;
     /// Exponential moving average of the response time of the service's upstreams.
     Duration averageLatency { std::chrono::milliseconds { 60 } };
     /// Queued requests if the service is not sharded.
@@ -114,6 +116,8 @@
     UpstreamKey sentTo;
     bool isSent {};
     Instant sentAt;
+    /// When the attempt's upstream is taken to have dropped the request; empty if that is not known or already recorded.
+    std::optional<Instant> silentAt;
     Instant expiresAt;
     /// Bytes reserved in the link budget.
     double reservedLinkBytes {};
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -103,6 +103,7 @@
         }
     }
     if (outcome == AttemptOutcome::Answered) {
+        service.silence.recordAnswered(latency);
         service.averageLatency += scaled(latency - service.averageLatency, latencyWeight);
         if (service.item.isSharded && pending.request.key) {
             auto& usage = service.usage[*pending.request.key];
@@ -313,6 +314,7 @@
     const auto id = pending.request.id;
     auto& service = *pending.service;
     if (pending.isSent) {
+        service.silence.recordUnanswered(now - pending.sentAt);
         this->recordAttemptEnd(now, pending, AttemptOutcome::Lost);
         ++pending.possibleRuns;
         decisions.push_back(CancelAttempt { id });
@@ -351,7 +353,11 @@
         if (pending.expiresAt <= now) {
             this->expire(now, pending, decisions);
         } else {
-            this->dispatchQueued(now, *pending.service, decisions);
+            auto& service = *pending.service;
+            if (pending.isSent && pending.silentAt && *pending.silentAt <= now) {
+                this->handleSilence(now, pending, decisions);
+            }
+            this->dispatchQueued(now, service, decisions);
         }
     }
 }
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -100,6 +100,14 @@
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
+    /// @return When an attempt that is sent now counts as dropped by its upstream; empty if its deadline comes first or the
+    /// service's upstreams respond to all requests.
+    static std::optional<Instant> silentAfter(const PendingDispatch& pending, const DispatchUpstream& target);
+    /// @return True if a sent request may run again and another upstream, or another connection of its owner, can take it
+    /// now.
+    bool canResendNow(Instant now, PendingDispatch& pending);
+    /// Records that an attempt was probably dropped without a response, and sends the request again if it can be.
+    void handleSilence(Instant now, PendingDispatch& pending, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
     /// have run, fails it with RequestOutcomeUnknown.
     void refuseOrFail(Instant now, PendingDispatch& pending, ResultCode reason, DispatchDecisions& decisions);
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -138,6 +138,10 @@
     pending.isSent = true;
     pending.sentTo = target.announcement.key;
     pending.sentAt = now;
+    pending.silentAt = this->silentAfter(pending, target);
+    if (pending.silentAt) {
+        this->deadlines.emplace(*pending.silentAt, pending.request.id);
+    }
     if (const auto* range = pending.findRange()) {
         pending.service->unconfirmedRanges.recordProbe(now, *range);
     }
@@ -145,6 +149,55 @@
     decisions.push_back(SendRequest { pending.request.id, target.announcement.key, target.announcement.endpoint, left });
 }
 
+std::optional<Instant> Dispatcher::silentAfter(const PendingDispatch& pending, const DispatchUpstream& target)
+{
+    const auto& service = *pending.service;
+    const auto usual = service.silence.silentAfter();
+    if (!usual) {
+        return std::nullopt;
+    }
+    // An upstream that is slow for all requests is given proportionally more time.
+    const auto slowness = static_cast<double>(target.load.averageLatency().count()) / static_cast<double>(std::max<Duration::rep>(1, service.averageLatency.count()));
+    const auto at = pending.sentAt + scaled(*usual, std::max(1.0, slowness));
+    return at < pending.expiresAt ? std::optional { at } : std::nullopt;
+}
+
+bool Dispatcher::canResendNow(Instant now, PendingDispatch& pending)
+{
+    auto& service = *pending.service;
+    if (!mayRepeat(pending.route().kind) || pending.attempts >= pending.route().attempts || now + service.averageLatency > pending.expiresAt) {
+        return false;
+    }
+    if (service.item.isSharded) {
+        const auto* range = pending.findRange();
+        const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+        // The owner is full if other requests use the limit that this silence has lowered.
+        return owner != nullptr && owner->announcement.key == pending.sentTo && owner->load.hasCapacityAfterCancel(now) && !service.queues.contains(owner->announcement.key) && this->eligibility.mayServeKey(now, pending, *owner);
+    }
+    pending.excludedUpstreams.push_back(pending.sentTo);
+    const bool hasOther = this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr;
+    pending.excludedUpstreams.pop_back();
+    return hasOther && service.queue.empty();
+}
+
+void Dispatcher::handleSilence(Instant now, PendingDispatch& pending, DispatchDecisions& decisions)
+{
+    pending.silentAt.reset();
+    auto& service = *pending.service;
+    if (auto* const target = this->upstreams.find(pending.sentTo)) {
+        target->load.recordSilence(now);
+    }
+    if (service.silence.isObserved() || !this->canResendNow(now, pending) || !this->tryConsumeRetry(now, pending, AttemptOutcome::Lost)) {
+        return;
+    }
+    // The connection must close first: a later response on it would belong to the attempt that was given up.
+    decisions.push_back(CancelAttempt { pending.request.id });
+    service.silence.recordUnanswered(now - pending.sentAt);
+    this->recordAttemptEnd(now, pending, std::nullopt);
+    ++pending.possibleRuns;
+    this->retry(now, pending, AttemptOutcome::Lost, decisions);
+}
+
 void Dispatcher::refuseWhilePaused(Instant now, DispatchService& service, const DispatchUpstream& upstream, DispatchDecisions& decisions)
 {
     const auto owned = service.queues.find(upstream.announcement.key);
