Refuse queued requests that can no longer be answered, and report limits that hold requests back

A queued request waited for its deadline even when the rest of its time was less than half of the service's latency. It is refused as not run then, by a deadline of its own and whenever its queue is served.

Admission compared the average latency with the target latency to find work that never meets it, but congestion raises the average. It compares the 5th percentile of the last responses.

--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -60,8 +60,9 @@
     }
     const auto wait = this->estimateWait(now, pending);
     const auto typical = pending.service->averageLatency;
-    // Work that never meets the target latency would otherwise be refused as soon as it had to wait.
-    const auto latest = typical > pending.route().targetLatency ? pending.expiresAt : pending.targetTime();
+    // Work that never meets the target latency would otherwise be refused as soon as it had to wait. The average does not tell
+    // such work from a service that is congested.
+    const auto latest = pending.service->silence.shortestUsual() > pending.route().targetLatency ? pending.expiresAt : pending.targetTime();
     return wait > Duration::zero() && now + wait + typical > latest ? std::optional { ResultCode::RequestShed } : std::nullopt;
 }
 
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -112,6 +112,7 @@
     /// Owner under which the request is queued; valid only while isQueued.
     UpstreamKey queueOwner;
     bool isQueued {};
+    bool isHeldBack {};
     /// Upstream of the latest attempt.
     UpstreamKey sentTo;
     bool isSent {};
--- a/src/core/dispatch/DispatchTypes.h
+++ b/src/core/dispatch/DispatchTypes.h
@@ -69,6 +69,15 @@
 using DispatchDecision = std::variant<SendRequest, RefuseRequest, FailRequest, DeliverResponse, CancelAttempt>;
 using DispatchDecisions = std::vector<DispatchDecision>;
 
+/// Queued requests that were held back although this entry VM's share of an upstream's slots was not used.
+struct HeldBackRequests {
+    std::uint64_t count {};
+    /// The last upstream that held requests back.
+    UpstreamKey upstream;
+    /// Its limit at that time.
+    std::uint32_t limit {};
+};
+
 /// Settings of the dispatcher.
 struct DispatchOptions {
     /// Availability zone of this entry VM.
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -68,6 +68,10 @@
     /// @return Number of requests that are queued or sent.
     std::size_t pendingRequestCount() const noexcept { return this->pendingRequests.size(); }
 
+    /// Returns the requests that a limit far under the stated slots has held back since the last call, and resets them. A
+    /// request counts once.
+    HeldBackRequests takeHeldBack() { return std::exchange(this->heldBack, {}); }
+
     /// Returns the load of each key since the last call and resets it.
     /// @param maxKeys Limit for each service; the keys with the most requests are kept.
     std::vector<ServiceKeyLoad> takeKeyLoads(std::size_t maxKeys);
@@ -97,7 +101,12 @@
     RequestQueue& queueFor(PendingDispatch& pending);
     /// Sends queued requests of a service to upstreams with free capacity.
     void dispatchQueued(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Refuses requests of a queue that probably cannot be answered before they expire, so that they neither wait for their
+    /// deadline nor take capacity from others.
+    void refuseHopeless(Instant now, const RequestQueue& queue, Duration typicalLatency, DispatchDecisions& decisions);
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Counts a queued request that the limit of an upstream holds back.
+    void recordHeldBack(Instant now, PendingDispatch& pending);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
     /// @return When an attempt that is sent now counts as dropped by its upstream; empty if its deadline comes first or the
@@ -136,6 +145,7 @@
     UpstreamChoice<> choice;
     Admission admission { this->upstreams, this->eligibility, this->capacity, this->choice };
     ReturnTime returnTime;
+    HeldBackRequests heldBack;
     /// Upstreams whose responses said that they leave. Kept apart from `upstreams`, so that a late heartbeat or an older
     /// state of the registry does not make them usable again.
     absl::flat_hash_map<UpstreamKey, Instant> leavingSince;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -30,6 +30,8 @@
     }
     this->queueFor(pending).insert(pending.position());
     pending.isQueued = true;
+    // When refuseHopeless() refuses it at the latest.
+    this->deadlines.emplace(pending.expiresAt - pending.service->averageLatency / 2, pending.request.id);
     const auto* owner = pending.service->item.isSharded ? this->upstreams.find(pending.queueOwner) : nullptr;
     if (owner != nullptr && owner->load.pauseEnd() > pending.request.arrivedAt && owner->load.pauseEnd() < pending.expiresAt) {
         this->deadlines.emplace(owner->load.pauseEnd(), pending.request.id);
@@ -61,10 +63,12 @@
     if (service.queue.empty()) {
         return;
     }
+    this->refuseHopeless(now, service.queue, service.averageLatency, decisions);
     for (const auto id : this->selectSendable(now, service.queue, service.averageLatency)) {
         auto& pending = *this->pendingRequests.at(id);
         auto* target = this->chooseUpstream(now, service, pending);
         if (target == nullptr) {
+            this->recordHeldBack(now, pending);
             return;
         }
         this->dequeue(pending);
@@ -97,6 +101,38 @@
         now, queue, latency, [this](PendingRequestId id) -> const PendingDispatch& { return *this->pendingRequests.at(id); }, [this, now](const PendingDispatch& pending) { return this->isDeferred(now, pending); });
 }
 
+void Dispatcher::recordHeldBack(Instant now, PendingDispatch& pending)
+{
+    if (pending.isHeldBack) {
+        return;
+    }
+    const auto holdsBack = [this, now](const UpstreamKey& key) {
+        const auto* upstream = this->upstreams.find(key);
+        return upstream != nullptr && upstream->load.isHeldBack(now);
+    };
+    const auto& keys = pending.service->upstreams;
+    const auto found = pending.service->item.isSharded ? std::ranges::find(keys, pending.queueOwner) : std::ranges::find_if(keys, holdsBack);
+    if (found != keys.end() && holdsBack(*found)) {
+        pending.isHeldBack = true;
+        ++this->heldBack.count;
+        this->heldBack.upstream = *found;
+        this->heldBack.limit = this->upstreams.find(*found)->load.allowedRequests(now);
+    }
+}
+
+void Dispatcher::refuseHopeless(Instant now, const RequestQueue& queue, Duration typicalLatency, DispatchDecisions& decisions)
+{
+    std::vector<PendingRequestId> hopeless;
+    for (const auto& position : queue) {
+        if (this->pendingRequests.at(position.id)->expiresAt - now <= typicalLatency / 2) {
+            hopeless.push_back(position.id);
+        }
+    }
+    for (const auto id : hopeless) {
+        this->refuseOrFail(now, *this->pendingRequests.at(id), ResultCode::RequestShed, decisions);
+    }
+}
+
 void Dispatcher::dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions)
 {
     std::vector<UpstreamKey> owners;
@@ -104,13 +140,15 @@
         owners.push_back(key);
     }
     for (const auto& key : owners) {
+        this->refuseHopeless(now, service.queues.at(key), service.averageLatency, decisions);
         auto* owner = this->upstreams.find(key);
-        if (owner == nullptr || owner->load.isCircuitOpen(now) || !owner->load.hasCapacity(now)) {
+        if (owner == nullptr || !service.queues.contains(key) || owner->load.isCircuitOpen(now) || !owner->load.hasCapacity(now)) {
             continue;
         }
         for (const auto id : this->selectSendable(now, service.queues.at(key), owner->load.averageLatency())) {
             auto& pending = *this->pendingRequests.at(id);
             if (!owner->load.hasCapacity(now)) {
+                this->recordHeldBack(now, pending);
                 break;
             }
             // A request that was just sent may have been the probe of a range that the others have to wait for.
--- a/src/core/dispatch/SilenceEstimate.cpp
+++ b/src/core/dispatch/SilenceEstimate.cpp
@@ -30,6 +30,9 @@
         }
         unanswered[end] = current;
     }
+    std::size_t shorter = 0;
+    const auto shortest = std::ranges::find_if(attempts, [&shorter, answered](const Attempt& attempt) { return attempt.isAnswered && static_cast<double>(++shorter) > shortShare * static_cast<double>(answered); });
+    this->shortest = shortest == attempts.end() ? Duration::zero() : shortest->waited;
     const auto left = attempts.subspan(end);
     const auto silent = current * static_cast<double>(std::ranges::count(left, false, &Attempt::isAnswered)) / static_cast<double>(left.size());
     this->threshold.reset();
--- a/src/core/dispatch/SilenceEstimate.h
+++ b/src/core/dispatch/SilenceEstimate.h
@@ -25,6 +25,9 @@
     /// upstream of the service has left requests without a response lately.
     std::optional<Duration> silentAfter() const noexcept { return this->threshold; }
 
+    /// @return Latency that all but one in twenty responses exceed; zero before the first estimate.
+    Duration shortestUsual() const noexcept { return this->shortest; }
+
     /// Selects the attempts that are not given up at that time. Without them no response later than it would be seen, and
     /// the estimate would take any long work for silence.
     bool isObserved() noexcept { return ++this->suspected % observedInterval == 0; }
@@ -40,6 +43,7 @@
     static constexpr std::uint64_t observedInterval = 4;
     /// Responses that are never taken for silence, as a share of all.
     static constexpr double usualShare = 0.95;
+    static constexpr double shortShare = 0.05;
 
     struct Attempt {
         Duration waited {};
@@ -52,6 +56,7 @@
     std::array<Attempt, windowSize> window {};
     std::size_t count {};
     std::optional<Duration> threshold;
+    Duration shortest {};
     std::uint64_t suspected {};
 };
 
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -134,6 +134,8 @@
 
     int inFlight() const noexcept { return this->inFlightCount; }
     double currentLimit(Instant now) const noexcept { return this->limit.value(now); }
+    /// @return Requests that may be in flight.
+    std::uint32_t allowedRequests(Instant now) const noexcept { return static_cast<std::uint32_t>(this->limit.allowed(now)); }
     /// @return True if congestion holds requests back: the limit is reached and is less than half of this entry VM's share of
     /// the slots.
     bool isHeldBack(Instant now) const noexcept { return this->limit.isFarBelowShare(now) && this->inFlightCount >= this->limit.allowed(now); }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -115,6 +115,8 @@
 
     /// Adds the effects of the decisions and schedules the dispatcher's next deadline.
     void applyDecisions(Instant now, DispatchDecisions& decisions, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Counts and logs requests that a limit far under the stated slots held back.
+    void reportHeldBack(Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void startAttempt(Instant now, const SendRequest& decision, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void endAttempt(Instant now, PendingRequestId id, AttemptOutcome outcome, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void respond(Instant now, PendingRequestId id, OutgoingResponse response, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -135,6 +137,8 @@
 
     Mutex mutex;
     LogRateLimiter logRateLimiter ABSL_GUARDED_BY(mutex);
+    /// Separate, so that refusals do not crowd these lines out.
+    LogRateLimiter heldBackRateLimiter ABSL_GUARDED_BY(mutex);
     Dispatcher dispatcher ABSL_GUARDED_BY(mutex);
     std::shared_ptr<const RouteIndex> routes ABSL_GUARDED_BY(mutex);
     LogIndex routesIndex ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -9,7 +9,7 @@
 
 std::string GatewayCounters::text(const ListenerCounters& callers) const
 {
-    const std::array<std::pair<std::string_view, const Counter*>, 11> rows { {
+    const std::array<std::pair<std::string_view, const Counter*>, 12> rows { {
         { "teaselturn_requests_received_total", &this->received },
         { "teaselturn_requests_delivered_total", &this->delivered },
         { "teaselturn_requests_refused_total", &this->refused },
@@ -19,6 +19,7 @@
         { "teaselturn_attempts_total", &this->attempts },
         { "teaselturn_upstream_connections_total", &this->connectionsOpened },
         { "teaselturn_answers_dropped_total", &this->responsesDropped },
+        { "teaselturn_requests_held_back_total", &this->requestsHeldBack },
         { "teaselturn_responses_over_budget_total", &this->responsesOverBudget },
         { "teaselturn_caller_connections_cut_total", &callers.cut },
     } };
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -19,6 +19,8 @@
     Counter attempts;
     Counter connectionsOpened;
     Counter responsesDropped;
+    /// Requests that waited because congestion held an upstream's limit far under this entry VM's share of its slots.
+    Counter requestsHeldBack;
     /// Responses cut off because the budget for buffered bytes was exhausted.
     Counter responsesOverBudget;
     /// Time from the complete request to the complete response.
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -220,9 +220,24 @@
         }
     }
     decisions.clear();
+    this->reportHeldBack(now);
     this->scheduleAdvance(now);
 }
 
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::reportHeldBack(Instant now)
+{
+    const auto held = this->dispatcher.takeHeldBack();
+    if (held.count == 0) {
+        return;
+    }
+    this->counters.requestsHeldBack.add(held.count);
+    if (this->logger.isEnabled(LogEvent::RequestsHeldBack) && this->heldBackRateLimiter.tryAcquire(now)) {
+        const std::array<LogField, 3> fields { { { "upstream", held.upstream.name }, { "limit", held.limit }, { "skippedLines", this->heldBackRateLimiter.takeSkipped() } } };
+        this->logger.log(LogEvent::RequestsHeldBack, "", std::span<const LogField> { fields });
+    }
+}
+
 template <CallerProtocol Protocol>
 void Gateway<Protocol>::respond(Instant, PendingRequestId id, OutgoingResponse response, Effects& effects)
 {
--- a/tests/core/dispatch/DispatcherLimitTest.cpp
+++ b/tests/core/dispatch/DispatcherLimitTest.cpp
@@ -124,3 +124,53 @@
     }
     CHECK(fixture.decisionsOf<RefuseRequest>().size() > 20);
 }
+
+TEST_CASE("a queued request that can no longer be answered is refused before its deadline")
+{
+    // Guards against requests that wait for their deadline behind an upstream that became slow.
+    DispatchFixture fixture;
+    registerSlots(fixture, "only", 1);
+    fixture.sync();
+    const auto route = routeTo(milliseconds { 1'000 });
+    for (int i = 0; i < 100; ++i) {
+        const auto id = fixture.submit(route);
+        fixture.now += milliseconds { 200 };
+        fixture.endAttempt(id, AttemptOutcome::Answered);
+    }
+    // One runs, and one waits at the upstream.
+    fixture.submit(route);
+    fixture.submit(route);
+    const auto waiting = fixture.submit(route);
+    fixture.clearDecisions();
+    const auto expiresAt = fixture.now + milliseconds { 1'000 };
+    while (fixture.decisionsOf<RefuseRequest>().empty()) {
+        REQUIRE(fixture.dispatcher.nextDeadline());
+        fixture.now = *fixture.dispatcher.nextDeadline();
+        fixture.dispatcher.advance(fixture.now, fixture.decisions);
+    }
+    CHECK(fixture.decisionsOf<RefuseRequest>()[0].id == waiting);
+    CHECK(expiresAt - fixture.now >= milliseconds { 90 });
+}
+
+TEST_CASE("requests that a limit far under the slots holds back are counted once")
+{
+    DispatchFixture fixture;
+    fixture.dispatcher.setEntryCount(1);
+    registerSlots(fixture, "only", 8);
+    fixture.sync();
+    const auto route = routeTo(milliseconds { 5'000 });
+    for (int i = 0; i < 3; ++i) {
+        fixture.endAttempt(fixture.submit(route), AttemptOutcome::Overloaded);
+        fixture.now += milliseconds { 110 };
+    }
+    for (int i = 0; i < 4; ++i) {
+        fixture.submit(route);
+    }
+    fixture.sync();
+    const auto sent = fixture.decisionsOf<SendRequest>().size() - 3;
+    const auto held = fixture.dispatcher.takeHeldBack();
+    CHECK(held.count >= 1);
+    CHECK(held.count <= 4 - sent);
+    CHECK(held.upstream.name == "only");
+    CHECK(fixture.dispatcher.takeHeldBack().count == 0);
+}
