--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -87,7 +87,11 @@
         return refusal;
     }
     const auto wait = this->estimateWait(now, pending);
-    if (wait > Duration::zero() && now + wait + pending.service->averageLatency > pending.targetTime()) {
+    const auto typical = pending.service->averageLatency;
+    // Work that never meets the target latency would otherwise be refused as soon as it had to wait. The average does not tell
+    // such work from a service that is congested.
+    const auto latest = pending.service->silence.shortestUsual() > pending.route().targetLatency ? pending.expiresAt : pending.targetTime();
+    if (wait > Duration::zero() && now + wait + typical > latest) {
         return this->isHeldForWarmUp(now, pending) ? ResultCode::RequestUpstreamCold : ResultCode::RequestShed;
     }
     return std::nullopt;
@@ -106,7 +110,7 @@
         return ownershipDelay;
     }
     const auto pause = std::max<Duration>(owner->load.pauseEnd() - now, Duration::zero());
-    const auto wait = ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit()));
+    const auto wait = ownershipDelay + pause + scaled(owner->load.expectedLatency(now, service.averageLatency), (waiting + 0.5) / std::max(1.0, owner->load.currentLimit(now)));
     return std::max<Duration>(wait, owner->warmUp.sendTime(now, static_cast<std::size_t>(waiting)) - now);
 }
 
--- a/src/core/dispatch/CapacityEstimate.h
+++ b/src/core/dispatch/CapacityEstimate.h
@@ -18,7 +18,12 @@
     }
 
     /// @param count Entry VMs that share upstreams; at least 1.
-    void setEntryCount(std::uint32_t count) noexcept { this->entryVmCount = std::max(1U, count); }
+    void setEntryCount(std::uint32_t count) noexcept
+    {
+        this->entryVmCount = std::max(1U, count);
+        this->isEntryCountKnown = true;
+    }
+    bool knowsEntryCount() const noexcept { return this->isEntryCountKnown; }
     std::uint32_t entryCount() const noexcept { return this->entryVmCount; }
 
     /// @param regions Regions that may serve the request.
@@ -32,7 +37,7 @@
                 slots += std::max(1U, upstream->announcement.requestSlots) * (upstream->returnRamp ? upstream->returnRamp->share(now) : 1.0);
             }
         }
-        return std::max(1.0, slots / this->entryVmCount * unevenShareFactor);
+        return std::max(1.0, slots * this->share());
     }
 
     /// @return Requests of this entry VM in flight in these regions to a service that is not sharded.
@@ -51,6 +56,9 @@
     {
         return this->inFlight(service, regions) < std::max(2.0, this->slotShare(now, service, regions) * inFlightPerSlot);
     }
+    /// @return This entry VM's share of one upstream's request slots; zero while the number of entry VMs is unknown, so that
+    /// many that start together do not each take all slots.
+    double slotShare(const RegisterUpstream& announcement) const noexcept { return this->isEntryCountKnown ? std::max(1U, announcement.requestSlots) * this->share() : 0; }
 
 private:
     /// Requests in flight for each slot of a service that is not sharded, summed over all entry VMs. One request that
@@ -58,8 +66,11 @@
     static constexpr double inFlightPerSlot = 2.0;
     static bool isUsable(const DispatchUpstream& upstream, RegionSet regions) noexcept { return !upstream.evacuatedSince && regions.overlaps(upstream.region); }
 
+    double share() const noexcept { return std::min(1.0, unevenShareFactor / this->entryVmCount); }
+
     const UpstreamTable& upstreams;
     std::uint32_t entryVmCount { 1 };
+    bool isEntryCountKnown {};
 };
 
 }
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -4,6 +4,7 @@
 #include "core/dispatch/RegionSet.h"
 #include "core/dispatch/RetryWindow.h"
 #include "core/dispatch/ReturnRamp.h"
+#include "core/dispatch/SilenceEstimate.h"
 #include "core/dispatch/UnconfirmedRanges.h"
 #include "core/dispatch/UpstreamLoad.h"
 #include "core/dispatch/WarmUpLimit.h"
@@ -111,6 +112,7 @@
     /// In ascending order of DispatchUpstream::preferenceOrder.
     std::vector<UpstreamKey> upstreams;
     RetryWindow retries;
+    SilenceEstimate silence;
     /// Exponential moving average of the response time of the service's upstreams.
     Duration averageLatency { std::chrono::milliseconds { 60 } };
     /// Queued requests if the service is not sharded.
@@ -135,12 +137,15 @@
     /// Owner under which the request is queued; valid only while isQueued.
     UpstreamKey queueOwner;
     bool isQueued {};
+    bool isHeldBack {};
     /// Upstream of the latest attempt.
     UpstreamKey sentTo;
     bool isSent {};
     /// Whether the request had to wait because an upstream is cold.
     bool isHeldForWarmUp {};
     Instant sentAt;
+    /// When the attempt's upstream is taken to have dropped the request; empty if that is not known or already recorded.
+    std::optional<Instant> silentAt;
     Instant expiresAt;
     /// Bytes reserved in the link budget.
     double reservedLinkBytes {};
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -73,6 +73,10 @@
     /// @return Number of requests that are queued or sent.
     std::size_t pendingRequestCount() const noexcept { return this->pendingRequests.size(); }
 
+    /// Returns the requests that a limit far under the stated slots has held back since the last call, and resets them. A
+    /// request counts once.
+    HeldBackRequests takeHeldBack() { return std::exchange(this->heldBack, {}); }
+
     /// Returns the load of each key since the last call and resets it.
     /// @param maxKeys Limit for each service; the keys with the most requests are kept.
     std::vector<ServiceKeyLoad> takeKeyLoads(std::size_t maxKeys);
@@ -113,6 +117,9 @@
     RequestQueue& queueFor(PendingDispatch& pending);
     /// Sends queued requests of a service to upstreams with free capacity.
     void dispatchQueued(Instant now, DispatchService& service, DispatchDecisions& decisions);
+    /// Refuses requests of a queue that probably cannot be answered before they expire, so that they neither wait for their
+    /// deadline nor take capacity from others.
+    void refuseHopeless(Instant now, const RequestQueue& queue, Duration typicalLatency, DispatchDecisions& decisions);
     void dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions);
     /// Refuses the requests of a queue that no upstream may be sent any more.
     void refuseUnplaceable(Instant now, const RequestQueue& queue, DispatchDecisions& decisions);
@@ -122,8 +129,18 @@
     void scheduleForWarmUp(Instant now, DispatchService& service, const DispatchUpstream& owner);
     /// Schedules the next dispatch of a request without a key that waits for cold upstreams.
     void scheduleForWarmUp(Instant now, DispatchService& service, PendingDispatch& pending);
+    /// Counts a queued request that the limit of an upstream holds back.
+    void recordHeldBack(Instant now, PendingDispatch& pending);
     DispatchUpstream* chooseUpstream(Instant now, DispatchService& service, const PendingDispatch& pending);
     void send(Instant now, PendingDispatch& pending, DispatchUpstream& target, DispatchDecisions& decisions);
+    /// @return When an attempt that is sent now counts as dropped by its upstream; empty if its deadline comes first or the
+    /// service's upstreams respond to all requests.
+    static std::optional<Instant> silentAfter(const PendingDispatch& pending, const DispatchUpstream& target);
+    /// @return True if a sent request may run again and another upstream, or another connection of its owner, can take it
+    /// now.
+    bool canResendNow(Instant now, PendingDispatch& pending);
+    /// Records that an attempt was probably dropped without a response, and sends the request again if it can be.
+    void handleSilence(Instant now, PendingDispatch& pending, DispatchDecisions& decisions);
     /// Ends a request that has no attempt in flight. Refuses it if it certainly did not run; if an earlier attempt may
     /// have run, fails it with RequestOutcomeUnknown.
     void refuseOrFail(Instant now, PendingDispatch& pending, ResultCode reason, DispatchDecisions& decisions);
@@ -160,6 +177,7 @@
     UpstreamChoice choice { this->options, this->capacity };
     Admission admission { this->upstreams, this->eligibility, this->capacity, this->choice };
     ReturnTime returnTime;
+    HeldBackRequests heldBack;
     /// Upstreams whose responses said that they leave. Kept apart from `upstreams`, so that a late heartbeat or an older
     /// state of the registry does not make them usable again.
     absl::flat_hash_map<UpstreamKey, Instant> leavingSince;
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -32,6 +32,8 @@
     }
     this->queueFor(pending).insert(pending.position());
     pending.isQueued = true;
+    // When refuseHopeless() refuses it at the latest.
+    this->deadlines.emplace(pending.expiresAt - pending.service->averageLatency / 2, pending.request.id);
     const auto* owner = pending.service->item.isSharded ? this->upstreams.find(pending.queueOwner) : nullptr;
     if (owner != nullptr && owner->load.pauseEnd() > pending.request.arrivedAt && owner->load.pauseEnd() < pending.expiresAt) {
         this->deadlines.emplace(owner->load.pauseEnd(), pending.request.id);
@@ -66,6 +68,7 @@
     if (service.queue.empty()) {
         return;
     }
+    this->refuseHopeless(now, service.queue, service.averageLatency, decisions);
     // Sets of regions without room. A request confined to one of them must not delay others that may go elsewhere.
     std::vector<RegionSet> fullRegions;
     for (const auto id : this->selectSendable(now, service.queue, service.averageLatency)) {
@@ -75,6 +78,7 @@
         }
         auto* target = this->chooseUpstream(now, service, pending);
         if (target == nullptr) {
+            this->recordHeldBack(now, pending);
             this->scheduleForWarmUp(now, service, pending);
             fullRegions.push_back(pending.allowedRegions);
             if (now < this->rampsEnd) {
@@ -113,6 +117,38 @@
         now, queue, latency, [this](PendingRequestId id) -> const PendingDispatch& { return *this->pendingRequests.at(id); }, [this, now](const PendingDispatch& pending) { return this->isDeferred(now, pending); });
 }
 
+void Dispatcher::recordHeldBack(Instant now, PendingDispatch& pending)
+{
+    if (pending.isHeldBack) {
+        return;
+    }
+    const auto holdsBack = [this, now](const UpstreamKey& key) {
+        const auto* upstream = this->upstreams.find(key);
+        return upstream != nullptr && upstream->load.isHeldBack(now);
+    };
+    const auto& keys = pending.service->upstreams;
+    const auto found = pending.service->item.isSharded ? std::ranges::find(keys, pending.queueOwner) : std::ranges::find_if(keys, holdsBack);
+    if (found != keys.end() && holdsBack(*found)) {
+        pending.isHeldBack = true;
+        ++this->heldBack.count;
+        this->heldBack.upstream = *found;
+        this->heldBack.limit = this->upstreams.find(*found)->load.allowedRequests(now);
+    }
+}
+
+void Dispatcher::refuseHopeless(Instant now, const RequestQueue& queue, Duration typicalLatency, DispatchDecisions& decisions)
+{
+    std::vector<PendingRequestId> hopeless;
+    for (const auto& position : queue) {
+        if (this->pendingRequests.at(position.id)->expiresAt - now <= typicalLatency / 2) {
+            hopeless.push_back(position.id);
+        }
+    }
+    for (const auto id : hopeless) {
+        this->refuseOrFail(now, *this->pendingRequests.at(id), ResultCode::RequestShed, decisions);
+    }
+}
+
 void Dispatcher::dispatchQueuedByOwner(Instant now, DispatchService& service, DispatchDecisions& decisions)
 {
     std::vector<UpstreamKey> owners;
@@ -120,6 +156,7 @@
         owners.push_back(key);
     }
     for (const auto& key : owners) {
+        this->refuseHopeless(now, service.queues.at(key), service.averageLatency, decisions);
         auto* owner = this->upstreams.find(key);
         if (owner != nullptr && this->eligibility.isEvacuated(now, *owner)) {
             this->refuseUnplaceable(now, service.queues.at(key), decisions);
@@ -136,6 +173,7 @@
             auto& pending = *this->pendingRequests.at(id);
             if (!owner->hasCapacity(now)) {
                 this->scheduleForWarmUp(now, service, *owner);
+                this->recordHeldBack(now, pending);
                 break;
             }
             // A request that was just sent may have been the probe of a range that the others have to wait for.
@@ -179,6 +217,10 @@
     pending.isSent = true;
     pending.sentTo = target.announcement.key;
     pending.sentAt = now;
+    pending.silentAt = this->silentAfter(pending, target);
+    if (pending.silentAt) {
+        this->deadlines.emplace(*pending.silentAt, pending.request.id);
+    }
     if (const auto* range = pending.findRange()) {
         pending.service->unconfirmedRanges.recordProbe(now, *range);
     }
@@ -187,6 +229,55 @@
     pending.isHeldForWarmUp = false;
 }
 
+std::optional<Instant> Dispatcher::silentAfter(const PendingDispatch& pending, const DispatchUpstream& target)
+{
+    const auto& service = *pending.service;
+    const auto usual = service.silence.silentAfter();
+    if (!usual) {
+        return std::nullopt;
+    }
+    // An upstream that is slow for all requests is given proportionally more time.
+    const auto slowness = static_cast<double>(target.load.averageLatency().count()) / static_cast<double>(std::max<Duration::rep>(1, service.averageLatency.count()));
+    const auto at = pending.sentAt + scaled(*usual, std::max(1.0, slowness));
+    return at < pending.expiresAt ? std::optional { at } : std::nullopt;
+}
+
+bool Dispatcher::canResendNow(Instant now, PendingDispatch& pending)
+{
+    auto& service = *pending.service;
+    if (!mayRepeat(pending.route().kind) || pending.attempts >= pending.route().attempts || now + service.averageLatency > pending.expiresAt) {
+        return false;
+    }
+    if (service.item.isSharded) {
+        const auto* range = pending.findRange();
+        const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+        // The owner is full if other requests use the limit that this silence has lowered.
+        return owner != nullptr && owner->announcement.key == pending.sentTo && owner->load.hasCapacityAfterCancel(now) && !service.queues.contains(owner->announcement.key) && this->eligibility.mayServeKey(now, pending, *owner);
+    }
+    pending.excludedUpstreams.push_back(pending.sentTo);
+    const bool hasOther = this->choice.choose(now, pending, this->upstreams, this->eligibility) != nullptr;
+    pending.excludedUpstreams.pop_back();
+    return hasOther && service.queue.empty();
+}
+
+void Dispatcher::handleSilence(Instant now, PendingDispatch& pending, DispatchDecisions& decisions)
+{
+    pending.silentAt.reset();
+    auto& service = *pending.service;
+    if (auto* const target = this->upstreams.find(pending.sentTo)) {
+        target->load.recordSilence(now);
+    }
+    if (service.silence.isObserved() || !this->canResendNow(now, pending) || !this->tryConsumeRetry(now, pending, AttemptOutcome::Lost)) {
+        return;
+    }
+    // The connection must close first: a later response on it would belong to the attempt that was given up.
+    decisions.push_back(CancelAttempt { pending.request.id });
+    service.silence.recordUnanswered(now - pending.sentAt);
+    this->recordAttemptEnd(now, pending, std::nullopt);
+    ++pending.possibleRuns;
+    this->retry(now, pending, AttemptOutcome::Lost, decisions);
+}
+
 void Dispatcher::refuseWhilePaused(Instant now, DispatchService& service, const DispatchUpstream& upstream, DispatchDecisions& decisions)
 {
     const auto owned = service.queues.find(upstream.announcement.key);
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -96,7 +96,7 @@
         auto& upstream = found->second;
         upstream.announcement = announcement;
         upstream.state = registered.state;
-        upstream.load.setSlots(announcement.requestSlots);
+        upstream.load.setSlots(announcement.requestSlots, this->capacity.slotShare(announcement));
         upstream.extraRoundTrip = this->extraRoundTripTo(announcement.zone);
         upstream.region = this->regions.regionOf(announcement.zone);
         upstream.isInOtherRegion = upstream.extraRoundTrip >= interRegionRoundTrip;
@@ -151,7 +151,7 @@
     const auto capacity = std::max(1U, upstream.announcement.requestSlots) / std::max(minServiceTime, std::chrono::duration<double> { latency }).count();
     // The preference of this entry VM for the upstream is as good as random, and no other entry VM has the same.
     const auto offset = upstream.preferencePenalty / maxPreferencePenalty;
-    return { now, capacity / this->capacity.entryCount() * CapacityEstimate::unevenShareFactor, offset };
+    return { now, capacity / this->capacity.entryCount(), offset };
 }
 
 void Dispatcher::syncEvacuations(Instant now)
@@ -170,7 +170,12 @@
 
 void Dispatcher::setEntryCount(std::uint32_t count)
 {
-    this->capacity.setEntryCount(count);
+    if (!this->capacity.knowsEntryCount() || std::max(1U, count) != this->capacity.entryCount()) {
+        this->capacity.setEntryCount(count);
+        for (auto& [key, upstream] : this->upstreams.map) {
+            upstream.load.setSlots(upstream.announcement.requestSlots, this->capacity.slotShare(upstream.announcement));
+        }
+    }
     const auto previous = this->warmUpShare.entryCount();
     this->warmUpShare.recordEntryCount(count);
     if (this->warmUpShare.entryCount() == previous) {
@@ -193,7 +198,7 @@
 {
     const auto phase = computeSlotPhase(upstream.announcement.key, upstream.warmUpIndex, this->options.preferenceSeed);
     upstream.warmUp.begin(now, now + timeLeft, service.warmUpTime, this->warmUpShare.sendsPerSecond(service), phase);
-    upstream.load.resetLimit();
+    upstream.load.resetLimit(now);
 }
 
 void Dispatcher::syncWarmUps(Instant now, const RegistryState& state)
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -3,6 +3,7 @@
 #include "core/dispatch/InFlightLimit.h"
 #include "core/dispatch/LatencyEstimate.h"
 #include "core/dispatch/LoadEstimate.h"
+#include "core/dispatch/QueueingSign.h"
 #include "core/dispatch/ReportedLoad.h"
 #include "core/dispatch/ScaledDuration.h"
 #include "teaselturn/Types.h"
@@ -52,18 +53,13 @@
     {
     }
 
-    void setSlots(std::uint32_t requestSlots) noexcept { this->limit.setSlots(requestSlots); }
+    /// @param share Slots that this entry VM may use if all entry VMs use theirs.
+    void setSlots(std::uint32_t requestSlots, double share) noexcept { this->limit.setSlots(requestSlots, share); }
 
     /// @return True if one more request may be sent now.
-    bool hasCapacity(Instant now) const noexcept
-    {
-        if (now < this->circuitOpenUntil || this->isPaused(now)) {
-            return false;
-        }
-        // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
-        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : this->limit.allowed();
-        return this->inFlightCount < allowed;
-    }
+    bool hasCapacity(Instant now) const noexcept { return this->hasCapacityBeside(now, this->inFlightCount); }
+    /// @return True if one more request may be sent now once one of those in flight has been cancelled.
+    bool hasCapacityAfterCancel(Instant now) const noexcept { return this->hasCapacityBeside(now, this->inFlightCount - 1); }
 
     /// @return True while the circuit breaker blocks all requests to the upstream after failures.
     bool isCircuitOpen(Instant now) const noexcept { return now < this->circuitOpenUntil; }
@@ -72,11 +68,11 @@
     void pause(Instant until) noexcept
     {
         this->pausedUntil = std::max(this->pausedUntil, until);
-        this->limit.reset();
+        this->limit.reset(until);
     }
     bool isPaused(Instant now) const noexcept { return now < this->pausedUntil; }
     /// Lets the limit grow from one request again, because the upstream turned cold.
-    void resetLimit() noexcept { this->limit.reset(); }
+    void resetLimit(Instant now) noexcept { this->limit.reset(now); }
     Instant pauseEnd() const noexcept { return this->pausedUntil; }
 
     void recordSent(Instant now) noexcept
@@ -118,6 +114,10 @@
         }
     }
 
+    /// Records that an attempt has probably been dropped without a response; it is still in flight. Only the limit shrinks:
+    /// half of such attempts may be long work, and the circuit breaker counts those that their deadline ends.
+    void recordSilence(Instant now) noexcept { this->limit.decrease(now); }
+
     /// Records an attempt that was cancelled because the caller disconnected. It does not affect latency or failures.
     void recordCancelled() noexcept
     {
@@ -132,7 +132,12 @@
     const LoadEstimate& estimate() const noexcept { return this->load; }
 
     int inFlight() const noexcept { return this->inFlightCount; }
-    double currentLimit() const noexcept { return this->limit.value(); }
+    double currentLimit(Instant now) const noexcept { return this->limit.value(now); }
+    /// @return Requests that may be in flight.
+    std::uint32_t allowedRequests(Instant now) const noexcept { return static_cast<std::uint32_t>(this->limit.allowed(now)); }
+    /// @return True if congestion holds requests back: the limit is reached and is less than half of this entry VM's share of
+    /// the slots.
+    bool isHeldBack(Instant now) const noexcept { return this->limit.isFarBelowShare(now) && this->inFlightCount >= this->limit.allowed(now); }
 
     /// @param fallback Latency assumed for an upstream without a response yet.
     /// @return Expected latency of the next request.
@@ -160,6 +165,16 @@
     Duration averageLatency() const noexcept { return this->latency.longTerm(); }
 
 private:
+    bool hasCapacityBeside(Instant now, int others) const noexcept
+    {
+        if (now < this->circuitOpenUntil || this->isPaused(now)) {
+            return false;
+        }
+        // Half-open: after failures, only one request at a time probes whether the upstream has recovered.
+        const auto allowed = this->failuresSinceSuccess >= failuresToOpenCircuit ? 1.0 : this->limit.allowed(now);
+        return others < allowed;
+    }
+
     /// Weight of one outcome in the share of errors.
     static constexpr double errorWeight = 0.2;
     /// At this value, an upstream that fails every second request counts as three times as slow.
@@ -176,10 +191,10 @@
     {
         this->latency.record(now, duration);
         this->load.recordLatency(now, duration);
-        if (this->latency.isCongested()) {
+        if (this->queueing.record(duration)) {
             this->limit.decrease(now);
         } else {
-            this->limit.increase();
+            this->limit.increase(now);
         }
     }
 
@@ -194,6 +209,7 @@
     InFlightLimit limit;
     LatencyEstimate latency;
     LoadEstimate load;
+    QueueingSign queueing;
     int inFlightCount {};
     Instant circuitOpenUntil;
     Instant pausedUntil;
--- a/tools/load-model/Figures.h
+++ b/tools/load-model/Figures.h
@@ -29,12 +29,17 @@
     double busiestToSpeed {};
     /// Standard deviation of the attempts that an upstream receives in 100 ms, relative to their mean.
     double windowDeviation {};
+    /// Attempts to which an upstream never responds.
+    std::uint64_t ignored {};
+    /// Worth of the responses, and of responses in time to all requests.
+    double earned {};
+    double possible {};
     /// Upper bound of the worth of any policy: upstreams always work on requests that can still be answered in time.
     double bound {};
     /// Time from a caller's first attempt to its response.
     std::shared_ptr<LatencyHistogram> latencies = std::make_shared<LatencyHistogram>();
 
-    double worth() const noexcept { return this->requests == 0 ? 0 : (static_cast<double>(this->inTime) + lateWorth * static_cast<double>(this->late)) / static_cast<double>(this->requests); }
+    double worth() const noexcept { return this->possible == 0 ? 0 : this->earned / this->possible; }
     double share(std::uint64_t part) const noexcept { return this->requests == 0 ? 0 : static_cast<double>(part) / static_cast<double>(this->requests); }
 };
 
--- a/tools/load-model/Simulation.h
+++ b/tools/load-model/Simulation.h
@@ -34,8 +34,10 @@
 private:
     /// Time before the first request, in which upstreams register and keys are assigned.
     static constexpr std::chrono::milliseconds settleTime { 3'000 };
-    /// Time after the last arrival in which responses are still counted.
+    /// Shortest time after the last arrival in which responses are still counted.
     static constexpr std::chrono::milliseconds tailTime { 3'000 };
+    /// Groups of entry VMs that the waves of the arrivals reach one after the other.
+    static constexpr std::size_t waveGroups = 4;
     static constexpr std::chrono::milliseconds networkDelay { 2 };
     static constexpr std::chrono::milliseconds heartbeatInterval { 870 };
     static constexpr std::chrono::milliseconds releaseInterval { 100 };
@@ -48,6 +50,8 @@
     struct Caller {
         Instant firstAt;
         std::optional<KeyNumber> key;
+        /// Number of its route.
+        std::size_t route {};
         std::uint32_t retriesLeft {};
         bool isImpatient {};
     };
@@ -71,13 +75,19 @@
         std::unique_ptr<Policy> policy;
         absl::flat_hash_map<PendingRequestId, Attempt> attempts;
         std::optional<Instant> timer;
+        double linkBytesPerSecond {};
         Instant linkFreeAt;
         absl::flat_hash_map<const UpstreamModel*, Connections> connections;
     };
 
     bool isActive(const Disturbance& disturbance) const;
+    /// @return Arrivals at an entry VM's group at the moment, relative to the mean over time.
+    double waveFactor(std::size_t entryNumber) const;
+    /// @return Arrivals at an entry VM at the moment, relative to the mean of all entry VMs over time.
+    double entryWeight(std::size_t entryNumber) const;
     double arrivalRate() const;
     KeyNumber chooseKey();
+    std::size_t chooseRoute();
     Entry& chooseEntry();
     void scheduleDisturbances();
     /// Slows an upstream down now and then, for the rest of the disturbance.
@@ -102,7 +112,8 @@
     EventQueue events;
     ModelRandom random;
     Instant startAt;
-    std::shared_ptr<const CompiledRoute> route;
+    std::vector<RouteLoad> routeLoads;
+    std::vector<std::shared_ptr<const CompiledRoute>> routes;
     std::deque<UpstreamModel> upstreams;
     std::deque<Entry> entries;
     RegistryModel registry;
--- a/tools/load-model/SimulationInlines.h
+++ b/tools/load-model/SimulationInlines.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace teaselturn::model {
 
@@ -22,15 +23,22 @@
         }
     })
 {
-    const RouteItem item { "host.example", "/", RequestKind::Idempotent, pattern.deadline, pattern.targetLatency, 1, 2, { { "service", 1 } } };
-    this->route = std::make_shared<const CompiledRoute>(CompiledRoute { "route", 1, item });
+    this->routeLoads = pattern.routes;
+    if (this->routeLoads.empty()) {
+        this->routeLoads.push_back({ "route", 1, pattern.kind, 1, pattern.work, pattern.targetLatency, pattern.deadline });
+    }
+    for (const auto& load : this->routeLoads) {
+        const RouteItem item { "host.example", "/" + std::string { load.name }, load.kind, load.deadline, load.targetLatency, load.priority, 2, { { "service", 1 } } };
+        this->routes.push_back(std::make_shared<const CompiledRoute>(CompiledRoute { std::string { load.name }, 1, item }));
+    }
     for (std::uint32_t i = 0; i < pattern.entryVms; ++i) {
         DispatchOptions dispatch;
         dispatch.zone = "zone";
         dispatch.preferenceSeed = i + 1;
         dispatch.placement = options.placement;
-        dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? pattern.linkBytesPerSecond : 0;
-        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, {}, {} });
+        const auto linkSpeed = static_cast<double>(pattern.linkBytesPerSecond) * (i % 4 == 0 ? pattern.largeLinkFactor : 1);
+        dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? static_cast<std::size_t>(linkSpeed) : 0;
+        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, linkSpeed, {}, {} });
         this->entries.back().policy->setEntryCount(pattern.entryVms);
     }
 }
@@ -42,6 +50,26 @@
     return elapsed >= disturbance.from && elapsed < disturbance.until;
 }
 
+template <DispatchPolicy Policy>
+double Simulation<Policy>::waveFactor(std::size_t entryNumber) const
+{
+    // Numbers that differ by one are in the same group, so that each group has large entry VMs.
+    const auto delay = static_cast<double>(entryNumber / waveGroups % waveGroups) / (2 * waveGroups);
+    const std::chrono::duration<double> elapsed { this->events.now() - this->startAt };
+    const auto phase = elapsed / std::chrono::duration<double> { this->pattern.wavePeriod } - delay;
+    return 1 + this->pattern.waveShare * std::sin(2 * std::numbers::pi * phase);
+}
+
+template <DispatchPolicy Policy>
+double Simulation<Policy>::entryWeight(std::size_t entryNumber) const
+{
+    if (this->pattern.entrySpread == 0 || this->entries.size() < 2) {
+        return this->waveFactor(entryNumber);
+    }
+    const auto position = 2 * static_cast<double>(entryNumber) / static_cast<double>(this->entries.size() - 1) - 1;
+    return (1 + this->pattern.entrySpread * position) * this->waveFactor(entryNumber);
+}
+
 template <DispatchPolicy Policy>
 double Simulation<Policy>::arrivalRate() const
 {
@@ -49,6 +77,13 @@
     for (const auto& disturbance : this->pattern.disturbances) {
         rate *= disturbance.kind == DisturbanceKind::Burst && this->isActive(disturbance) ? disturbance.factor : 1;
     }
+    if (this->pattern.waveShare > 0) {
+        double sum = 0;
+        for (std::size_t i = 0; i < this->entries.size(); ++i) {
+            sum += this->entryWeight(i);
+        }
+        rate *= sum / static_cast<double>(this->entries.size());
+    }
     return rate;
 }
 
@@ -66,6 +101,35 @@
     return static_cast<KeyNumber>(std::pow(this->random.share(), 3) * keyNumberCount);
 }
 
+template <DispatchPolicy Policy>
+std::size_t Simulation<Policy>::chooseRoute()
+{
+    if (this->routeLoads.size() == 1) {
+        return 0;
+    }
+    auto share = this->random.share();
+    for (std::size_t i = 0; i + 1 < this->routeLoads.size(); ++i) {
+        share -= this->routeLoads[i].share;
+        if (share < 0) {
+            return i;
+        }
+    }
+    return this->routeLoads.size() - 1;
+}
+
+template <DispatchPolicy Policy>
+typename Simulation<Policy>::Entry& Simulation<Policy>::chooseEntry()
+{
+    // Rejection sampling: an entry VM is accepted in proportion to its weight.
+    const auto maxWeight = (1 + this->pattern.entrySpread) * (1 + this->pattern.waveShare);
+    while (true) {
+        const auto number = this->random.below(this->entries.size());
+        if (maxWeight == 1 || this->random.share() * maxWeight < this->entryWeight(number)) {
+            return this->entries[number];
+        }
+    }
+}
+
 template <DispatchPolicy Policy>
 void Simulation<Policy>::addUpstream(std::size_t number)
 {
@@ -73,7 +137,7 @@
     const auto incarnation = static_cast<std::uint64_t>(number + 1);
     const Endpoint endpoint { "10.0.0.1", static_cast<std::uint16_t>(1'000 + number) };
     RegisterUpstream announcement { { name, incarnation }, "service", endpoint, "zone", this->pattern.slots, false };
-    const auto drawnSpeed = 0.75 + 0.5 * this->random.share();
+    const auto drawnSpeed = this->random.between(this->pattern.minSpeed, this->pattern.maxSpeed);
     const auto speed = this->pattern.speeds.empty() ? drawnSpeed : this->pattern.speeds[number % this->pattern.speeds.size()];
     this->upstreams.emplace_back(this->events, this->random, this->pattern, std::move(announcement), speed);
     auto& upstream = this->upstreams.back();
@@ -111,22 +175,6 @@
     this->events.after(momentaryTime, [this, &upstream, &disturbance] { this->slowDownMomentarily(upstream, disturbance); });
 }
 
-template <DispatchPolicy Policy>
-typename Simulation<Policy>::Entry& Simulation<Policy>::chooseEntry()
-{
-    // Rejection sampling: the rate of entry VM i rises linearly with i.
-    for (;;) {
-        const auto number = this->random.below(this->entries.size());
-        if (this->pattern.entrySpread == 0 || this->entries.size() < 2) {
-            return this->entries[number];
-        }
-        const auto position = 2 * static_cast<double>(number) / static_cast<double>(this->entries.size() - 1) - 1;
-        if (this->random.share() * (1 + this->pattern.entrySpread) < 1 + this->pattern.entrySpread * position) {
-            return this->entries[number];
-        }
-    }
-}
-
 template <DispatchPolicy Policy>
 void Simulation<Policy>::scheduleDisturbances()
 {
@@ -157,6 +205,13 @@
                     this->events.after(phase, [this, &upstream, &disturbance] { this->slowDownMomentarily(upstream, disturbance); });
                 }
             });
+        } else if (disturbance.kind == DisturbanceKind::Partition) {
+            const auto set = [this, affected](bool isPartitioned) {
+                for (std::size_t i = 0; i < affected; ++i) {
+                    this->upstreams[i].setPartitioned(isPartitioned);
+                }
+            };
+            during([set] { set(true); }, [set] { set(false); });
         } else if (disturbance.kind == DisturbanceKind::Replacement) {
             const auto interval = (disturbance.until - disturbance.from) / std::max<std::size_t>(affected, 1);
             this->events.at(this->startAt + disturbance.from, [this, affected, interval] { this->replaceUpstreams(0, affected, interval); });
@@ -195,7 +250,7 @@
     if (this->events.now() >= this->startAt + this->pattern.duration) {
         return;
     }
-    auto caller = std::make_shared<Caller>(Caller { this->events.now(), this->pattern.isSharded ? std::optional { this->chooseKey() } : std::nullopt, 1, false });
+    auto caller = std::make_shared<Caller>(Caller { this->events.now(), this->pattern.isSharded ? std::optional { this->chooseKey() } : std::nullopt, this->chooseRoute(), 1, false });
     for (const auto& disturbance : this->pattern.disturbances) {
         if (disturbance.kind == DisturbanceKind::ImpatientCallers && this->isActive(disturbance) && this->random.share() < disturbance.share) {
             caller->isImpatient = true;
@@ -203,6 +258,7 @@
         }
     }
     ++this->figures.requests;
+    this->figures.possible += this->routeLoads[caller->route].value;
     this->attempt(caller);
     this->events.after(std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.exponential(1 / this->arrivalRate()) }), [this] { this->handleArrival(); });
 }
@@ -214,10 +270,10 @@
     this->events.after(networkDelay, [this, &entry, caller] {
         const auto now = this->events.now();
         const PendingRequestId id { ++this->lastId };
-        const auto deadline = now + this->pattern.deadline;
+        const auto deadline = (this->pattern.keepsDeadline ? caller->firstAt : now) + this->routeLoads[caller->route].deadline;
         entry.attempts.emplace(id, Attempt { caller, deadline });
         DispatchDecisions decisions;
-        entry.policy->submit(now, DispatchRequest { id, this->route, caller->key, now, deadline, requestBytes }, decisions);
+        entry.policy->submit(now, DispatchRequest { id, this->routes[caller->route], caller->key, now, deadline, requestBytes }, decisions);
         this->executeDecisions(entry, decisions);
     });
 }
@@ -264,8 +320,8 @@
         ++connections.open;
         ++this->figures.connections;
     }
-    this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline] {
-        upstream->receive({ work, key, deadline, [this, &entry, id, work](AttemptOutcome outcome, std::optional<ReportedLoad> load) {
+    this->events.after(networkDelay, [this, &entry, upstream = &*target, work, id = send.id, key = attempt.caller->key, deadline = attempt.deadline, length = this->routeLoads[attempt.caller->route].work] {
+        upstream->receive({ work, key, deadline, length, [this, &entry, id, work](AttemptOutcome outcome, std::optional<ReportedLoad> load) {
                                this->events.after(networkDelay, [this, &entry, id, work, outcome, load] { this->handleAttemptEnd(entry, id, work, outcome, load); });
                            } });
     });
@@ -301,7 +357,11 @@
         return;
     }
     --caller->retriesLeft;
-    this->events.after(networkDelay + (caller->isImpatient ? Duration { impatientRetryDelay } : refusal.retryAfter), [this, caller] { this->attempt(caller); });
+    auto wait = caller->isImpatient ? Duration { impatientRetryDelay } : refusal.retryAfter;
+    if (this->pattern.keepsDeadline) {
+        wait = std::clamp<Duration>((caller->firstAt + this->routeLoads[caller->route].deadline - this->events.now()) / 3, Duration::zero(), wait);
+    }
+    this->events.after(networkDelay + wait, [this, caller] { this->attempt(caller); });
 }
 
 template <DispatchPolicy Policy>
@@ -310,8 +370,8 @@
     const auto attempt = entry.attempts.at(id);
     entry.attempts.erase(id);
     auto arrivesAt = this->events.now();
-    if (this->pattern.linkBytesPerSecond > 0) {
-        const std::chrono::duration<double> transfer { static_cast<double>(this->pattern.responseBytes) / static_cast<double>(this->pattern.linkBytesPerSecond) };
+    if (entry.linkBytesPerSecond > 0) {
+        const std::chrono::duration<double> transfer { static_cast<double>(this->pattern.responseBytes) / entry.linkBytesPerSecond };
         entry.linkFreeAt = std::max(entry.linkFreeAt, arrivesAt) + std::chrono::duration_cast<Duration>(transfer);
         arrivesAt = entry.linkFreeAt;
     }
@@ -321,7 +381,10 @@
         ++this->figures.failed;
         return;
     }
-    ++(latency <= this->pattern.targetLatency ? this->figures.inTime : this->figures.late);
+    const auto& load = this->routeLoads[attempt.caller->route];
+    const bool isInTime = latency <= load.targetLatency;
+    ++(isInTime ? this->figures.inTime : this->figures.late);
+    this->figures.earned += load.value * (isInTime ? 1 : lateWorth);
     this->figures.latencies->record(latency);
 }
 
@@ -349,6 +412,10 @@
 template <DispatchPolicy Policy>
 double Simulation<Policy>::bound() const
 {
+    if (this->routeLoads.size() > 1) {
+        // Requests of different value and work are not one fluid.
+        return 1;
+    }
     constexpr std::chrono::milliseconds step { 10 };
     const auto seconds = [](Duration duration) { return std::chrono::duration<double> { duration }.count(); };
     double waiting = 0;
@@ -438,10 +505,15 @@
     }
     this->scheduleDisturbances();
     this->events.at(this->startAt, [this] { this->handleArrival(); });
-    this->events.runUntil(this->startAt + this->pattern.duration + tailTime);
+    Duration tail = tailTime;
+    for (const auto& load : this->routeLoads) {
+        tail = std::max<Duration>(tail, 3 * load.deadline);
+    }
+    this->events.runUntil(this->startAt + this->pattern.duration + tail);
     for (const auto& upstream : this->upstreams) {
         this->figures.arrivals += upstream.arrivals();
         this->figures.misdirected += upstream.misdirected();
+        this->figures.ignored += upstream.ignored();
     }
     this->recordSpread();
     this->figures.bound = this->bound();
--- a/tools/load-model/UpstreamModel.cpp
+++ b/tools/load-model/UpstreamModel.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-    /// Relative increase of the service time as the slots fill up, approached when all are busy.
-    constexpr double saturationSlowdown = 0.4;
-
     /// Calls visit(first, last) for each range of adjacent keys with the same non-zero value.
     template <typename Visit>
     void forEachRun(const std::vector<std::uint64_t>& values, Visit visit)
@@ -62,6 +59,10 @@
         work.onEnded(AttemptOutcome::NotSent, std::nullopt);
         return;
     }
+    if (this->isPartitioned) {
+        ++this->ignoredRequests;
+        return;
+    }
     ++this->arrived;
     ++this->windows[windowOf(this->events.now())];
     if (!this->holds(work.key)) {
@@ -71,7 +72,11 @@
     }
     const bool isRefused = this->refusedShare > 0 && this->random.share() < this->refusedShare;
     if (isRefused || (this->running >= this->pattern.slots && this->waiting.size() >= this->pattern.queueLength)) {
-        work.onEnded(AttemptOutcome::Overloaded, this->load());
+        if (this->pattern.isSilentWhenFull) {
+            ++this->ignoredRequests;
+        } else {
+            work.onEnded(AttemptOutcome::Overloaded, this->load());
+        }
     } else if (this->running < this->pattern.slots) {
         this->begin(std::move(work));
     } else {
@@ -84,6 +89,27 @@
     std::erase_if(this->waiting, [number](const UpstreamWork& work) { return work.number == number; });
 }
 
+Duration UpstreamModel::drawWorkingTime(double mean)
+{
+    constexpr double tailShare = 0.03;
+    constexpr double tailFactor = 7;
+    auto length = mean;
+    switch (this->pattern.workDistribution) {
+    case WorkDistribution::Gamma:
+        length = this->random.workingTime(mean);
+        break;
+    case WorkDistribution::Constant:
+        break;
+    case WorkDistribution::Uniform:
+        length = mean * this->random.between(1 - this->pattern.workSpread, 1 + this->pattern.workSpread);
+        break;
+    case WorkDistribution::LongTail:
+        length = this->random.workingTime(mean / (1 + tailShare * (tailFactor - 1))) * (this->random.share() < tailShare ? tailFactor : 1);
+        break;
+    }
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { length });
+}
+
 void UpstreamModel::begin(UpstreamWork work)
 {
     ++this->running;
@@ -91,9 +117,9 @@
         ++this->busyKeys[*work.key];
     }
     const bool isCold = this->events.now() - this->startedAt < this->pattern.coldTime;
-    const auto saturationFactor = 1 + saturationSlowdown * (this->running - 1) / this->pattern.slots;
-    const auto mean = std::chrono::duration<double> { this->pattern.work }.count() * this->slowness * saturationFactor * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
-    auto length = std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->random.workingTime(mean) });
+    const auto saturationFactor = 1 + this->pattern.saturationSlowdown * (this->running - 1) / this->pattern.slots;
+    const auto mean = std::chrono::duration<double> { work.work }.count() * this->slowness * saturationFactor * (isCold ? this->pattern.coldFactor : 1) / this->ownSpeed;
+    auto length = this->drawWorkingTime(mean);
     if (const auto slowTime = this->slowUntil - this->events.now(); slowTime > Duration::zero()) {
         length = std::min(scaled(length, this->momentarySlowness), slowTime + std::max<Duration>(length - scaled(slowTime, 1 / this->momentarySlowness), Duration::zero()));
     }
--- a/tools/load-model/UpstreamModel.h
+++ b/tools/load-model/UpstreamModel.h
@@ -20,12 +20,15 @@
     std::optional<KeyNumber> key;
     /// Deadline of the request; the upstream drops a request that has not started by then.
     Instant deadline;
+    /// Mean work of such a request at an upstream of speed 1.
+    std::chrono::milliseconds work {};
     /// The load is empty if the upstream states none.
     std::function<void(AttemptOutcome, std::optional<ReportedLoad>)> onEnded;
 };
 
 /// A simulated upstream with a few request slots and a short queue. Its service times grow while it is cold and as its
-/// slots fill up. It refuses requests when its queue is full and runs requests only for keys that are granted to it.
+/// slots fill up. When its queue is full it refuses requests, or never responds to them if the pattern says so. It runs
+/// requests only for keys that are granted to it.
 class UpstreamModel {
 public:
     /// @param speed Speed relative to the mean of all upstreams; divides service times.
@@ -53,6 +56,7 @@
         this->momentarySlowness = factor;
     }
     void setRefusedShare(double share) noexcept { this->refusedShare = share; }
+    void setPartitioned(bool value) noexcept { this->isPartitioned = value; }
 
     const UpstreamKey& key() const noexcept { return this->announcement.key; }
     const std::string& service() const noexcept { return this->announcement.service; }
@@ -61,6 +65,8 @@
     /// @return Attempts received in each interval of 100 ms since the start of the simulated clock.
     const absl::flat_hash_map<std::int64_t, std::uint32_t>& arrivalsByWindow() const noexcept { return this->windows; }
     std::uint64_t misdirected() const noexcept { return this->misdirections; }
+    /// @return Requests that got no response because the queue was full or the upstream was partitioned.
+    std::uint64_t ignored() const noexcept { return this->ignoredRequests; }
 
     static constexpr std::chrono::milliseconds windowLength { 100 };
     static std::int64_t windowOf(Instant time) noexcept { return time.time_since_epoch() / windowLength; }
@@ -68,6 +74,7 @@
 private:
     std::optional<ReportedLoad> load() const;
     bool holds(std::optional<KeyNumber> requestedKey) const noexcept;
+    Duration drawWorkingTime(double mean);
     void begin(UpstreamWork work);
     void finish(const std::optional<KeyNumber>& finishedKey);
 
@@ -82,6 +89,7 @@
     Instant slowUntil;
     double momentarySlowness { 1 };
     double refusedShare {};
+    bool isPartitioned {};
     std::uint32_t running {};
     std::deque<UpstreamWork> waiting;
     absl::flat_hash_map<KeyNumber, std::uint32_t> busyKeys;
@@ -89,6 +97,7 @@
     std::uint64_t arrived {};
     absl::flat_hash_map<std::int64_t, std::uint32_t> windows;
     std::uint64_t misdirections {};
+    std::uint64_t ignoredRequests {};
     /// Fence by key; 0 if the key is not held. A revoked key stays held while requests run on it.
     std::vector<std::uint64_t> fences;
     std::vector<bool> isGranted;
