--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -38,6 +38,7 @@
     RequestRetried = 3008,
     ControlRequestRefused = 3009,
     ResponseCut = 3010,
+    ResponseBroken = 3011,
     MessageDropped = 4001,
     PeerUnreachable = 4002,
     ElectionStarted = 5001,
@@ -76,7 +77,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 48> logEventTable;
+extern const std::array<LogEventRow, 49> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -143,7 +143,7 @@
             if (!connection->isClosed && !connection->closing && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
                 this->continueReading(connection, events);
             }
-        } else if (state == StreamState::Ended && connection->stream.unsentBytes() > 0) {
+        } else if (state == StreamState::Ended && connection->stream.unsentBytes() > 0 && !isWithinResponse(*connection)) {
             // The caller may have ended its sending direction only. If it has closed, sending the rest fails.
             this->cancelRequests(*connection, callbacks);
         } else {
@@ -199,7 +199,7 @@
         connection->lastActiveAt = this->reactor.now();
         connection->closesAfterResponses = !request.keepsAlive || this->isDraining;
         const auto id = this->registerRequest(connection);
-        connection->exchanges.push_back({ id, std::nullopt });
+        connection->exchanges.push_back({ id });
         callbacks.requests.emplace_back(id, std::move(request));
     }
 }
@@ -216,32 +216,42 @@
     connection.input.clear();
 }
 
+void HttpListener::appendResponseHead(Connection& connection, OutgoingResponse& response, std::string& out, PendingCallbacks& callbacks)
+{
+    const bool isOnlyResponse = connection.exchanges.size() == 1;
+    const bool isLastResponse = ((connection.closesAfterResponses || this->isDraining) && isOnlyResponse) || response.closesConnection;
+    appendStatusLine(out, response.status);
+    out.append(response.headerLines);
+    if (isLastResponse) {
+        appendHeader(out, "Connection", "close");
+        connection.closesAfterResponses = true;
+        dropLaterRequests(connection, callbacks);
+    }
+    connection.lastRequestName = std::move(response.requestName);
+    connection.lastActiveAt = this->reactor.now();
+}
+
 void HttpListener::writeResponses(const ConnectionPointer& connection, PendingCallbacks& callbacks)
 {
     std::string out;
-    while (!connection->exchanges.empty() && connection->exchanges.front().response) {
-        auto response = std::move(*connection->exchanges.front().response);
-        connection->exchanges.pop_front();
-        const bool isLastResponse = (connection->closesAfterResponses && connection->exchanges.empty()) || response.closesConnection || (this->isDraining && connection->exchanges.empty());
-        appendStatusLine(out, response.status);
-        out.append(response.headerLines);
-        if (isLastResponse) {
-            appendHeader(out, "Connection", "close");
-            connection->closesAfterResponses = true;
+    while (!connection->exchanges.empty()) {
+        auto& exchange = connection->exchanges.front();
+        if (exchange.piecewise) {
+            if (!this->appendPieces(*connection, out, callbacks)) {
+                break;
+            }
+            continue;
+        }
+        if (!exchange.response) {
+            break;
         }
-        appendBody(out, response.body, true);
-        connection->lastRequestName = std::move(response.requestName);
+        auto response = std::move(*exchange.response);
+        this->appendResponseHead(*connection, response, out, callbacks);
+        teaselturn::appendBody(out, response.body, true);
         if (response.reservation) {
             connection->unsentReservations.push_back(std::move(response.reservation));
         }
-        connection->lastActiveAt = this->reactor.now();
-        if (isLastResponse) {
-            // The response closes the connection, so later pipelined requests get no response.
-            for (const auto& exchange : connection->exchanges) {
-                callbacks.disconnected.push_back(exchange.id);
-            }
-            connection->exchanges.clear();
-        }
+        connection->exchanges.pop_front();
     }
     if (!out.empty() && connection->stream.write(out) != StreamState::Open) {
         this->close(*connection, CloseReason::CallerReset, callbacks);
@@ -251,13 +261,14 @@
         connection->unsentReservations.clear();
     }
     if (connection->closesAfterResponses && connection->exchanges.empty() && connection->stream.unsentBytes() == 0) {
-        this->beginClose(connection, CloseReason::LastResponse, callbacks);
+        this->beginClose(connection, connection->endReason, callbacks);
     }
+    reportRoom(*connection, callbacks);
 }
 
 void HttpListener::queueHandlers(Connection& connection, PendingCallbacks callbacks)
 {
-    if (!callbacks.requests.empty() || !callbacks.disconnected.empty()) {
+    if (!callbacks.requests.empty() || !callbacks.disconnected.empty() || !callbacks.writable.empty()) {
         connection.handlerCalls.push([this, callbacks = std::move(callbacks)]() mutable { this->invokeHandlers(callbacks); });
     }
 }
@@ -275,6 +286,9 @@
             this->handlers.disconnected(id);
         }
     }
+    for (const auto id : callbacks.writable) {
+        this->handlers.bodyWritable(id);
+    }
     for (auto& [id, request] : callbacks.requests) {
         this->handlers.request(id, std::move(request));
     }
@@ -282,15 +296,9 @@
 
 void HttpListener::respond(HttpRequestId id, OutgoingResponse response)
 {
-    ConnectionPointer connection;
-    {
-        const MutexLock lock { this->mutex };
-        const auto found = this->requests.find(id);
-        if (found == this->requests.end()) {
-            return;
-        }
-        connection = std::move(found->second);
-        this->requests.erase(found);
+    const auto connection = this->takeRequest(id);
+    if (!connection) {
+        return;
     }
     {
         const MutexLock lock { connection->mutex };
@@ -300,30 +308,52 @@
         PendingCallbacks callbacks;
         const auto exchange = std::ranges::find(connection->exchanges, id, &Exchange::id);
         if (exchange != connection->exchanges.end()) {
-            exchange->response = std::move(response);
-        }
-        this->writeResponses(connection, callbacks);
-        if (!connection->isClosed && !connection->closing) {
-            this->readRequests(connection, callbacks);
-            // An error response may have been queued.
-            this->writeResponses(connection, callbacks);
-        }
-        if (!connection->isClosed && !connection->closing) {
-            if (std::exchange(connection->isReadPaused, false)) {
-                this->continueReading(connection, EPOLLIN);
+            if (exchange->piecewise && exchange->piecewise->isHeadWritten) {
+                exchange->piecewise->isBroken = true;
+            } else {
+                exchange->piecewise.reset();
+                exchange->response = std::move(response);
             }
         }
+        this->continueExchanges(connection, callbacks);
         this->queueHandlers(*connection, std::move(callbacks));
     }
     connection->handlerCalls.run();
 }
 
+HttpListener::ConnectionPointer HttpListener::takeRequest(HttpRequestId id)
+{
+    const MutexLock lock { this->mutex };
+    const auto found = this->requests.find(id);
+    if (found == this->requests.end()) {
+        return nullptr;
+    }
+    auto connection = std::move(found->second);
+    this->requests.erase(found);
+    return connection;
+}
+
+void HttpListener::continueExchanges(const ConnectionPointer& connection, PendingCallbacks& callbacks)
+{
+    this->writeResponses(connection, callbacks);
+    if (!connection->isClosed && !connection->closing) {
+        this->readRequests(connection, callbacks);
+        // An error response may have been queued.
+        this->writeResponses(connection, callbacks);
+    }
+    if (!connection->isClosed && !connection->closing) {
+        if (std::exchange(connection->isReadPaused, false)) {
+            this->continueReading(connection, EPOLLIN);
+        }
+    }
+}
+
 std::size_t HttpListener::openRequests()
 {
     std::size_t unsent = 0;
     for (const auto& connection : this->allConnections()) {
         const MutexLock lock { connection->mutex };
-        unsent += connection->stream.unsentBytes() > 0 ? 1 : 0;
+        unsent += connection->stream.unsentBytes() > 0 && !isWithinResponse(*connection) ? 1 : 0;
     }
     const MutexLock lock { this->mutex };
     return this->requests.size() + unsent;
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -37,6 +37,15 @@
     std::shared_ptr<BufferReservation> reservation;
 };
 
+/// Whether a listener takes more of the body of a response.
+enum class BodyFlow : std::uint8_t {
+    Open,
+    /// The caller has not received enough yet. The handler bodyWritable is called once it has.
+    Full,
+    /// The request has ended.
+    Ended,
+};
+
 /// Identifies a request. Ids are unique within a process.
 using HttpRequestId = StrongId<struct HttpRequestIdTag, std::uint64_t>;
 
@@ -54,6 +63,8 @@
     struct Handlers {
         RequestHandler request;
         DisconnectHandler disconnected;
+        /// Called after appendBody() returned Full, when there is room for more.
+        std::function<void(HttpRequestId id)> bodyWritable {};
     };
 
     /// @param reactor Must outlive the listener.
@@ -86,9 +97,23 @@
     /// @param target Must outlive the listener.
     void setLogger(Logger& target) noexcept { this->logger = &target; }
 
-    /// Sends the response to a request. Does nothing if the request has ended.
+    /// Sends the response to a request. Does nothing if the request has ended. If a part of another response to it was
+    /// written, the connection is closed after that part instead, so that it cannot be taken for a whole response.
     void respond(HttpRequestId id, OutgoingResponse response);
 
+    /// Begins a response whose body follows in pieces. It is written when the earlier requests of its connection have their
+    /// responses.
+    /// @param head A response without body. Its reservation is kept until the last piece is written.
+    /// @param length Length of the body; if empty, the body is sent in chunks, which the caller must accept.
+    void beginResponse(HttpRequestId id, OutgoingResponse head, std::optional<std::uint64_t> length);
+    /// Adds a piece to the body of a response.
+    /// @return Open if more may be added at once. Up to maxUnsentBody bytes and one piece are buffered.
+    BodyFlow appendBody(HttpRequestId id, std::string bytes);
+    /// Adds the last piece to the body of a response, and ends the response.
+    void endBody(HttpRequestId id, std::string bytes);
+    /// Bytes of a body from which on appendBody() returns Full.
+    static constexpr std::size_t maxUnsentBody = 64 * 1'024;
+
     /// @return The number of requests without a response, and of connections with unsent bytes of one.
     std::size_t openRequests();
     /// @return The number of open connections. After closeIdle(), those that are not idle: requests are open, arriving or
@@ -108,9 +133,25 @@
     const ListenerCounters& statistics() const noexcept { return this->counters; }
 
 private:
+    /// A response whose body comes in pieces.
+    struct PiecewiseResponse {
+        OutgoingResponse head;
+        std::optional<std::uint64_t> length;
+        /// Pieces with their framing that have not been written to the stream.
+        std::string unwritten;
+        bool isHeadWritten {};
+        bool isComplete {};
+        bool isBroken {};
+        /// appendBody() returned Full.
+        bool isWaitingForRoom {};
+    };
+
     struct Exchange {
         HttpRequestId id;
-        std::optional<OutgoingResponse> response;
+        std::optional<OutgoingResponse> response {};
+        std::unique_ptr<PiecewiseResponse> piecewise {};
+
+        bool hasResponse() const noexcept { return this->response || (this->piecewise && this->piecewise->isComplete); }
     };
 
     struct Connection {
@@ -138,6 +179,8 @@
         /// Set once the sending direction has ended.
         std::optional<GracefulClose> closing ABSL_GUARDED_BY(mutex);
         CloseReason closeReason ABSL_GUARDED_BY(mutex) {};
+        /// Why the connection closes after its last response.
+        CloseReason endReason ABSL_GUARDED_BY(mutex) { CloseReason::LastResponse };
         /// True while input is left in the socket because the caller sent more requests than may be open.
         bool isReadPaused ABSL_GUARDED_BY(mutex) {};
 
@@ -153,6 +196,7 @@
     struct PendingCallbacks {
         std::vector<std::pair<HttpRequestId, ReceivedRequest>> requests;
         std::vector<HttpRequestId> disconnected;
+        std::vector<HttpRequestId> writable;
     };
 
     void accept() ABSL_EXCLUSIVE_LOCKS_REQUIRED(listenerMutex);
@@ -163,6 +207,25 @@
     /// @return False if the budget has no room for the request that is being read.
     bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Appends the status line and headers of the first response.
+    void appendResponseHead(Connection& connection, OutgoingResponse& response, std::string& out, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Appends what there is of the first response, which comes in pieces.
+    /// @return True if the response has ended and was removed.
+    bool appendPieces(Connection& connection, std::string& out, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Adds a piece with its framing.
+    static void addPiece(PiecewiseResponse& response, std::string bytes);
+    /// Ends the requests behind the first one, since its response closes the connection.
+    static void dropLaterRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// @return True if a part of the first response was written and the rest is still to come.
+    static bool isWithinResponse(const Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Reports the first request as writable if it waits for room and there is some.
+    static void reportRoom(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Writes responses, then reads requests that waited for them.
+    void continueExchanges(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// @return The connection of a request; null if the request has ended.
+    ConnectionPointer findRequest(HttpRequestId id);
+    /// @return The same. The request has ended then.
+    ConnectionPointer takeRequest(HttpRequestId id);
     void writeResponses(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
     /// Ends the sending direction of a connection without unsent bytes. It closes when its caller has ended too.
     void beginClose(const ConnectionPointer& connection, CloseReason reason, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -19,7 +19,7 @@
 void HttpListener::cancelRequests(Connection& connection, PendingCallbacks& callbacks)
 {
     for (const auto& exchange : connection.exchanges) {
-        if (exchange.id != HttpRequestId {} && !exchange.response) {
+        if (exchange.id != HttpRequestId {} && !exchange.hasResponse()) {
             callbacks.disconnected.push_back(exchange.id);
         }
     }
@@ -143,7 +143,8 @@
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             recordDelivery(*connection, now);
-            if (connection->exchanges.empty() && now - connection->lastActiveAt > timeout) {
+            const bool isSendingPieces = isWithinResponse(*connection) && connection->stream.unsentBytes() > 0;
+            if ((connection->exchanges.empty() || isSendingPieces) && now - connection->lastActiveAt > timeout) {
                 if (connection->stream.unsentBytes() > 0) {
                     this->close(*connection, CloseReason::TimedOut, callbacks);
                 } else {
--- a/src/adapters/http/ListenerCounters.h
+++ b/src/adapters/http/ListenerCounters.h
@@ -22,10 +22,12 @@
     TimedOut,
     /// The listener ended.
     Stopped,
+    /// The body of a response broke off after its head had been written.
+    ResponseBroken,
 };
 
 /// Names of the reasons in logs and metrics, in the order of CloseReason.
-inline constexpr std::array<std::string_view, 6> closeReasonNames { "caller-ended", "caller-reset", "last-response", "idle", "timed-out", "stopped" };
+inline constexpr std::array<std::string_view, 7> closeReasonNames { "caller-ended", "caller-reset", "last-response", "idle", "timed-out", "stopped", "response-broken" };
 
 /// @return The reason's name in logs and metrics.
 constexpr std::string_view closeReasonName(CloseReason reason) noexcept
--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <limits>
 #include <type_traits>
 
 namespace teaselturn {
@@ -31,6 +32,51 @@
     /// chunk before it is followed by as many.
     constexpr std::size_t finalChunkBytes = std::string_view { "0\r\n\r\n" }.size();
 
+    /// Largest body for which memory is reserved in advance if the body is taken in pieces.
+    constexpr std::uint64_t maxPieceReserve = 64 * 1'024;
+
+    /// Body of a message that may be taken in pieces. http::string_body reserves memory for the whole declared length.
+    struct PieceBody {
+        struct value_type {
+            std::string bytes;
+            std::uint64_t maxReserve { std::numeric_limits<std::uint64_t>::max() };
+        };
+
+        class reader {
+        public:
+            template <bool isRequest, typename Fields>
+            reader(http::header<isRequest, Fields>&, value_type& body)
+                : body(body)
+            {
+            }
+
+            void init(const boost::optional<std::uint64_t>& length, boost::beast::error_code& error)
+            {
+                error = {};
+                if (length) {
+                    this->body.bytes.reserve(static_cast<std::size_t>(std::min(*length, this->body.maxReserve)));
+                }
+            }
+
+            template <typename Buffers>
+            std::size_t put(const Buffers& buffers, boost::beast::error_code& error)
+            {
+                error = {};
+                std::size_t count = 0;
+                for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
+                    this->body.bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
+                    count += buffer.size();
+                }
+                return count;
+            }
+
+            void finish(boost::beast::error_code& error) { error = {}; }
+
+        private:
+            value_type& body;
+        };
+    };
+
     /// Interim (1xx) responses that may precede a response.
     constexpr std::size_t maxInterimResponses = 16;
 
@@ -53,7 +99,7 @@
 
 template <typename Message>
 struct MessageReader<Message>::Parser {
-    http::parser<isRequestMessage<Message>, http::string_body> content;
+    http::parser<isRequestMessage<Message>, PieceBody> content;
 };
 
 template <typename Message>
@@ -79,7 +125,13 @@
             this->parser = std::make_unique<Parser>();
             this->parser->content.eager(true);
             this->parser->content.header_limit(static_cast<std::uint32_t>(this->limits.maxHeadBytes));
-            this->parser->content.body_limit(this->limits.maxBodyBytes);
+            if (this->isTakenInPieces) {
+                // Boost 1.74 takes any declared length for one beyond a limit that is absent.
+                this->parser->content.body_limit(std::numeric_limits<std::uint64_t>::max());
+                this->parser->content.get().body().maxReserve = maxPieceReserve;
+            } else {
+                this->parser->content.body_limit(this->limits.maxBodyBytes);
+            }
             this->parser->content.skip(this->isBodyless);
         }
         if (this->parser->content.is_header_done() && this->parser->content.chunked() && buffer.size() - consumed < finalChunkBytes) {
@@ -134,27 +186,55 @@
 template <typename Message>
 std::size_t MessageReader<Message>::bodyBytes() const noexcept
 {
-    return this->parser ? this->parser->content.get().body().size() : 0;
+    return this->parser ? this->parser->content.get().body().bytes.size() : 0;
 }
 
 template <typename Message>
-Message MessageReader<Message>::take()
+bool MessageReader<Message>::isHeadComplete() const noexcept
+{
+    return this->parser && this->parser->content.is_header_done() && !this->parser->content.is_done();
+}
+
+template <typename Message>
+std::optional<std::uint64_t> MessageReader<Message>::declaredLength() const
+{
+    const auto length = this->parser->content.content_length();
+    return length && !this->parser->content.chunked() ? std::optional { *length } : std::nullopt;
+}
+
+template <typename Message>
+std::string MessageReader<Message>::takeBody()
+{
+    return std::exchange(this->parser->content.get().body().bytes, {});
+}
+
+template <typename Message>
+Message MessageReader<Message>::head() const
 {
     Message message;
     message.keepsAlive = this->parser->content.keep_alive();
-    auto& parsed = this->parser->content.get();
+    const auto& parsed = this->parser->content.get();
     if constexpr (isRequestMessage<Message>) {
         message.method = toString(parsed.method_string());
         message.target = toString(parsed.target());
+        message.acceptsChunks = parsed.version() >= 11;
     } else {
         message.status = parsed.result_int();
     }
     for (const auto& field : parsed) {
         message.headers.push_back({ toString(field.name_string()), toString(field.value()) });
     }
-    message.body = std::move(parsed.body());
+    return message;
+}
+
+template <typename Message>
+Message MessageReader<Message>::take()
+{
+    auto message = this->head();
+    message.body = std::move(this->parser->content.get().body().bytes);
     this->parser.reset();
     this->isBodyless = false;
+    this->isTakenInPieces = false;
     this->interimCount = 0;
     return message;
 }
--- a/src/adapters/http/MessageReader.h
+++ b/src/adapters/http/MessageReader.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +30,8 @@
     std::string body;
     /// True if the connection may carry another request.
     bool keepsAlive {};
+    /// True if the sender understands chunked responses (HTTP/1.1).
+    bool acceptsChunks {};
     /// Null if the message is too small to be counted.
     std::shared_ptr<BufferReservation> reservation;
 
@@ -74,6 +77,9 @@
     /// Declares that the next response has no body because it responds to a HEAD request.
     void expectNoBody() noexcept { this->isBodyless = true; }
 
+    /// Declares that the body of the next message is taken in pieces with takeBody(). Its size has no limit then.
+    void expectPieces() noexcept { this->isTakenInPieces = true; }
+
     /// Parses bytes from the front of the buffer and removes them.
     ReadProgress read(std::string& buffer);
 
@@ -83,6 +89,16 @@
     /// Returns the message and prepares for the next one. Requires that the last read returned Complete.
     Message take();
 
+    /// @return True if the head of a message was read and its body was not read completely.
+    bool isHeadComplete() const noexcept;
+    /// @return The length that the head declares; empty for a body that comes in chunks or ends with the connection.
+    /// Requires isHeadComplete().
+    std::optional<std::uint64_t> declaredLength() const;
+    /// @return The message that is being read, without its body. Requires isHeadComplete().
+    Message head() const;
+    /// Removes and returns the body bytes that have been read. Requires a message that is being read.
+    std::string takeBody();
+
     /// @return Body bytes of the message that is being read.
     std::size_t bodyBytes() const noexcept;
 
@@ -94,6 +110,7 @@
 
     ReadLimits limits;
     bool isBodyless {};
+    bool isTakenInPieces {};
     /// Interim responses since the last message.
     std::size_t interimCount {};
     std::unique_ptr<Parser> parser;
--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -9,6 +9,9 @@
     constexpr std::size_t disconnectEvents = EPOLLRDHUP | EPOLLHUP | EPOLLERR;
     /// Limit for the status line and headers of a response.
     constexpr std::size_t maxResponseHeadBytes = 64 * 1024;
+    /// A body of at most this declared length is not streamed: it takes nothing from the budget, and its request can be
+    /// repeated if it breaks off.
+    constexpr std::uint64_t maxWholeBytes = BufferReservation::uncountedBytes;
 
 }
 
@@ -53,13 +56,18 @@
     });
 }
 
-void UpstreamConnection::send(std::string_view bytes, bool isHead)
+void UpstreamConnection::send(std::string_view bytes, ResponseBody body)
 {
     {
         const MutexLock lock { this->mutex };
         this->hasRequest = true;
-        if (isHead) {
+        this->bodyState = BodyState::Whole;
+        this->pausedDuration = {};
+        if (body == ResponseBody::None) {
             this->reader.expectNoBody();
+        } else if (body == ResponseBody::Streamed) {
+            this->reader.expectPieces();
+            this->bodyState = BodyState::Undecided;
         }
         if (this->phase == Phase::Connecting) {
             this->request = bytes;
@@ -136,25 +144,129 @@
     }
     if (this->stream.flush() != StreamState::Open) {
         // The upstream may have responded before it had read the whole request, and then reset the connection.
-        this->stream.read(this->input);
-        this->readResponse(StreamState::Broken);
+        this->isWriteBroken = true;
+        events |= EPOLLIN;
+    }
+    if (this->isPaused) {
+        this->missedEvents |= events;
         return;
     }
     if ((events & (EPOLLIN | disconnectEvents)) == 0) {
         return;
     }
-    auto state = this->stream.read(this->input);
-    if (state == StreamState::Open && (events & disconnectEvents) != 0) {
-        state = this->stream.read(this->input);
-    }
+    const auto state = this->readInput(events);
     this->readResponse(state);
-    if (this->phase != Phase::Closed && this->stream.hasUnreadInput()) {
+    if (this->phase == Phase::Closed || !this->stream.hasUnreadInput()) {
+        return;
+    }
+    if (this->isPaused) {
+        this->missedEvents |= events | EPOLLIN;
+    } else {
         // Continues later, so that a fast sender neither fills the memory nor occupies a worker.
-        this->reactor.after(Duration::zero(), [weak = this->weak_from_this(), events](Instant) {
-            if (const auto connection = weak.lock()) {
-                connection->handleEvents(events);
-            }
-        });
+        this->scheduleRead(events);
+    }
+}
+
+StreamState UpstreamConnection::readInput(std::uint32_t events)
+{
+    auto limit = TcpStream::maxReadBytes;
+    if (this->bodyState == BodyState::Undecided) {
+        limit = BufferReservation::uncountedBytes;
+    } else if (this->bodyState == BodyState::Streaming) {
+        limit = maxPieceBytes;
+    }
+    auto state = this->stream.read(this->input, limit);
+    const bool isRestUnread = this->bodyState != BodyState::Whole && this->stream.hasUnreadInput();
+    if (state == StreamState::Open && (events & disconnectEvents) != 0 && !isRestUnread) {
+        state = this->stream.read(this->input, limit);
+    }
+    if (this->isWriteBroken && (this->bodyState == BodyState::Whole || state != StreamState::Open || !this->stream.hasUnreadInput())) {
+        return StreamState::Broken;
+    }
+    return state;
+}
+
+void UpstreamConnection::scheduleRead(std::uint32_t events)
+{
+    this->reactor.after(Duration::zero(), [weak = this->weak_from_this(), events](Instant) {
+        if (const auto connection = weak.lock()) {
+            connection->handleEvents(events);
+        }
+    });
+}
+
+void UpstreamConnection::pause()
+{
+    this->isPaused = true;
+    this->pausedAt = this->reactor.now();
+}
+
+bool UpstreamConnection::unpause()
+{
+    if (!std::exchange(this->isPaused, false) || this->phase == Phase::Closed) {
+        return false;
+    }
+    this->lastReadAt = this->reactor.now();
+    this->pausedDuration += this->lastReadAt - this->pausedAt;
+    return true;
+}
+
+void UpstreamConnection::continueBody(BodyState state)
+{
+    const MutexLock lock { this->mutex };
+    if (this->unpause()) {
+        this->bodyState = state;
+        // Some of the body may have arrived with the head.
+        this->scheduleRead(std::exchange(this->missedEvents, 0) | EPOLLIN);
+    }
+}
+
+void UpstreamConnection::resume()
+{
+    const MutexLock lock { this->mutex };
+    if (this->unpause() && this->missedEvents != 0) {
+        this->scheduleRead(std::exchange(this->missedEvents, 0));
+    }
+}
+
+void UpstreamConnection::failIfStalled()
+{
+    {
+        const MutexLock lock { this->mutex };
+        const bool isReading = this->phase == Phase::Busy && this->bodyState == BodyState::Streaming && !this->isPaused;
+        if (isReading && this->reactor.now() - this->lastReadAt > stallTimeout) {
+            this->fail(ConnectionFailure::Stalled);
+        }
+    }
+    this->handlerCalls.run();
+}
+
+Duration UpstreamConnection::pausedTime()
+{
+    const MutexLock lock { this->mutex };
+    return this->pausedDuration;
+}
+
+void UpstreamConnection::forwardPiece(ReadProgress progress, StreamState state)
+{
+    auto bytes = this->reader.takeBody();
+    if (progress == ReadProgress::Complete) {
+        const bool isReusable = state == StreamState::Open && this->reader.take().keepsAlive && this->input.empty();
+        this->hasRequest = false;
+        this->phase = Phase::Idle;
+        if (!isReusable) {
+            this->closeStream();
+        }
+        this->handlerCalls.push([this, bytes = std::move(bytes), isReusable]() mutable { this->handlers.bodyEnded(this->id, std::move(bytes), isReusable); });
+        return;
+    }
+    if (!bytes.empty()) {
+        this->lastReadAt = this->reactor.now();
+        this->pause();
+        this->handlerCalls.push([this, bytes = std::move(bytes)]() mutable { this->handlers.bodyReceived(this->id, std::move(bytes)); });
+    }
+    if (progress != ReadProgress::Incomplete || state != StreamState::Open) {
+        this->fail(state == StreamState::Open ? ConnectionFailure::Malformed : ConnectionFailure::Broken);
     }
 }
 
@@ -173,9 +285,24 @@
     if (progress == ReadProgress::Incomplete && state == StreamState::Ended) {
         progress = this->reader.readEnd();
     }
+    if (this->bodyState == BodyState::Streaming) {
+        this->forwardPiece(progress, state);
+        return;
+    }
     if (progress == ReadProgress::Incomplete) {
         if (state != StreamState::Open) {
             this->fail(ConnectionFailure::Broken);
+        } else if (this->bodyState == BodyState::Undecided && this->reader.isHeadComplete()) {
+            const auto length = this->reader.declaredLength();
+            if (length && *length <= maxWholeBytes) {
+                this->bodyState = BodyState::Whole;
+                return;
+            }
+            this->pause();
+            this->handlerCalls.push([this, head = this->reader.head(), length]() mutable { this->handlers.headReceived(this->id, std::move(head), length); });
+        } else if (this->reader.bodyBytes() > limits::maxBodyBytes) {
+            // The reader has no limit for a body that could have been streamed.
+            this->fail(ConnectionFailure::Malformed);
         } else if (!BufferReservation::grow(this->reservation, this->buffers, this->reader.bodyBytes() + this->input.size())) {
             this->fail(ConnectionFailure::BufferExhausted);
         }
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -27,10 +27,26 @@
     Malformed,
     /// The response exceeds the process's budget for buffered bytes.
     BufferExhausted,
+    /// A body that is taken in pieces stopped arriving.
+    Stalled,
+};
+
+/// How the body of a response is handed over.
+enum class ResponseBody : std::uint8_t {
+    /// With its head, when it is complete.
+    Whole,
+    /// In pieces as it arrives, if the owner decides so by streamBody() once it has seen the head.
+    Streamed,
+    /// The response has none.
+    None,
 };
 
 /// A connection to an upstream that carries one request at a time. Thread-safe. Handlers are called without locks held,
 /// one at a time and in the order of the connection's events: closedIdle() follows the return of answered().
+///
+/// A body that is handed over in pieces is read with backpressure: after the head and after each piece, the connection
+/// reads nothing more until its owner calls streamBody(), holdBody() or resume(). Bytes that it does not read fill the
+/// socket's buffer, which stops the upstream.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
 public:
     struct Handlers {
@@ -41,6 +57,13 @@
         /// Called if the connection ended or received bytes while it carried no request. A request that was assigned to the
         /// connection since the last response was not sent.
         std::function<void(ConnectionId connection)> closedIdle;
+        /// Called for ResponseBody::Streamed with a head whose body is incomplete and not declared as small. The owner must
+        /// call streamBody() or holdBody(). The length is empty if the head does not declare it.
+        std::function<void(ConnectionId connection, ReceivedResponse head, std::optional<std::uint64_t> length)> headReceived {};
+        /// Called with the next piece of a body. The owner must call resume().
+        std::function<void(ConnectionId connection, std::string bytes)> bodyReceived {};
+        /// Called with the last piece of a body, which may be empty, in place of answered().
+        std::function<void(ConnectionId connection, std::string bytes, bool isReusable)> bodyEnded {};
     };
 
     /// Starts a non-blocking connect.
@@ -55,8 +78,17 @@
     UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
     /// Sends a request, or stores it until the connection is established. Requires that no request is outstanding.
-    /// @param isHead True for a HEAD request, whose response has no body.
-    void send(std::string_view bytes, bool isHead);
+    void send(std::string_view bytes, ResponseBody body);
+    /// Reads the body whose head was reported in pieces.
+    void streamBody() { this->continueBody(BodyState::Streaming); }
+    /// Reads the body whose head was reported as a whole; answered() reports it.
+    void holdBody() { this->continueBody(BodyState::Whole); }
+    /// Reads on after a piece of a body.
+    void resume();
+    /// Ends a body in pieces of which no byte has arrived for stallTimeout, not counting the time in which reading paused.
+    void failIfStalled();
+    /// @return Time in which reading of the last body paused.
+    Duration pausedTime();
     /// Closes the connection. No handler is called for it afterwards.
     void close();
 
@@ -66,6 +98,10 @@
     static constexpr std::chrono::milliseconds connectTimeout { 400 };
     /// The connection fails if sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
     static constexpr std::chrono::milliseconds userTimeout { 1'000 };
+    /// Maximum time between two pieces of a body. Upstreams that work on a response pause for less.
+    static constexpr std::chrono::milliseconds stallTimeout { 5'000 };
+    /// Maximum bytes of a piece of a body, but for what may have to be read at the end of the connection.
+    static constexpr std::size_t maxPieceBytes = 64 * 1'024;
 
 private:
     enum class Phase : std::uint8_t {
@@ -75,6 +111,14 @@
         Closed,
     };
 
+    /// What happens to the body of the response.
+    enum class BodyState : std::uint8_t {
+        Whole,
+        /// It may be streamed; the head was not reported yet, or the owner has not decided.
+        Undecided,
+        Streaming,
+    };
+
     UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers);
 
     void startWatching();
@@ -82,6 +126,14 @@
     void connectTimedOut();
     // These queue handler calls, which the caller runs after it has released the lock.
     void processEvents(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Reads what the socket has, up to the limit of the response's body.
+    StreamState readInput(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void scheduleRead(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void continueBody(BodyState state);
+    void pause() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// @return True if reading was paused.
+    bool unpause() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    void forwardPiece(ReadProgress progress, StreamState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void readResponse(StreamState state) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void fail(ConnectionFailure failure) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void closeStream() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -103,6 +155,17 @@
     std::shared_ptr<BufferReservation> reservation ABSL_GUARDED_BY(mutex);
     Phase phase ABSL_GUARDED_BY(mutex) { Phase::Connecting };
     bool hasRequest ABSL_GUARDED_BY(mutex) {};
+    BodyState bodyState ABSL_GUARDED_BY(mutex) {};
+    /// True while the owner has to decide or to make room.
+    bool isPaused ABSL_GUARDED_BY(mutex) {};
+    /// Events of the socket while reading paused.
+    std::uint32_t missedEvents ABSL_GUARDED_BY(mutex) {};
+    /// The rest of the request cannot be sent any more, so an end of the input is no orderly one.
+    bool isWriteBroken ABSL_GUARDED_BY(mutex) {};
+    Instant pausedAt ABSL_GUARDED_BY(mutex);
+    Duration pausedDuration ABSL_GUARDED_BY(mutex) {};
+    /// When a byte of a body last arrived, or reading last continued.
+    Instant lastReadAt ABSL_GUARDED_BY(mutex);
     /// IdleConnection until the connection is established.
     std::string request ABSL_GUARDED_BY(mutex);
 };
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace teaselturn {
 
@@ -17,12 +18,13 @@
 
 }
 
-StreamState TcpStream::read(std::string& target)
+StreamState TcpStream::read(std::string& target, std::size_t limit)
 {
     std::array<char, readBytes> buffer;
     this->stoppedAtLimit = false;
     for (std::size_t total = 0;;) {
-        const auto count = recv(this->socket.number(), buffer.data(), buffer.size(), 0);
+        const auto wanted = std::min(buffer.size(), limit - total);
+        const auto count = recv(this->socket.number(), buffer.data(), wanted, 0);
         if (count == 0) {
             return StreamState::Ended;
         }
@@ -31,11 +33,11 @@
         }
         target.append(buffer.data(), static_cast<std::size_t>(count));
         // A short read emptied the socket; later bytes or the end of the input cause another event.
-        if (static_cast<std::size_t>(count) < buffer.size()) {
+        if (static_cast<std::size_t>(count) < wanted) {
             return StreamState::Open;
         }
         total += static_cast<std::size_t>(count);
-        if (total >= maxReadBytes) {
+        if (total >= limit) {
             this->stoppedAtLimit = true;
             return StreamState::Open;
         }
@@ -45,6 +47,9 @@
 StreamState TcpStream::write(std::string_view bytes)
 {
     if (this->unsentBytes() > 0) {
+        if (this->sentBytes > this->unsentBytes()) {
+            this->backlog.erase(0, std::exchange(this->sentBytes, 0));
+        }
         this->backlog.append(bytes);
         return StreamState::Open;
     }
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -40,13 +40,14 @@
     /// Maximum bytes of one read().
     static constexpr std::size_t maxReadBytes = 256 * 1024;
 
-    /// Reads until the socket would block, but at most maxReadBytes, and appends the bytes to the target.
-    StreamState read(std::string& target);
+    /// Reads until the socket would block, but at most limit bytes, and appends the bytes to the target.
+    StreamState read(std::string& target, std::size_t limit = maxReadBytes);
     /// @return True if the last read() stopped at its limit. No event tells of the bytes that are left, so the caller
     /// must call it again.
     bool hasUnreadInput() const noexcept { return this->stoppedAtLimit; }
 
-    /// Writes as many bytes as the socket accepts and buffers the rest for flush().
+    /// Writes as many bytes as the socket accepts and buffers the rest for flush(). The memory of the buffer stays below twice
+    /// the unsent bytes, also if some are always unsent.
     StreamState write(std::string_view bytes);
     /// Writes buffered bytes.
     StreamState flush();
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 48> logEventTable { {
+const std::array<LogEventRow, 49> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -26,6 +26,7 @@
     { LogEvent::RequestRetried, "RequestRetried", LogLevel::Info, "a request goes to an upstream again" },
     { LogEvent::ControlRequestRefused, "CallRefused", LogLevel::Info, "a call of an operator or upstream was refused" },
     { LogEvent::ResponseCut, "ResponseCut", LogLevel::Warning, "a connection was closed before its caller had received a whole response" },
+    { LogEvent::ResponseBroken, "ResponseBroken", LogLevel::Warning, "a response broke off after its beginning was forwarded; the caller's connection is closed" },
     { LogEvent::MessageDropped, "MessageDropped", LogLevel::Warning, "a message from a peer was dropped" },
     { LogEvent::PeerUnreachable, "PeerUnreachable", LogLevel::Debug, "a peer cannot be reached" },
     { LogEvent::ElectionStarted, "ElectionStarted", LogLevel::Info, "an election started" },
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -118,6 +118,10 @@
     /// Bytes reserved in the link budget.
     double reservedLinkBytes {};
     std::size_t responseBytes {};
+    /// The head of the response is on its way to the caller, so the request is not sent again.
+    bool isResponseStarted {};
+    /// Time of the attempt in which the caller, not the upstream, delayed the response.
+    Duration callerDelay {};
     /// Upstreams that a retry does not use.
     std::vector<UpstreamKey> excludedUpstreams;
     std::uint32_t misdirections {};
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -88,7 +88,7 @@
     pending.isSent = false;
     auto& service = *pending.service;
     service.inFlight = std::max(0, service.inFlight - 1);
-    const auto latency = now - pending.sentAt;
+    const auto latency = now - pending.sentAt - pending.callerDelay;
     auto* const target = this->upstreams.find(pending.sentTo);
     if (target != nullptr) {
         if (outcome) {
@@ -158,7 +158,7 @@
 bool Dispatcher::tryConsumeRetry(Instant now, PendingDispatch& pending, AttemptOutcome outcome)
 {
     const auto& route = pending.route();
-    if (!mayRepeat(route.kind) && pending.possibleRuns > 0) {
+    if (pending.isResponseStarted || (!mayRepeat(route.kind) && pending.possibleRuns > 0)) {
         return false;
     }
     if (pending.expiresAt - now < pending.service->averageLatency / 2) {
@@ -239,11 +239,23 @@
     this->pendingRequests.erase(id);
 }
 
-void Dispatcher::responseReceived(PendingRequestId id, std::size_t bytes)
+void Dispatcher::responseStarted(PendingRequestId id)
+{
+    const auto found = this->pendingRequests.find(id);
+    if (found != this->pendingRequests.end()) {
+        auto& pending = *found->second;
+        this->deadlines.erase({ pending.expiresAt, id });
+        pending.expiresAt = Instant::max();
+        pending.isResponseStarted = true;
+    }
+}
+
+void Dispatcher::responseReceived(PendingRequestId id, std::size_t bytes, Duration callerDelay)
 {
     const auto found = this->pendingRequests.find(id);
     if (found != this->pendingRequests.end()) {
         found->second->responseBytes = bytes;
+        found->second->callerDelay = callerDelay;
     }
 }
 
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -50,8 +50,12 @@
 
     /// Refuses, sends or queues a new request.
     void submit(Instant now, DispatchRequest request, DispatchDecisions& decisions);
+    /// Records that the response to a request is forwarded while it arrives. From then on the request is not sent again, and
+    /// it does not end at its deadline: what is ready is delivered.
+    void responseStarted(PendingRequestId id);
     /// Records the size of a response. Called before attemptEnded() reports the outcome of the same attempt.
-    void responseReceived(PendingRequestId id, std::size_t bytes);
+    /// @param callerDelay Time in which the caller, not the upstream, delayed the response.
+    void responseReceived(PendingRequestId id, std::size_t bytes, Duration callerDelay = Duration::zero());
     /// Applies what the upstream of a request's attempt states about itself. Called before attemptEnded() reports the
     /// outcome of the same attempt.
     void noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions);
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -46,10 +46,25 @@
         struct Send {
             std::shared_ptr<UpstreamConnection> connection;
             std::string bytes;
-            bool isHead {};
+            ResponseBody body {};
+        };
+        /// A response that is forwarded while it arrives.
+        struct Begin {
+            HttpRequestId requestId;
+            OutgoingResponse head;
+            std::optional<std::uint64_t> length;
+            std::shared_ptr<UpstreamConnection> connection;
+        };
+        struct End {
+            HttpRequestId requestId;
+            std::string lastBytes;
         };
         std::vector<Response> responses;
         std::vector<Send> sends;
+        std::vector<Begin> begins;
+        std::vector<End> ends;
+        /// Connections whose response is held whole though its body could have been streamed.
+        std::vector<std::shared_ptr<UpstreamConnection>> connectionsToHold;
         std::vector<std::shared_ptr<UpstreamConnection>> connectionsToClose;
         /// Requests whose attempt failed because no connection could be opened.
         std::vector<PendingRequestId> unsentRequests;
@@ -83,7 +98,18 @@
     std::string metricsText() const { return this->counters.text(this->listener.statistics()); }
     Endpoint localEndpoint() const { return this->listener.localEndpoint(); }
 
+    /// Bytes that one streamed response may occupy: its caller's buffer with a piece beyond its limit, and a piece that is
+    /// read from the upstream. They are reserved in the budget before the head is forwarded.
+    static constexpr std::size_t transferBytes = HttpListener::maxUnsentBody + 2 * UpstreamConnection::maxPieceBytes;
+
 private:
+    /// A response that is forwarded while it arrives.
+    struct Transfer {
+        /// Bytes received so far, without the status line.
+        std::size_t bytes {};
+        std::string lastBytes;
+    };
+
     struct PendingRequest {
         HttpRequestId requestId;
         ReceivedRequest request;
@@ -94,7 +120,8 @@
         std::uint32_t attempts {};
         /// Name of the upstream of the last attempt, "-" before the first.
         std::string upstream { "-" };
-        std::optional<ReceivedResponse> response;
+        std::optional<ReceivedResponse> response {};
+        std::optional<Transfer> transfer {};
     };
 
     struct ConnectionState {
@@ -108,6 +135,12 @@
     void handleRequest(HttpRequestId requestId, ReceivedRequest request);
     void handleCallerDisconnect(HttpRequestId requestId);
     void handleResponse(ConnectionId connection, ReceivedResponse response, bool isReusable);
+    void handleResponseHead(ConnectionId connection, ReceivedResponse head, std::optional<std::uint64_t> length);
+    void handleBody(ConnectionId connection, std::string bytes);
+    void handleBodyEnd(ConnectionId connection, std::string bytes, bool isReusable);
+    /// Reads on from the upstream of a streamed response whose caller has received more.
+    void handleBodyWritable(HttpRequestId requestId);
+    void endStalledTransfers();
     void handleConnectionFailure(ConnectionId connection, ConnectionFailure failure);
     void handleConnectionClosed(ConnectionId connection);
     void advance();
@@ -117,6 +150,13 @@
     void applyDecisions(Instant now, DispatchDecisions& decisions, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void startAttempt(Instant now, const SendRequest& decision, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void endAttempt(Instant now, PendingRequestId id, AttemptOutcome outcome, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Puts a connection whose response is complete into the pool, or closes it.
+    void releaseConnection(Instant now, ConnectionId id, bool isReusable, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// Tells the dispatcher how much of a streamed response has arrived.
+    void recordTransfer(PendingRequestId id, Duration callerDelay) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    /// @return The request that a connection carries; null if it has ended.
+    PendingRequest* findCarried(ConnectionId connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
+    static ResponseBody expectedBody(const PendingRequest& pending);
     void respond(Instant now, PendingRequestId id, OutgoingResponse response, Effects& effects) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     std::shared_ptr<UpstreamConnection> openConnection(const SendRequest& decision) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// @return An idle connection to the upstream that has not carried the request's id; null if there is none.
@@ -152,3 +192,4 @@
 }
 
 #include "node/gateway/GatewayInlines.h"
+#include "node/gateway/GatewayTransfers.h"
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -9,7 +9,7 @@
 
 std::string GatewayCounters::text(const ListenerCounters& callers) const
 {
-    const std::array<std::pair<std::string_view, const Counter*>, 11> rows { {
+    const std::array<std::pair<std::string_view, const Counter*>, 13> rows { {
         { "teaselturn_requests_received_total", &this->received },
         { "teaselturn_requests_delivered_total", &this->delivered },
         { "teaselturn_requests_refused_total", &this->refused },
@@ -20,6 +20,8 @@
         { "teaselturn_upstream_connections_total", &this->connectionsOpened },
         { "teaselturn_answers_dropped_total", &this->responsesDropped },
         { "teaselturn_responses_over_budget_total", &this->responsesOverBudget },
+        { "teaselturn_responses_streamed_total", &this->responsesStreamed },
+        { "teaselturn_responses_broken_total", &this->responsesBroken },
         { "teaselturn_caller_connections_cut_total", &callers.cut },
     } };
     std::string out;
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -23,6 +23,9 @@
     Counter responsesOverBudget;
     /// Time from the complete request to the complete response.
     LatencyHistogram latency;
+    /// Responses that were forwarded while they arrived, and those of them that broke off.
+    Counter responsesStreamed;
+    Counter responsesBroken;
 
     /// @param callers Counters of the listener for callers.
     /// @return All counters in the Prometheus text format.
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -51,14 +51,20 @@
         [this](ConnectionId connection, ReceivedResponse response, bool isReusable) { this->handleResponse(connection, std::move(response), isReusable); },
         [this](ConnectionId connection, ConnectionFailure failure) { this->handleConnectionFailure(connection, failure); },
         [this](ConnectionId connection) { this->handleConnectionClosed(connection); },
+        [this](ConnectionId connection, ReceivedResponse head, std::optional<std::uint64_t> length) { this->handleResponseHead(connection, std::move(head), length); },
+        [this](ConnectionId connection, std::string bytes) { this->handleBody(connection, std::move(bytes)); },
+        [this](ConnectionId connection, std::string bytes, bool isReusable) { this->handleBodyEnd(connection, std::move(bytes), isReusable); },
     }
     , buffers(bufferBytes)
     , dispatcher(std::move(options))
-    , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); } })
+    , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); }, [this](HttpRequestId requestId) { this->handleBodyWritable(requestId); } })
 {
     this->listener.setBuffers(this->buffers);
     this->listener.setLogger(logger);
-    reactor.every(gateway::connectionExpiryInterval, [this](Instant) { this->closeExpiredConnections(); });
+    reactor.every(gateway::connectionExpiryInterval, [this](Instant) {
+        this->closeExpiredConnections();
+        this->endStalledTransfers();
+    });
 }
 
 template <CallerProtocol Protocol>
@@ -150,7 +156,7 @@
         } else if (auto route = this->routes->find(info->host, gateway::pathOf(request.target))) {
             const PendingRequestId id { requestId.value };
             DispatchRequest dispatch { id, route, info->key, now, now + info->timeLeft, gateway::messageBytes(request.headers, request.body) };
-            this->pendingRequests.emplace(id, PendingRequest { requestId, std::move(request), std::move(*info), std::move(route), now, {}, 0, "-", std::nullopt });
+            this->pendingRequests.emplace(id, PendingRequest { requestId, std::move(request), std::move(*info), std::move(route), now, {}, 0, "-" });
             DispatchDecisions decisions;
             this->dispatcher.submit(now, std::move(dispatch), decisions);
             this->applyDecisions(now, decisions, effects);
@@ -174,6 +180,7 @@
         const MutexLock lock { this->mutex };
         const auto now = this->reactor.now();
         const PendingRequestId id { requestId.value };
+        this->recordTransfer(id, Duration::zero());
         DispatchDecisions decisions;
         this->dispatcher.cancel(now, id, decisions);
         this->applyDecisions(now, decisions, effects);
@@ -199,12 +206,18 @@
             const auto found = this->pendingRequests.find(failure->id);
             if (found != this->pendingRequests.end()) {
                 this->counters.unknown.add();
-                this->logOutcome(LogEvent::RequestUnknown, found->second, failure->reason, now);
+                this->counters.responsesBroken.add(found->second.transfer ? 1 : 0);
+                this->logOutcome(found->second.transfer ? LogEvent::ResponseBroken : LogEvent::RequestUnknown, found->second, failure->reason, now);
                 this->respond(now, failure->id, Protocol::unknownOutcome(found->second.info, failure->reason), effects);
             }
         } else if (const auto* delivery = std::get_if<DeliverResponse>(&decision)) {
             const auto found = this->pendingRequests.find(delivery->id);
-            if (found != this->pendingRequests.end() && found->second.response) {
+            if (found != this->pendingRequests.end() && found->second.transfer) {
+                this->counters.delivered.add();
+                this->counters.latency.record(now - found->second.arrivedAt);
+                effects.ends.push_back({ found->second.requestId, std::move(found->second.transfer->lastBytes) });
+                this->pendingRequests.erase(found);
+            } else if (found != this->pendingRequests.end() && found->second.response) {
                 this->counters.delivered.add();
                 this->counters.latency.record(now - found->second.arrivedAt);
                 this->respond(now, delivery->id, relay(std::move(*found->second.response)), effects);
@@ -280,8 +293,7 @@
     auto& connectionState = this->connections.at(connection->number());
     connectionState.pendingId = decision.id;
     connectionState.carried.record(pending.info.requestId);
-    const bool isHead = pending.request.method == "HEAD";
-    effects.sends.push_back({ std::move(connection), this->makeUpstreamRequest(pending, decision.upstream, decision.timeLeft), isHead });
+    effects.sends.push_back({ std::move(connection), this->makeUpstreamRequest(pending, decision.upstream, decision.timeLeft), expectedBody(pending) });
 }
 
 template <CallerProtocol Protocol>
@@ -325,6 +337,18 @@
     this->applyDecisions(now, decisions, effects);
 }
 
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::releaseConnection(Instant now, ConnectionId id, bool isReusable, Effects& effects)
+{
+    const auto connection = this->connections.find(id);
+    if (isReusable && !connection->second.carried.isFull()) {
+        this->pool.put(connection->second.upstream, connection->second.connection, now, connection->second.idleTime);
+    } else {
+        effects.connectionsToClose.push_back(std::move(connection->second.connection));
+        this->connections.erase(connection);
+    }
+}
+
 template <CallerProtocol Protocol>
 void Gateway<Protocol>::handleResponse(ConnectionId id, ReceivedResponse response, bool isReusable)
 {
@@ -347,14 +371,9 @@
                 this->logOutcome(LogEvent::ResponseDropped, pending->second, ResultCode::ResponseMismatched, now);
             }
         }
-        if (isReusable && !connection->second.carried.isFull()) {
-            const auto idleTime = gateway::parseKeepAliveTimeout(response.header("Keep-Alive"));
-            connection->second.idleTime = idleTime.value_or(connection->second.idleTime);
-            this->pool.put(connection->second.upstream, connection->second.connection, now, connection->second.idleTime);
-        } else {
-            effects.connectionsToClose.push_back(std::move(connection->second.connection));
-            this->connections.erase(connection);
-        }
+        const auto idleTime = gateway::parseKeepAliveTimeout(response.header("Keep-Alive"));
+        connection->second.idleTime = idleTime.value_or(connection->second.idleTime);
+        this->releaseConnection(now, id, isReusable, effects);
         if (pending != this->pendingRequests.end()) {
             this->dispatcher.responseReceived(pendingId, gateway::messageBytes(response.headers, response.body));
             if (outcome != AttemptOutcome::Lost) {
@@ -382,6 +401,7 @@
         const auto pendingId = connection->second.pendingId;
         effects.connectionsToClose.push_back(std::move(connection->second.connection));
         this->connections.erase(connection);
+        this->recordTransfer(pendingId, Duration::zero());
         if (failure == ConnectionFailure::BufferExhausted) {
             this->counters.responsesOverBudget.add();
         }
@@ -464,8 +484,18 @@
     for (auto& [requestId, response] : effects.responses) {
         this->listener.respond(requestId, std::move(response));
     }
-    for (auto& [connection, bytes, isHead] : effects.sends) {
-        connection->send(bytes, isHead);
+    for (auto& [requestId, head, length, connection] : effects.begins) {
+        this->listener.beginResponse(requestId, std::move(head), length);
+        connection->streamBody();
+    }
+    for (auto& [requestId, lastBytes] : effects.ends) {
+        this->listener.endBody(requestId, std::move(lastBytes));
+    }
+    for (const auto& connection : effects.connectionsToHold) {
+        connection->holdBody();
+    }
+    for (auto& [connection, bytes, body] : effects.sends) {
+        connection->send(bytes, body);
     }
     for (const auto id : effects.unsentRequests) {
         Effects next;
--- a/tests/adapters/http/HandlerOrderTest.cpp
+++ b/tests/adapters/http/HandlerOrderTest.cpp
@@ -47,7 +47,7 @@
     REQUIRE(address);
     const auto connection = UpstreamConnection::open(reactor, ConnectionId { 1 }, *address, handlers, buffers);
     REQUIRE(connection);
-    (*connection)->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", false);
+    (*connection)->send("GET / HTTP/1.1\r\nHost: h\r\n\r\n", ResponseBody::Whole);
     CHECK(hasReportedEnd.WaitForNotificationWithTimeout(2 * testTimeout));
     reactor.stop();
     CHECK(!isReportedEarly);
--- a/tests/node/gateway/LoopbackGateway.h
+++ b/tests/node/gateway/LoopbackGateway.h
@@ -17,11 +17,12 @@
 struct LoopbackGateway {
     teaselturn::Reactor reactor;
     std::unique_ptr<teaselturn::Logger> logger { std::move(*teaselturn::Logger::open({ teaselturn::LogLevel::Fatal, {}, teaselturn::LogStream::Error })) };
-    teaselturn::Gateway<teaselturn::platform::CallerHeaders> gateway { reactor, *logger, { "z1", {}, 1, 200, 100, std::chrono::milliseconds { 10'000 } } };
+    teaselturn::Gateway<teaselturn::platform::CallerHeaders> gateway;
     teaselturn::RegistryState state;
 
-    explicit LoopbackGateway(std::size_t workers = 2)
+    explicit LoopbackGateway(std::size_t workers = 2, std::size_t bufferBytes = teaselturn::BufferBudget::defaultLimit)
         : reactor(workers)
+        , gateway(reactor, *logger, { "z1", {}, 1, 200, 100, std::chrono::milliseconds { 10'000 } }, bufferBytes)
     {
     }
 
