--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -128,3 +128,41 @@
     REQUIRE(progress == ReadProgress::Complete);
     CHECK(reader.take().body.empty());
 }
+
+TEST_CASE("a body is taken in pieces as its bytes arrive, beyond the limit of a whole one")
+{
+    // Guards against pieces that are lost, doubled or kept, and against a limit or a reservation for the declared length.
+    const bool isChunked = GENERATE(false, true);
+    constexpr std::size_t length = 1'000'000;
+    auto reader = responses();
+    reader.expectPieces();
+    std::string buffer = "HTTP/1.1 200 OK\r\nX-Name: value\r\n";
+    buffer += isChunked ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: 1000000\r\n\r\n";
+    REQUIRE(reader.read(buffer) == ReadProgress::Incomplete);
+    REQUIRE(reader.isHeadComplete());
+    CHECK(reader.head().status == 200);
+    CHECK(reader.head().header("X-Name") == "value");
+    CHECK(reader.declaredLength() == (isChunked ? std::nullopt : std::optional<std::uint64_t> { length }));
+    std::string taken;
+    for (std::size_t sent = 0; sent < length; sent += 1'000) {
+        const std::string piece(1'000, static_cast<char>('a' + sent / 1'000 % 26));
+        buffer += isChunked ? "3e8\r\n" + piece + "\r\n" : piece;
+        const auto progress = reader.read(buffer);
+        CHECK(progress == (sent + 1'000 == length && !isChunked ? ReadProgress::Complete : ReadProgress::Incomplete));
+        const auto bytes = reader.takeBody();
+        CHECK(bytes.capacity() <= 128 * 1'024);
+        taken += bytes;
+        CHECK(reader.bodyBytes() == 0);
+    }
+    if (isChunked) {
+        buffer += "0\r\n\r\n";
+        CHECK(reader.read(buffer) == ReadProgress::Complete);
+        taken += reader.takeBody();
+    }
+    CHECK(taken.size() == length);
+    CHECK(taken.substr(27'000, 1'001) == std::string(1'000, 'b') + "c");
+    static_cast<void>(reader.take());
+    // The next message has the limit again.
+    buffer = "HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n";
+    CHECK(reader.read(buffer) == ReadProgress::BodyTooLarge);
+}
--- a/tests/node/gateway/StreamedResponseTest.cpp
+++ b/tests/node/gateway/StreamedResponseTest.cpp
@@ -191,6 +191,16 @@
     return condition();
 }
 
+/// Waits until a counter of sent bytes is above zero and has stopped growing, because its reader has paused.
+bool waitUntilPaused(const std::atomic<std::size_t>& sent)
+{
+    std::size_t last = 0;
+    return waitUntil([&] {
+        std::this_thread::sleep_for(milliseconds { 200 });
+        return sent > 0 && std::exchange(last, sent.load()) == sent;
+    });
+}
+
 std::size_t residentKib()
 {
     std::ifstream statm { "/proc/self/statm" };
@@ -302,11 +312,7 @@
     const auto before = residentKib();
     const auto caller = gateway.connectCaller();
     gateway.sendBytes(caller, callerRequest("one", "/r/x", "20000"));
-    std::size_t last = 0;
-    REQUIRE(waitUntil([&] {
-        std::this_thread::sleep_for(milliseconds { 200 });
-        return sent > 0 && std::exchange(last, sent.load()) == sent;
-    }));
+    REQUIRE(waitUntilPaused(sent));
     const auto processorTime = std::clock();
     std::this_thread::sleep_for(milliseconds { 500 });
     const auto usedMs = 1'000 * (std::clock() - processorTime) / CLOCKS_PER_SEC;
@@ -383,15 +389,16 @@
 {
     // Guards against a pause that nobody ends: bytes wait in both directions, and no write is tried.
     absl::Notification hasEnded;
+    std::atomic<std::size_t> sent { 0 };
     const RawUpstream upstream { [&](Connection& connection, int) {
-        sendResponse(connection, readRequestId(connection), Framing::Length, 100 * 1'024 * 1'024);
+        sendResponse(connection, readRequestId(connection), Framing::Length, 100 * 1'024 * 1'024, &sent);
         hasEnded.Notify();
     } };
     DownloadGateway gateway { upstream };
     {
         const auto caller = gateway.connectCaller();
         gateway.sendBytes(caller, callerRequest("one", "/r/x", "20000"));
-        std::this_thread::sleep_for(milliseconds { 500 });
+        REQUIRE(waitUntilPaused(sent));
         CHECK(!hasEnded.HasBeenNotified());
     }
     CHECK(hasEnded.WaitForNotificationWithTimeout(absl::Seconds(1)));
@@ -407,7 +414,7 @@
     DownloadGateway gateway { upstream, Gateway::transferBytes + Gateway::transferBytes / 2 };
     const auto slow = gateway.connectCaller();
     gateway.sendBytes(slow, callerRequest("slow", "/r/x", "20000"));
-    std::this_thread::sleep_for(milliseconds { 300 });
+    REQUIRE(waitUntil([&] { return gateway.gateway.statistics().responsesStreamed.value() == 1; }));
     const auto early = gateway.connectCaller();
     gateway.sendBytes(early, callerRequest("early", "/r/x", "300"));
     const auto refused = PieceReader { early }.read();
@@ -415,7 +422,6 @@
     CHECK(refused.status == 504);
     const auto late = gateway.connectCaller();
     gateway.sendBytes(late, callerRequest("late", "/r/x", "20000"));
-    std::this_thread::sleep_for(milliseconds { 200 });
     const auto first = PieceReader { slow }.read();
     CHECK(first.isComplete);
     CHECK(first.bodyBytes == size);
@@ -443,8 +449,7 @@
     const DownloadGateway gateway { upstream };
     const auto caller = gateway.connectCaller();
     gateway.sendBytes(caller, callerRequest("one", "/r/x", "20000") + callerRequest("two", "/r/x", "20000") + callerRequest("three", "/other"));
-    std::this_thread::sleep_for(milliseconds { 500 });
-    CHECK(sent > 0);
+    REQUIRE(waitUntilPaused(sent));
     CHECK(sent < size / 2);
     mayRespond.Notify();
     PieceReader reader { caller };
