--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -36,13 +36,14 @@
     constexpr std::uint64_t maxPieceReserve = 64 * 1'024;
 
     /// Body of a message that may be taken in pieces. http::string_body reserves memory for the whole declared length.
+    /// Boost.Beast requires the names of its members.
     struct PieceBody {
-        struct value_type {
+        struct value_type { // NOLINT(readability-identifier-naming)
             std::string bytes;
             std::uint64_t maxReserve { std::numeric_limits<std::uint64_t>::max() };
         };
 
-        class reader {
+        class reader { // NOLINT(readability-identifier-naming)
         public:
             template <bool isRequest, typename Fields>
             reader(http::header<isRequest, Fields>&, value_type& body)
--- a/tests/adapters/http/HttpListenerBodyTest.cpp
+++ b/tests/adapters/http/HttpListenerBodyTest.cpp
@@ -184,3 +184,22 @@
     CHECK(caller.receivedBody() == "abc");
     CHECK(caller.end == SlowCaller::End::Orderly);
 }
+
+TEST_CASE("a caller that ends its sending direction within a body loses the rest, and sees the end at once")
+{
+    // Guards against a connection that stays open behind a truncated body: its request is cancelled, so nothing follows.
+    PieceListener fixture;
+    SlowCaller caller { fixture.listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    const auto id = fixture.requestAt(0);
+    fixture.listener.beginResponse(id, head(), std::nullopt);
+    const std::string piece(HttpListener::maxUnsentBody, 'x');
+    while (fixture.listener.appendBody(id, piece) == BodyFlow::Open) {
+    }
+    caller.endSending();
+    CHECK(PieceListener::waitUntil([&] { return fixture.disconnects == 1; }));
+    caller.readToEnd();
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    CHECK(!caller.received.ends_with("\r\n0\r\n\r\n"));
+    CHECK(fixture.listener.connectionCount() == 0);
+}
