--- a/src/node/gateway/GatewayTransfers.h
+++ b/src/node/gateway/GatewayTransfers.h
@@ -112,7 +112,7 @@
 }
 
 template <CallerProtocol Protocol>
-void Gateway<Protocol>::handleBodyEnd(ConnectionId id, std::string bytes, bool isReusable)
+void Gateway<Protocol>::handleBodyEnd(ConnectionId id, std::string bytes, bool isReusable) // NOLINT(performance-unnecessary-value-param): moved below, in code that depends on Protocol.
 {
     Effects effects;
     {
--- a/tests/node/gateway/StreamedResponseTest.cpp
+++ b/tests/node/gateway/StreamedResponseTest.cpp
@@ -65,11 +65,15 @@
     while (offset < end) {
         const auto begin = offset % patternBytes;
         const auto count = std::min(patternBytes - begin, end - offset);
-        auto piece = pattern().substr(begin, count);
+        std::string piece;
         if (framing == Framing::Chunks) {
             char chunkHead[32];
             std::snprintf(chunkHead, sizeof chunkHead, "%zx\r\n", count);
-            piece = chunkHead + piece + "\r\n";
+            piece = chunkHead;
+        }
+        piece.append(pattern(), begin, count);
+        if (framing == Framing::Chunks) {
+            piece.append("\r\n");
         }
         if (connection.write(piece, RawUpstream::soon()) != IoStatus::Ok) {
             return false;
