--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -39,6 +39,7 @@
     ControlRequestRefused = 3009,
     ResponseCut = 3010,
     RequestsHeldBack = 3011,
+    ResponseBroken = 3012,
     MessageDropped = 4001,
     PeerUnreachable = 4002,
     ElectionStarted = 5001,
@@ -80,7 +81,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 52> logEventTable;
+extern const std::array<LogEventRow, 53> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -9,7 +9,7 @@
 
 std::string GatewayCounters::text(const ListenerCounters& callers) const
 {
-    const std::array<std::pair<std::string_view, const Counter*>, 15> rows { {
+    const std::array<std::pair<std::string_view, const Counter*>, 17> rows { {
         { "teaselturn_requests_received_total", &this->received },
         { "teaselturn_requests_delivered_total", &this->delivered },
         { "teaselturn_requests_refused_total", &this->refused },
@@ -24,6 +24,8 @@
         { "teaselturn_evacuation_changes_total", &this->evacuationChanges },
         { "teaselturn_requests_held_for_warm_up_total", &this->heldForWarmUp },
         { "teaselturn_requests_refused_for_warm_up_total", &this->refusedForWarmUp },
+        { "teaselturn_responses_streamed_total", &this->responsesStreamed },
+        { "teaselturn_responses_broken_total", &this->responsesBroken },
         { "teaselturn_caller_connections_cut_total", &callers.cut },
     } };
     std::string out;
