--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -94,7 +94,7 @@
     auto* const target = this->upstreams.find(pending.sentTo);
     if (target != nullptr) {
         if (outcome) {
-            target->load.recordEnded(now, *outcome, latency);
+            target->load.recordEnded(now, *outcome, latency, service.item.isSharded);
         } else {
             target->load.recordCancelled();
         }
--- a/src/core/dispatch/LatencyEstimate.h
+++ b/src/core/dispatch/LatencyEstimate.h
@@ -20,6 +20,9 @@
             this->average += std::chrono::duration_cast<Duration>((latency - this->average) * averageWeight);
         }
         this->lastResponseAt = now;
+        // The baseline drops with the latency immediately and rises slowly, so that long congestion does not become the
+        // baseline.
+        this->baseline = this->baseline == Duration::zero() || this->recent < this->baseline ? this->recent : this->baseline + std::chrono::duration_cast<Duration>((this->recent - this->baseline) * baselineWeight);
     }
 
     bool hasSamples() const noexcept { return this->average != Duration::zero(); }
@@ -34,14 +37,20 @@
         return this->average + std::chrono::duration_cast<Duration>(excess);
     }
 
+    /// @return True if the recent latency is far above the lowest one.
+    bool isFarAboveBaseline() const noexcept { return this->recent > std::chrono::duration<double> { this->baseline } * baselineFactor; }
+
 private:
     /// Weights of one sample in the exponential moving averages.
     static constexpr double recentWeight = 0.3;
     static constexpr double averageWeight = 0.05;
+    static constexpr double baselineWeight = 0.005;
+    static constexpr double baselineFactor = 2.2;
     static constexpr std::chrono::milliseconds recentTimeConstant { 1'000 };
 
     Duration recent {};
     Duration average {};
+    Duration baseline {};
     Instant lastResponseAt;
 };
 
--- a/src/core/dispatch/UpstreamLoad.h
+++ b/src/core/dispatch/UpstreamLoad.h
@@ -86,13 +86,15 @@
 
     /// Records the end of an attempt.
     /// @param latency Time from sending the request to the end of the attempt.
-    void recordEnded(Instant now, AttemptOutcome outcome, Duration latency) noexcept
+    /// @param ownsKeys True if requests come to the upstream because it owns their keys. Such requests cannot go elsewhere, and a
+    /// late sign of queueing costs more than a false one.
+    void recordEnded(Instant now, AttemptOutcome outcome, Duration latency, bool ownsKeys = false) noexcept
     {
         this->inFlightCount = std::max(0, this->inFlightCount - 1);
         this->noResponseSince = this->inFlightCount > 0 ? std::optional { now } : std::nullopt;
         switch (outcome) {
         case AttemptOutcome::Answered:
-            this->recordLatency(now, latency);
+            this->recordLatency(now, latency, ownsKeys);
             this->failuresSinceSuccess = 0;
             this->errorShare *= 1 - errorWeight;
             break;
@@ -187,11 +189,12 @@
     static constexpr int maxOpenTimeDoublings = 4;
     static constexpr std::chrono::milliseconds initialOpenTime { 250 };
 
-    void recordLatency(Instant now, Duration duration) noexcept
+    void recordLatency(Instant now, Duration duration, bool ownsKeys) noexcept
     {
         this->latency.record(now, duration);
         this->load.recordLatency(now, duration);
-        if (this->queueing.record(duration)) {
+        const bool isQueueing = this->queueing.record(duration);
+        if (ownsKeys ? this->latency.isFarAboveBaseline() : isQueueing) {
             this->limit.decrease(now);
         } else {
             this->limit.increase(now);
