--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -157,6 +157,10 @@
     }
     for (const auto& key : owners) {
         this->refuseHopeless(now, service.queues.at(key), service.averageLatency, decisions);
+        // An empty queue is removed with its last request.
+        if (!service.queues.contains(key)) {
+            continue;
+        }
         auto* owner = this->upstreams.find(key);
         if (owner != nullptr && this->eligibility.isEvacuated(now, *owner)) {
             this->refuseUnplaceable(now, service.queues.at(key), decisions);
--- a/tests/core/dispatch/DispatcherWarmUpTest.cpp
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -347,3 +347,19 @@
     vm.submit(plainRoute);
     CHECK(vm.decisionsOf<SendRequest>().size() == 1);
 }
+
+TEST_CASE("queued requests that can no longer be answered are refused when their owner turns cold")
+{
+    // Guards against the use of a queue that the refusal of its last request has removed: it ended entry VMs.
+    EntryVm vm { 63 };
+    for (int i = 0; i < 6; ++i) {
+        vm.submit(keyedRoute, KeyNumber { 5 });
+    }
+    const auto sent = vm.decisionsOf<SendRequest>().size();
+    const auto refused = vm.decisionsOf<RefuseRequest>().size();
+    REQUIRE(sent + refused < 6);
+    vm.now += milliseconds { 985 };
+    CHECK_NOTHROW(vm.beginWarmUp(vm.owner.key));
+    CHECK(vm.decisionsOf<RefuseRequest>().size() == 6 - sent);
+    CHECK(vm.dispatcher.pendingRequestCount() == sent);
+}
--- a/tests/matrix/ClusterChecks.cpp
+++ b/tests/matrix/ClusterChecks.cpp
@@ -259,6 +259,8 @@
         std::string operator()(const RemoveUpstream& c) const { return "RemoveUpstream " + c.key.name; }
         std::string operator()(const AssignKeyRanges& c) const { return "AssignKeyRanges " + c.service; }
         std::string operator()(const BeginKeyMoves& c) const { return "BeginKeyMoves " + c.service; }
+        std::string operator()(const BeginWarmUp& c) const { return "BeginWarmUp " + c.key.name; }
+        std::string operator()(const EvacuateZone& c) const { return (c.isEvacuated ? "EvacuateZone " : "Withdraw evacuation of ") + c.zone; }
         std::string operator()(const ChangeMembers& c) const { return "ChangeMembers to " + std::to_string(c.members.size()); }
 
         static std::string list(const std::vector<SlotAssignment>& assignments)
