--- a/tools/load-model/SimulationInlines.h
+++ b/tools/load-model/SimulationInlines.h
@@ -38,8 +38,11 @@
         dispatch.placement = options.placement;
         const auto linkSpeed = static_cast<double>(pattern.linkBytesPerSecond) * (i % 4 == 0 ? pattern.largeLinkFactor : 1);
         dispatch.linkBytesPerSecond = options.isLinkSpeedKnown ? static_cast<std::size_t>(linkSpeed) : 0;
-        this->entries.push_back({ NodeId { 100 + i }, std::make_unique<Policy>(dispatch), {}, {}, linkSpeed, {}, {} });
-        this->entries.back().policy->setEntryCount(pattern.entryVms);
+        auto& entry = this->entries.emplace_back();
+        entry.node = NodeId { 100 + i };
+        entry.policy = std::make_unique<Policy>(dispatch);
+        entry.linkBytesPerSecond = linkSpeed;
+        entry.policy->setEntryCount(pattern.entryVms);
     }
 }
 
