--- a/src/core/registry/KeyCoordinator.cpp
+++ b/src/core/registry/KeyCoordinator.cpp
@@ -31,7 +31,7 @@
         return std::uint32_t { keys.last } - keys.first + 1;
     }
 
-    /// Adds commands for a service that together contain all the moves or grants.
+    /// Splits moves or grants into as many commands as their limit for one command requires, and adds these.
     template <typename CommandType, typename Item>
     void addInParts(std::vector<Command>& commands, std::string_view service, std::span<const Item> items)
     {
