Keep the feed of an entry VM going on a congested link

Cause: an entry VM accepted only the reply to its last probe. While it searches a source it probes every 100 ms, so on a link with a longer round trip it had no source and sent no feed request for seconds (trace of one VM with 1.5 Mbit/s: 1.6 s and 2.4 s without a request). It also dropped feed entries behind a gap, so two datagrams that changed places cost a reply timeout of 500 ms: 9 of 10 replies in a burst of commits, on links that were not full.

Change: probe replies are matched to the send time of their probe; without any, requests go to the members in turn. Entries behind a gap are kept until it is filled, and asked for after 20 ms. A reply to an earlier request shows how current the copy was when that was sent.

--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -2,6 +2,7 @@
 
 #include "core/registry/RegistryService.h"
 #include "core/registry/RegistryState.h"
+#include "core/registry/SendTimes.h"
 #include "teaselturn/Message.h"
 
 #include <absl/container/btree_map.h>
@@ -43,7 +44,7 @@
     NodeId source() const noexcept { return this->currentSource; }
     /// @return True once this copy has applied everything that a member had applied when it replied.
     bool isComplete() const noexcept { return this->hasCaughtUp; }
-    /// @return Time since which commits may be missing: when the last request was sent whose reply left nothing to apply.
+    /// @return Time since which commits may be missing: when the latest request was sent whose reply left nothing to apply.
     /// Zero before that. A reply may be late, so its arrival shows nothing.
     Instant lastCurrentAt() const noexcept { return this->currentAt; }
     /// @return Time of the last feed reply.
@@ -57,12 +58,17 @@
     static constexpr std::chrono::milliseconds probeInterval { 4'000 };
     /// Probe interval while no member replies to requests.
     static constexpr std::chrono::milliseconds searchInterval { 100 };
+    /// The datagrams of a reply may change places. A request for those that are missing waits this long after the last one.
+    static constexpr std::chrono::milliseconds reorderDelay { 20 };
     /// Members are probed at searchInterval once a reply is outstanding for longer than this.
     static constexpr std::chrono::milliseconds lateReplyDelay { 400 };
     /// A member without a probe reply for this long is not chosen as source.
     static constexpr std::chrono::milliseconds probeReplyExpiry { 9'000 };
 
 private:
+    /// Limit of the entries kept behind a gap; a member sends at most that many in datagrams.
+    static constexpr std::size_t maxEarlyEntries = registry::maxDatagramFeedEntries;
+
     struct Contact {
         Instant lastProbeReplyAt;
         Duration roundTrip {};
@@ -71,7 +77,12 @@
     std::vector<NodeId> candidates() const;
     /// @return The member with the shortest round trip among those with a recent probe reply, or zero.
     NodeId nearest(Instant now, NodeId except) const;
+    /// @return The source to use after one that did not reply: the nearest other member, or the next in turn if none has
+    /// replied to a probe.
+    NodeId sourceAfter(Instant now, NodeId silent) const;
     void addProbes(Instant now, std::vector<OutboundMessage>& messages);
+    /// Applies the entries that continue the log, and keeps those behind a gap until it is filled.
+    void applyEntries(std::span<const LogEntry> entries);
     /// @return True if the snapshot is complete.
     bool appendSnapshotPart(const FeedReply& reply);
 
@@ -83,12 +94,18 @@
     std::uint64_t sequence {};
     std::uint64_t probeSequence {};
     std::optional<Instant> lastProbeAt;
+    SendTimes probeTimes;
+    SendTimes requestTimes;
     Instant requestedAt;
     Instant lastFeedReplyAt;
     Instant currentAt;
     bool isRequestOutstanding {};
     bool isSearching { true };
     bool hasCaughtUp {};
+    /// Entries behind a gap of the log.
+    absl::btree_map<LogIndex, Command> earlyEntries;
+    /// No request is sent before this time.
+    Instant requestNotBefore;
     LogIndex snapshotIndex;
     std::vector<std::uint8_t> snapshotBytes;
 };
--- a/src/core/registry/RegistryReplicaInlines.h
+++ b/src/core/registry/RegistryReplicaInlines.h
@@ -35,6 +35,20 @@
     return best;
 }
 
+template <RegistryCodec Codec>
+NodeId RegistryReplica<Codec>::sourceAfter(Instant now, NodeId silent) const
+{
+    if (const auto node = this->nearest(now, silent); node != NodeId {}) {
+        return node;
+    }
+    const auto nodes = this->candidates();
+    const auto position = std::ranges::find(nodes, silent);
+    if (nodes.empty() || position == nodes.end()) {
+        return nodes.empty() ? NodeId {} : nodes.front();
+    }
+    return position + 1 == nodes.end() ? nodes.front() : *(position + 1);
+}
+
 template <RegistryCodec Codec>
 void RegistryReplica<Codec>::addProbes(Instant now, std::vector<OutboundMessage>& messages)
 {
@@ -44,7 +58,7 @@
         return;
     }
     this->lastProbeAt = now;
-    ++this->probeSequence;
+    this->probeTimes.record(++this->probeSequence, now);
     for (const auto node : this->candidates()) {
         messages.push_back({ node, MemberProbe { this->probeSequence } });
     }
@@ -53,8 +67,9 @@
 template <RegistryCodec Codec>
 void RegistryReplica<Codec>::handleProbeReply(Instant now, NodeId from, const MemberProbeReply& reply)
 {
-    if (reply.sequence == this->probeSequence && this->lastProbeAt) {
-        this->contacts[from] = Contact { now, now - *this->lastProbeAt };
+    // On a congested link a reply takes longer than the interval between probes.
+    if (const auto sentAt = this->probeTimes.find(reply.sequence)) {
+        this->contacts[from] = Contact { now, now - *sentAt };
     }
 }
 
@@ -73,7 +88,7 @@
         this->isSearching = true;
         if (!isAlive) {
             this->contacts.erase(this->currentSource);
-            this->currentSource = this->nearest(now, this->currentSource);
+            this->currentSource = this->sourceAfter(now, this->currentSource);
             this->snapshotIndex = {};
             this->snapshotBytes.clear();
         }
@@ -81,10 +96,11 @@
     } else if (this->currentSource == NodeId {}) {
         this->currentSource = this->nearest(now, {});
     }
-    if (this->currentSource != NodeId {}) {
+    if (this->currentSource != NodeId {} && now >= this->requestNotBefore) {
         this->isRequestOutstanding = true;
         this->requestedAt = now;
-        messages.push_back({ this->currentSource, FeedRequest { ++this->sequence, this->registry.appliedIndex(), this->snapshotIndex, this->snapshotBytes.size() } });
+        this->requestTimes.record(++this->sequence, now);
+        messages.push_back({ this->currentSource, FeedRequest { this->sequence, this->registry.appliedIndex(), this->snapshotIndex, this->snapshotBytes.size() } });
     }
     return messages;
 }
@@ -103,6 +119,24 @@
     return this->snapshotBytes.size() >= reply.snapshotTotalBytes;
 }
 
+template <RegistryCodec Codec>
+void RegistryReplica<Codec>::applyEntries(std::span<const LogEntry> entries)
+{
+    const auto next = [this] { return LogIndex { this->registry.appliedIndex().value + 1 }; };
+    for (const auto& entry : entries) {
+        if (entry.index == next()) {
+            static_cast<void>(this->registry.apply(entry.index, entry.command));
+        } else if (entry.index > next() && this->earlyEntries.size() < maxEarlyEntries) {
+            this->earlyEntries.emplace(entry.index, entry.command);
+        }
+    }
+    for (auto early = this->earlyEntries.begin(); early != this->earlyEntries.end() && early->first <= next(); early = this->earlyEntries.erase(early)) {
+        if (early->first == next()) {
+            static_cast<void>(this->registry.apply(early->first, early->second));
+        }
+    }
+}
+
 template <RegistryCodec Codec>
 Result<bool> RegistryReplica<Codec>::handleFeedReply(Instant now, NodeId from, const FeedReply& reply)
 {
@@ -135,14 +169,16 @@
     }
     // Entries of a reply that arrives after its request was repeated are used too: on a congested link every reply is
     // late.
-    for (const auto& entry : reply.entries) {
-        if (entry.index.value == this->registry.appliedIndex().value + 1) {
-            static_cast<void>(this->registry.apply(entry.index, entry.command));
-        }
+    this->applyEntries(reply.entries);
+    if (isAwaited) {
+        this->requestNotBefore = this->earlyEntries.empty() ? Instant {} : now + reorderDelay;
+    } else if (this->earlyEntries.empty()) {
+        this->requestNotBefore = {};
     }
     this->hasCaughtUp = this->hasCaughtUp || this->registry.appliedIndex() >= reply.lastIndex;
-    if (isAwaited && this->registry.appliedIndex() >= reply.lastIndex) {
-        this->currentAt = this->requestedAt;
+    const auto sentAt = this->requestTimes.find(reply.sequence);
+    if (sentAt && this->registry.appliedIndex() >= reply.lastIndex) {
+        this->currentAt = std::max(this->currentAt, *sentAt);
     }
     return this->registry.appliedIndex() != before;
 }
