Answer a repeated feed request instead of dropping it

Cause: a member dropped a feed request that equalled the one it had just answered, because that answer could be in transit. If datagrams of the answer were lost or changed places, the entry VM waited its whole reply timeout.

Change: the request is held until the answer must have arrived, and answered then.

--- a/src/core/registry/RegistryFeedInlines.h
+++ b/src/core/registry/RegistryFeedInlines.h
@@ -34,12 +34,15 @@
     if (!this->isUpToDate(now)) {
         return;
     }
-    if (request.appliedIndex < this->registry.appliedIndex()) {
+    const auto inTransitUntil = this->replyInTransitUntil(from, request);
+    if (request.appliedIndex < this->registry.appliedIndex() && inTransitUntil <= now) {
         this->feedWaiters.erase(from);
         this->sendFeedReply(now, from, request);
         return;
     }
-    this->feedWaiters[from] = FeedWaiter { request, now + registry::feedHold };
+    // A request that repeats an earlier one is answered all the same, only later: dropping it would cost the entry VM its
+    // reply timeout whenever datagrams of a reply are lost or change places.
+    this->feedWaiters[from] = FeedWaiter { request, std::max(now + registry::feedHold, inTransitUntil), inTransitUntil };
 }
 
 template <RandomSource Random, RegistryCodec Codec>
@@ -48,7 +51,8 @@
     const bool mayReply = this->isUpToDate(now);
     for (auto waiter = this->feedWaiters.begin(); waiter != this->feedWaiters.end();) {
         const auto hasNewEntries = waiter->second.request.appliedIndex < this->registry.appliedIndex();
-        if ((!hasNewEntries || !mayReply) && now < waiter->second.replyBy) {
+        const bool isDue = now >= waiter->second.replyBy || (hasNewEntries && mayReply && now >= waiter->second.notBefore);
+        if (!isDue) {
             ++waiter;
             continue;
         }
@@ -86,21 +90,24 @@
     this->send(to, std::move(reply));
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+Instant RegistryService<Random, Codec>::replyInTransitUntil(NodeId to, const FeedRequest& request) const
+{
+    const auto last = this->sentFeedReplies.find(to);
+    const bool isRepeat = last != this->sentFeedReplies.end() && last->second.appliedIndex == request.appliedIndex && last->second.snapshotOffset == request.snapshotOffset;
+    return isRepeat ? last->second.arrivesBy : Instant {};
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::sendFeedReply(Instant now, NodeId to, const FeedRequest& request)
 {
-    auto& last = this->sentFeedReplies[to];
-    const bool isRepeat = last.appliedIndex == request.appliedIndex && last.snapshotOffset == request.snapshotOffset;
-    if (isRepeat && now < last.arrivesBy) {
-        return;
-    }
     auto reply = this->makeFeedReply(request);
     std::size_t bytes = reply.snapshotBytes.size();
     for (const auto& entry : reply.entries) {
         bytes += estimatedBytes(entry.command);
     }
     const auto transfer = std::chrono::milliseconds { bytes / registry::minBytesPerMs };
-    last = SentFeedReply { request.appliedIndex, request.snapshotOffset, now + transfer };
+    this->sentFeedReplies[to] = SentFeedReply { request.appliedIndex, request.snapshotOffset, now + transfer };
     if (this->isServedByDatagrams(request)) {
         this->replyInDatagrams(to, std::move(reply));
     } else {
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -162,6 +162,8 @@
     struct FeedWaiter {
         FeedRequest request;
         Instant replyBy;
+        /// Until then the reply to an equal request may be in transit.
+        Instant notBefore;
     };
     /// The latest reply to an entry VM's feed request.
     struct SentFeedReply {
@@ -210,6 +212,8 @@
     void replyToFeeds(Instant now);
     FeedReply makeFeedReply(const FeedRequest& request);
     void sendFeedReply(Instant now, NodeId to, const FeedRequest& request);
+    /// @return Time until which the reply to an equal request may be in transit; in the past if there was none.
+    Instant replyInTransitUntil(NodeId to, const FeedRequest& request) const;
     /// @return True if the requester is few enough entries behind to be sent them in datagrams.
     bool isServedByDatagrams(const FeedRequest& request) const noexcept;
     void replyInDatagrams(NodeId to, FeedReply reply);
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -284,37 +284,94 @@
     CHECK(replica.state().snapshot() == member.service.state().snapshot());
 }
 
-TEST_CASE("an entry VM that lags by dozens of entries catches up with one request")
+namespace {
+
+/// A new replica, and the datagrams with which a member answers its first request.
+struct FirstReplies {
+    Replica replica;
+    std::vector<FeedReply> datagrams;
+};
+
+FirstReplies repliesToNewReplica(SingleMember& member)
 {
-    // Guards against a round trip between regions for every few entries.
-    SingleMember member;
     member.advance(milliseconds { 2'000 });
     member.service.changeItems(member.now, ControlRequestId { 100 }, initialItems());
     for (std::uint64_t i = 1; i <= 30; ++i) {
         member.service.changeItems(member.now, ControlRequestId { i }, { { routeItem("route-" + std::to_string(i), "k") }, {} });
         member.drive();
     }
-    Replica replica { { NodeId { 1 } }, {} };
     REQUIRE(member.service.state().appliedIndex().value > 20);
-    const auto probe = std::get<MemberProbe>(replica.nextMessages(member.now)[0].message).sequence;
-    replica.handleProbeReply(member.now, NodeId { 1 }, { probe });
-    const auto request = replica.nextMessages(member.now).back().message;
+    FirstReplies result { Replica { { NodeId { 1 } }, {} }, {} };
+    const auto probe = std::get<MemberProbe>(result.replica.nextMessages(member.now)[0].message).sequence;
+    result.replica.handleProbeReply(member.now, NodeId { 1 }, { probe });
+    const auto request = result.replica.nextMessages(member.now).back().message;
     member.sent.clear();
     member.service.receive(member.now, NodeId { 9 }, request);
     member.drive();
-    REQUIRE(member.sent.size() > 1);
     for (const auto& [to, message] : member.sent) {
-        const auto& reply = std::get<FeedReply>(message);
-        CHECK(!replica.isComplete());
+        result.datagrams.push_back(std::get<FeedReply>(message));
+    }
+    return result;
+}
+
+}
+
+TEST_CASE("an entry VM that lags by dozens of entries catches up with one request")
+{
+    // Guards against a round trip between regions for every few entries.
+    SingleMember member;
+    auto replies = repliesToNewReplica(member);
+    REQUIRE(replies.datagrams.size() > 1);
+    for (const auto& reply : replies.datagrams) {
+        CHECK(!replies.replica.isComplete());
         std::size_t bytes = 0;
         for (const auto& entry : reply.entries) {
             bytes += estimatedBytes(entry.command);
         }
         CHECK((bytes <= registry::maxDatagramFeedBytes || reply.entries.size() == 1));
-        REQUIRE(replica.handleFeedReply(member.now, NodeId { 1 }, reply));
+        REQUIRE(replies.replica.handleFeedReply(member.now, NodeId { 1 }, reply));
+    }
+    CHECK(replies.replica.isComplete());
+    CHECK(replies.replica.state().appliedIndex() == member.service.state().appliedIndex());
+}
+
+TEST_CASE("the datagrams of a feed reply are applied in any order of arrival")
+{
+    // Guards against an entry VM that drops the entries behind a gap, and lags by a reply timeout whenever datagrams change
+    // places.
+    SingleMember member;
+    auto replies = repliesToNewReplica(member);
+    REQUIRE(replies.datagrams.size() > 2);
+    std::ranges::reverse(replies.datagrams);
+    for (const auto& reply : replies.datagrams) {
+        REQUIRE(replies.replica.handleFeedReply(member.now, NodeId { 1 }, reply));
+    }
+    CHECK(replies.replica.state().appliedIndex() == member.service.state().appliedIndex());
+    CHECK(replies.replica.isComplete());
+}
+
+TEST_CASE("an entry VM asks again soon for the datagrams of a reply that were lost, and the member answers")
+{
+    // Guards against a member that takes the second request for a repeat of the first and drops it.
+    SingleMember member;
+    auto replies = repliesToNewReplica(member);
+    REQUIRE(replies.datagrams.size() > 2);
+    for (std::size_t i = 1; i < replies.datagrams.size(); ++i) {
+        REQUIRE(replies.replica.handleFeedReply(member.now, NodeId { 1 }, replies.datagrams[i]));
+    }
+    CHECK(replies.replica.state().appliedIndex() == LogIndex {});
+    CHECK(replies.replica.nextMessages(member.now).empty());
+    const auto requests = replies.replica.nextMessages(member.now + Replica::reorderDelay);
+    REQUIRE(!requests.empty());
+    member.sent.clear();
+    member.service.receive(member.now, NodeId { 9 }, requests.back().message);
+    member.advance(milliseconds { 100 });
+    for (const auto& [to, message] : member.sent) {
+        if (const auto* reply = std::get_if<FeedReply>(&message)) {
+            REQUIRE(replies.replica.handleFeedReply(member.now, NodeId { 1 }, *reply));
+        }
     }
-    CHECK(replica.isComplete());
-    CHECK(replica.state().appliedIndex() == member.service.state().appliedIndex());
+    CHECK(replies.replica.state().appliedIndex() == member.service.state().appliedIndex());
 }
 
 TEST_CASE("a member serves no feed before it has applied an entry of its leader's term")
