Leave half of the link to the feed while it is delayed

Cause: requests may queue in front of a small entry VM's link for up to half of their target latency, and a full link drops datagrams. In a trial one VM with 1.5 Mbit/s heard nothing of the registry for 5 s; changes have to be in effect within 2.5 s.

Change: FeedDelay recognizes a copy that may lack commits of more than 1 s. BandwidthBudget then admits requests for half of the link only, until the copy is current or 2.5 s have shown that the link is not the cause. Events FeedDelayed and FeedDelayEnded.

--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -70,6 +70,8 @@
     EvacuationRecorded = 6018,
     EvacuationApplied = 6019,
     WarmUpBegun = 6020,
+    FeedDelayed = 6021,
+    FeedDelayEnded = 6022,
 };
 
 /// Row of logEventTable.
@@ -81,7 +83,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 53> logEventTable;
+extern const std::array<LogEventRow, 55> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 53> logEventTable { {
+const std::array<LogEventRow, 55> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -58,6 +58,8 @@
     { LogEvent::EvacuationRecorded, "EvacuationRecorded", LogLevel::Info, "an order to evacuate an availability zone, or its withdrawal, was recorded" },
     { LogEvent::EvacuationApplied, "EvacuationApplied", LogLevel::Info, "an entry VM applies an order to evacuate an availability zone, or its withdrawal" },
     { LogEvent::WarmUpBegun, "WarmUpBegun", LogLevel::Info, "an upstream is cold and gets few requests" },
+    { LogEvent::FeedDelayed, "FeedDelayed", LogLevel::Warning, "the copy of the registry is not current; half of the link is left to the feed" },
+    { LogEvent::FeedDelayEnded, "FeedDelayEnded", LogLevel::Info, "the copy of the registry is current again, or the link was not the cause" },
 } };
 
 const LogEventRow& logEventRow(LogEvent event) noexcept
--- a/src/core/dispatch/BandwidthBudget.h
+++ b/src/core/dispatch/BandwidthBudget.h
@@ -18,10 +18,17 @@
 public:
     /// @param bytesPerSecond Speed of the link in each direction. Zero means unlimited.
     explicit BandwidthBudget(std::size_t bytesPerSecond) noexcept
-        : usableBytesPerSecond(static_cast<double>(bytesPerSecond) * usableFraction)
+        : bytesPerSecond(static_cast<double>(bytesPerSecond))
     {
     }
 
+    /// Leaves half of the link to the registry's feed while that is delayed, until it is current again.
+    void setFeedDelayed(Instant now, bool isDelayed) noexcept
+    {
+        this->drain(now);
+        this->isFeedDelayed = isDelayed;
+    }
+
     /// @return Expected size of a request and its response on this route, in bytes.
     double expectedBytes(const std::string& route, std::size_t requestBytes) const noexcept
     {
@@ -32,11 +39,11 @@
     /// @return Time until the link has carried all reserved bytes.
     Duration queueingDelay(Instant now) noexcept
     {
-        if (this->usableBytesPerSecond <= 0) {
+        if (this->bytesPerSecond <= 0) {
             return Duration::zero();
         }
         this->drain(now);
-        return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->backlog / this->usableBytesPerSecond });
+        return std::chrono::duration_cast<Duration>(std::chrono::duration<double> { this->backlog / this->usableBytesPerSecond() });
     }
 
     /// Adds bytes to the backlog.
@@ -73,18 +80,24 @@
 private:
     /// The rest is for the registry's feed, load reports and TCP overhead.
     static constexpr double usableFraction = 0.85;
+    /// Fraction while the feed is delayed. A full link drops datagrams, so the feed returns only once the queue in front
+    /// of the link is gone.
+    static constexpr double delayedFeedFraction = 0.5;
     /// Weight of one response in the moving average of a route's response size.
     static constexpr double responseSizeWeight = 0.05;
 
+    double usableBytesPerSecond() const noexcept { return this->bytesPerSecond * (this->isFeedDelayed ? delayedFeedFraction : usableFraction); }
+
     void drain(Instant now) noexcept
     {
         const auto elapsed = std::chrono::duration<double> { std::max<Duration>(now - this->lastDrainedAt, Duration::zero()) };
-        this->backlog = std::max(0.0, this->backlog - elapsed.count() * this->usableBytesPerSecond);
+        this->backlog = std::max(0.0, this->backlog - elapsed.count() * this->usableBytesPerSecond());
         this->lastDrainedAt = std::max(this->lastDrainedAt, now);
     }
 
-    double usableBytesPerSecond;
+    double bytesPerSecond;
     double backlog {};
+    bool isFeedDelayed {};
     Instant lastDrainedAt;
     absl::flat_hash_map<std::string, double> responseBytes;
 };
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -47,6 +47,9 @@
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
     void setEntryCount(std::uint32_t count);
 
+    /// Leaves more of the link to the registry's feed, or less again.
+    void setFeedDelayed(Instant now, bool isDelayed) noexcept { this->linkBudget.setFeedDelayed(now, isDelayed); }
+
     /// Refuses from now on new requests that may still be in progress when the process ends.
     void refuseRequestsBeyond(Instant processEnd) noexcept { this->admission.refuseRequestsBeyond(processEnd); }
     /// Ends every pending request, because the process ends: refuses those that certainly did not run, and fails the others
--- /dev/null
+++ b/src/core/registry/FeedDelay.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "teaselturn/Types.h"
+
+#include <chrono>
+
+namespace teaselturn {
+
+/// Recognizes a copy of the registry that is out of date because requests fill the link of the entry VM: a full link drops
+/// the feed's datagrams. The entry VM then leaves more of the link to the feed. Deterministic; not thread-safe.
+class FeedDelay {
+public:
+    /// The feed is delayed once the copy may lack commits of this time; two lost replies take that long. A change has to be
+    /// in effect 2.5 s after its acknowledgement, which leaves 1.5 s to drain the link and fetch it.
+    static constexpr std::chrono::milliseconds maxAge { 1'000 };
+    /// If the feed has not returned by then, the link is not the cause: the members cannot be reached, or have no leader.
+    static constexpr std::chrono::milliseconds maxDelayedTime { 2'500 };
+
+    /// @param lastCurrentAt Time at which the copy was last known to be current.
+    /// @return True if isDelayed() changed.
+    bool update(Instant now, Instant lastCurrentAt) noexcept
+    {
+        const auto age = now - lastCurrentAt;
+        const bool before = this->delayed;
+        this->delayed = age > maxAge && age <= maxAge + maxDelayedTime;
+        return this->delayed != before;
+    }
+
+    bool isDelayed() const noexcept { return this->delayed; }
+
+private:
+    bool delayed {};
+};
+
+}
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/RegistryCodec.h"
 #include "adapters/peer/PeerTransport.h"
+#include "core/registry/FeedDelay.h"
 #include "core/registry/RegistryReplica.h"
 #include "node/gateway/Gateway.h"
 
@@ -102,6 +103,7 @@
     /// Locked before the gateway's mutex, so that states reach the gateway in log order.
     Mutex mutex;
     RegistryReplica<BinaryRegistryCodec> replica ABSL_GUARDED_BY(mutex);
+    FeedDelay feedDelay ABSL_GUARDED_BY(mutex);
     bool isFeedLost ABSL_GUARDED_BY(mutex) {};
 };
 
@@ -192,6 +194,10 @@
         const MutexLock lock { this->mutex };
         const auto now = this->reactor.now();
         messages = this->replica.nextMessages(now);
+        if (this->replica.isComplete() && this->feedDelay.update(now, this->replica.lastCurrentAt())) {
+            this->gateway.setFeedDelayed(this->feedDelay.isDelayed());
+            this->logger.log(this->feedDelay.isDelayed() ? LogEvent::FeedDelayed : LogEvent::FeedDelayEnded, "", { { "index", this->replica.state().appliedIndex() } });
+        }
         const bool isLost = this->replica.isComplete() && now - this->replica.lastReplyAt() > feedLossTimeout;
         if (isLost != std::exchange(this->isFeedLost, isLost)) {
             this->logger.log(isLost ? LogEvent::FeedLost : LogEvent::FeedRegained, "", { { "index", this->replica.state().appliedIndex() } });
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -81,6 +81,9 @@
     /// @return Load of each key since the previous call.
     std::vector<ServiceKeyLoad> takeKeyLoads();
 
+    /// Leaves more of the link to the registry's feed, or less again.
+    void setFeedDelayed(bool isDelayed);
+
     /// @return True if the last applied state has routes.
     bool hasRoutes();
 
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -155,6 +155,13 @@
     return this->dispatcher.takeKeyLoads(gateway::maxReportedKeys);
 }
 
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::setFeedDelayed(bool isDelayed)
+{
+    const MutexLock lock { this->mutex };
+    this->dispatcher.setFeedDelayed(this->reactor.now(), isDelayed);
+}
+
 template <CallerProtocol Protocol>
 bool Gateway<Protocol>::hasRoutes()
 {
--- a/tests/core/dispatch/BandwidthBudgetTest.cpp
+++ b/tests/core/dispatch/BandwidthBudgetTest.cpp
@@ -48,3 +48,15 @@
     link.retainRoutes([](const std::string&) { return false; });
     CHECK(link.expectedBytes("r", 200) == 200);
 }
+
+TEST_CASE("half of the link is left to the feed while it is delayed")
+{
+    // Guards against a link that stays full with requests for as long as it drops the feed's datagrams.
+    BandwidthBudget link { 100'000 };
+    link.reserve(start, 50'000);
+    link.setFeedDelayed(start, true);
+    CHECK(link.queueingDelay(start) == std::chrono::seconds { 1 });
+    CHECK(link.queueingDelay(start + milliseconds { 500 }) == milliseconds { 500 });
+    link.setFeedDelayed(start + milliseconds { 500 }, false);
+    CHECK(link.queueingDelay(start + milliseconds { 500 }) < milliseconds { 300 });
+}
