Leave the link to requests while the registry has no leader

Cause: the reserve for a delayed feed also took effect when no member served the feed, and on links that were not full.

Change: members without contact to a leader answer probes with MemberUnavailableReply, and the link yields only if none of these arrived within 500 ms, the copy may lack commits of more than 1.3 s (1 s before), and requests waited for the link during 70 % of the last second.

--- a/include/teaselturn/Message.h
+++ b/include/teaselturn/Message.h
@@ -229,17 +229,24 @@
     friend bool operator==(const MemberProbe&, const MemberProbe&) = default;
 };
 
-/// Immediate reply to a MemberProbe. Members without contact to a leader do not reply.
+/// Immediate reply to a MemberProbe of a member that serves the feed.
 struct MemberProbeReply {
     std::uint64_t sequence {};
 
     friend bool operator==(const MemberProbeReply&, const MemberProbeReply&) = default;
 };
 
+/// Immediate reply to a MemberProbe of a member without contact to a leader. It serves no feed until it has one.
+struct MemberUnavailableReply {
+    std::uint64_t sequence {};
+
+    friend bool operator==(const MemberUnavailableReply&, const MemberUnavailableReply&) = default;
+};
+
 /// Any message between processes of the system. The order of alternatives is part of the protocol: append only.
 using PeerMessage = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply,
     DelegationRequest, DelegationReply, FeedRequest, FeedReply, ProposeRequest, ProposeReply, KeyLoadReport, KeyLoadReply,
-    JoinRequest, MemberProbe, MemberProbeReply>;
+    JoinRequest, MemberProbe, MemberProbeReply, MemberUnavailableReply>;
 
 /// A message and its destination.
 struct OutboundMessage {
--- a/src/adapters/codec/Codec.cpp
+++ b/src/adapters/codec/Codec.cpp
@@ -562,6 +562,12 @@
     archive(value.sequence);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, MemberUnavailableReply& value)
+{
+    archive(value.sequence);
+}
+
 template <typename Archive>
 void serialize(Archive& archive, HardState& value)
 {
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -58,7 +58,7 @@
     { LogEvent::EvacuationRecorded, "EvacuationRecorded", LogLevel::Info, "an order to evacuate an availability zone, or its withdrawal, was recorded" },
     { LogEvent::EvacuationApplied, "EvacuationApplied", LogLevel::Info, "an entry VM applies an order to evacuate an availability zone, or its withdrawal" },
     { LogEvent::WarmUpBegun, "WarmUpBegun", LogLevel::Info, "an upstream is cold and gets few requests" },
-    { LogEvent::FeedDelayed, "FeedDelayed", LogLevel::Warning, "the copy of the registry is not current; half of the link is left to the feed" },
+    { LogEvent::FeedDelayed, "FeedDelayed", LogLevel::Warning, "the copy of the registry is not current; a full link carries fewer requests" },
     { LogEvent::FeedDelayEnded, "FeedDelayEnded", LogLevel::Info, "the copy of the registry is current again, or the link was not the cause" },
 } };
 
--- a/src/core/dispatch/BandwidthBudget.h
+++ b/src/core/dispatch/BandwidthBudget.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <string>
 
@@ -22,11 +23,12 @@
     {
     }
 
-    /// Leaves half of the link to the registry's feed while that is delayed, until it is current again.
+    /// Leaves half of the link to the registry's feed while that is delayed. A link that was not full is not the cause of the
+    /// delay and stays available to requests.
     void setFeedDelayed(Instant now, bool isDelayed) noexcept
     {
         this->drain(now);
-        this->isFeedDelayed = isDelayed;
+        this->isYielding = isDelayed && this->busyShare > minBusyShare;
     }
 
     /// @return Expected size of a request and its response on this route, in bytes.
@@ -80,24 +82,34 @@
 private:
     /// The rest is for the registry's feed, load reports and TCP overhead.
     static constexpr double usableFraction = 0.85;
-    /// Fraction while the feed is delayed. A full link drops datagrams, so the feed returns only once the queue in front
+    /// Fraction while a full link delays the feed. A full link drops datagrams, so the feed returns only once the queue in front
     /// of the link is gone.
-    static constexpr double delayedFeedFraction = 0.5;
+    static constexpr double yieldingFraction = 0.5;
+    /// Share of the last second in which requests waited for the link, from which it counts as full. A single large body
+    /// keeps the link busy for half a second.
+    static constexpr double minBusyShare = 0.7;
+    static constexpr std::chrono::duration<double> busyShareTime { 1.0 };
     /// Weight of one response in the moving average of a route's response size.
     static constexpr double responseSizeWeight = 0.05;
 
-    double usableBytesPerSecond() const noexcept { return this->bytesPerSecond * (this->isFeedDelayed ? delayedFeedFraction : usableFraction); }
+    double usableBytesPerSecond() const noexcept { return this->bytesPerSecond * (this->isYielding ? yieldingFraction : usableFraction); }
 
     void drain(Instant now) noexcept
     {
         const auto elapsed = std::chrono::duration<double> { std::max<Duration>(now - this->lastDrainedAt, Duration::zero()) };
+        if (this->bytesPerSecond > 0 && elapsed.count() > 0) {
+            const std::chrono::duration<double> busy { std::min(elapsed.count(), this->backlog / this->usableBytesPerSecond()) };
+            const auto kept = std::exp(-elapsed / busyShareTime);
+            this->busyShare = this->busyShare * kept + busy / elapsed * (1 - kept);
+        }
         this->backlog = std::max(0.0, this->backlog - elapsed.count() * this->usableBytesPerSecond());
         this->lastDrainedAt = std::max(this->lastDrainedAt, now);
     }
 
     double bytesPerSecond;
     double backlog {};
-    bool isFeedDelayed {};
+    double busyShare {};
+    bool isYielding {};
     Instant lastDrainedAt;
     absl::flat_hash_map<std::string, double> responseBytes;
 };
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -47,7 +47,7 @@
     /// @param count Entry VMs that share upstreams and the retry budget; at least 1.
     void setEntryCount(std::uint32_t count);
 
-    /// Leaves more of the link to the registry's feed, or less again.
+    /// Leaves more of a full link to the registry's feed, or less again.
     void setFeedDelayed(Instant now, bool isDelayed) noexcept { this->linkBudget.setFeedDelayed(now, isDelayed); }
 
     /// Refuses from now on new requests that may still be in progress when the process ends.
--- a/src/core/registry/FeedDelay.h
+++ b/src/core/registry/FeedDelay.h
@@ -10,19 +10,23 @@
 /// the feed's datagrams. The entry VM then leaves more of the link to the feed. Deterministic; not thread-safe.
 class FeedDelay {
 public:
-    /// The feed is delayed once the copy may lack commits of this time; two lost replies take that long. A change has to be
-    /// in effect 2.5 s after its acknowledgement, which leaves 1.5 s to drain the link and fetch it.
-    static constexpr std::chrono::milliseconds maxAge { 1'000 };
-    /// If the feed has not returned by then, the link is not the cause: the members cannot be reached, or have no leader.
+    /// The feed is delayed once the copy may lack commits of this time; two lost replies take a second. A change has to
+    /// be in effect 2.5 s after its acknowledgement, which leaves 1.2 s to drain the link and fetch it.
+    static constexpr std::chrono::milliseconds maxAge { 1'300 };
+    /// If the feed has not returned by then, the link is not the cause: no member can be reached.
     static constexpr std::chrono::milliseconds maxDelayedTime { 2'500 };
+    /// Members without contact to a leader are the cause if one of them replied within this time. Members are probed every
+    /// 100 ms while a reply is late.
+    static constexpr std::chrono::milliseconds unavailableTime { 500 };
 
     /// @param lastCurrentAt Time at which the copy was last known to be current.
+    /// @param lastUnavailableAt Time of the last reply of a member that has no contact to a leader.
     /// @return True if isDelayed() changed.
-    bool update(Instant now, Instant lastCurrentAt) noexcept
+    bool update(Instant now, Instant lastCurrentAt, Instant lastUnavailableAt) noexcept
     {
         const auto age = now - lastCurrentAt;
         const bool before = this->delayed;
-        this->delayed = age > maxAge && age <= maxAge + maxDelayedTime;
+        this->delayed = age > maxAge && age <= maxAge + maxDelayedTime && now - lastUnavailableAt > unavailableTime;
         return this->delayed != before;
     }
 
--- a/src/core/registry/RegistryReplica.h
+++ b/src/core/registry/RegistryReplica.h
@@ -32,10 +32,16 @@
     /// Processes the reply to a probe.
     void handleProbeReply(Instant now, NodeId from, const MemberProbeReply& reply);
 
+    /// Processes the reply to a probe of a member that has no contact to a leader.
+    void handleUnavailableReply(Instant now) noexcept { this->unavailableAt = now; }
+
     /// Processes the reply to a feed request, including one that was repeated in the meantime.
     /// @return True if the state changed, or SnapshotCorrupt.
     Result<bool> handleFeedReply(Instant now, NodeId from, const FeedReply& reply);
 
+    /// @return Time of the last reply of a member that has no contact to a leader.
+    Instant lastUnavailableAt() const noexcept { return this->unavailableAt; }
+
     /// Replaces the seeds after a change of the settings.
     void setSeeds(std::span<const NodeId> newSeeds) { this->seeds.assign(newSeeds.begin(), newSeeds.end()); }
 
@@ -99,6 +105,7 @@
     Instant requestedAt;
     Instant lastFeedReplyAt;
     Instant currentAt;
+    Instant unavailableAt;
     bool isRequestOutstanding {};
     bool isSearching { true };
     bool hasCaughtUp {};
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -53,6 +53,8 @@
     } else if (const auto* probe = std::get_if<MemberProbe>(&message)) {
         if (this->isUpToDate(now)) {
             this->send(from, MemberProbeReply { probe->sequence });
+        } else {
+            this->send(from, MemberUnavailableReply { probe->sequence });
         }
     } else if (const auto* join = std::get_if<JoinRequest>(&message)) {
         this->handleJoinRequest(now, from, *join);
--- a/src/node/gateway/EntryDaemon.h
+++ b/src/node/gateway/EntryDaemon.h
@@ -181,6 +181,9 @@
     } else if (const auto* probe = std::get_if<MemberProbeReply>(&message)) {
         const MutexLock lock { this->mutex };
         this->replica.handleProbeReply(this->reactor.now(), from, *probe);
+    } else if (std::holds_alternative<MemberUnavailableReply>(message)) {
+        const MutexLock lock { this->mutex };
+        this->replica.handleUnavailableReply(this->reactor.now());
     } else if (const auto* load = std::get_if<KeyLoadReply>(&message)) {
         this->gateway.setEntryCount(load->entryCount);
     }
@@ -194,7 +197,7 @@
         const MutexLock lock { this->mutex };
         const auto now = this->reactor.now();
         messages = this->replica.nextMessages(now);
-        if (this->replica.isComplete() && this->feedDelay.update(now, this->replica.lastCurrentAt())) {
+        if (this->replica.isComplete() && this->feedDelay.update(now, this->replica.lastCurrentAt(), this->replica.lastUnavailableAt())) {
             this->gateway.setFeedDelayed(this->feedDelay.isDelayed());
             this->logger.log(this->feedDelay.isDelayed() ? LogEvent::FeedDelayed : LogEvent::FeedDelayEnded, "", { { "index", this->replica.state().appliedIndex() } });
         }
