Play the soak's faults at the times that the seed draws

Cause: the pause before the next fault began when the checks of the run had ended, so later faults slipped, and whether the last ones were played at all depended on the load of the machine. Change: the times of faults add up the pauses that the seed draws.

--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -438,11 +438,13 @@
         self.started_at = time.monotonic()
         self.fault_threads = [threading.Thread(target=self.stop_entries, daemon=True)]
         self.fault_threads[0].start()
-        checked_at = self.started_at
+        checked_at = next_at = self.started_at
         while time.monotonic() - self.started_at < self.options.seconds:
             if not self.options.stops:
                 self.start_fault()
-            time.sleep(self.random.expovariate(2.0))
+            # The time of a fault does not depend on how long earlier steps took.
+            next_at += self.random.expovariate(2.0)
+            time.sleep(max(0.0, next_at - time.monotonic()))
             # Without other faults, the run goes on after a violation, so that it shows all of them.
             if not self.options.stops and time.monotonic() - checked_at > 3:
                 self.check()
