Let the fault soak exercise large bodies, statuses, evacuations, warm-ups and regions

Cause: the soak knew no uploads or downloads, invalid statuses, evacuations, cold starts and allowed_regions. Change: features.py has a class for each, with its servers, routes, callers, faults and checks. The settings of every run name three zones in two regions; the last server of each service is in zone-2, the one that is evacuated. The evacuation also outlives a restart of all members and of an entry VM.

Allowances: a request that reaches the evacuated zone after the bound is excused only while, and 1 s after, a fault holds back its server or its proxy, or a pause of an entry VM that began before the bound.

Cause: the stand-in ran a request whose connection had ended within the body, after the entry VM had given up (RequestUnknown) while a fault held the rest back. It refuses to run them now; a body of the declared length that differs is still a violation.

--- /dev/null
+++ b/tests/platform/soak/features.py
@@ -0,0 +1,352 @@
+"""Features that only some runs of the soak exercise, each with its servers, routes, callers, faults and checks."""
+
+import http.client
+import itertools
+import random
+import signal
+import socket
+import threading
+import time
+
+from server import KEYS, SERVICE_SECONDS, body_of, signature
+
+ZONES = {"zone-1": "region-1", "zone-2": "region-1", "zone-3": "region-2"}
+EVACUATE_SECONDS, WARM_UP_OVERAGE, WARM_UP_SLACK = 5.0, 1.5, 8
+BOUNDS = [f"evacuate_s={EVACUATE_SECONDS}", f"warmup_overage={WARM_UP_OVERAGE}", f"warmup_slack={WARM_UP_SLACK}"]
+WARM_UP_SECONDS, WARM_UP_RATE = 3.0, 5.2
+FIRST_FEATURE_ADDRESS = 200
+REGION_ADDRESS = 210
+
+
+class Feature:
+    """By default, a feature has no servers, routes, callers or checks of its own."""
+
+    def __init__(self, soak):
+        self.soak = soak
+        self.servers = self.make_servers()
+
+    def make_servers(self):
+        return []
+
+    def services(self):
+        return {}
+
+    def routes(self):
+        return {}
+
+    def callers(self):
+        """Returns functions that each run in a thread until the run is over."""
+        return []
+
+    def faults(self):
+        """Returns functions that each run in a thread while faults are injected."""
+        return []
+
+    def end_faults(self):
+        """Runs after the last fault, before the recovery is measured."""
+
+    def after_recovery(self):
+        """Runs when requests are served again."""
+
+    def check(self, runs):
+        """Yields the violations in the runs so far, which are in the order of their times."""
+        return []
+
+    def check_use(self, runs):
+        """Yields why the checks of a whole run would have passed for nothing."""
+        return []
+
+    def generator(self, number):
+        return random.Random(f"{type(self).__name__} {number} {self.soak.options.seed}")
+
+    def send_requests(self, number, pause, paths, goes_on=None):
+        """Sends requests to random ones of the paths while the function returns True, by default until the run is over."""
+        generator = self.generator(number)
+        while goes_on() if goes_on else not self.soak.is_over.is_set():
+            kind, path = generator.choice(paths)
+            self.soak.exchange(f"{generator.getrandbits(64):016x}", kind, path, generator.randrange(KEYS), generator.choice(self.soak.front_proxies))
+            time.sleep(pause)
+
+    def restart_servers(self):
+        """Kills or stops a server of this feature every second or so, and starts it again."""
+        generator = self.generator("faults")
+        while self.soak.has_faults():
+            time.sleep(generator.uniform(0.3, 1.2))
+            server, is_kill, seconds = generator.choice(self.servers), generator.random() < 0.7, generator.uniform(0.1, 1.0)
+            self.soak.note_fault(f"{'kill' if is_kill else 'terminate'} {server.name} {seconds:.2f}")
+            (self.soak.kill if is_kill else self.soak.terminate)(server, seconds)
+
+
+class Bodies(Feature):
+    """Uploads with large bodies and downloads with large responses, of callers that are slow or leave in the middle."""
+
+    CALLERS = 4
+    UPLOAD_BYTES, DOWNLOAD_BYTES = (20_000, 300_000, 1_500_000), (30_000, 300_000, 1_500_000)
+    PIECE_BYTES, MAX_PIECE_PAUSE_SECONDS = 32_768, 0.02
+    RECEIVE_TIMEOUT = 15.0
+
+    def __init__(self, soak):
+        super().__init__(soak)
+        self.whole = dict.fromkeys(("upload", "download"), 0)
+
+    def routes(self):
+        return {f"{service}-{kind}": self.soak.route(service, kind, f"/{service}/{kind}/", 1) for service in ("keyed", "plain") for kind in ("upload", "download")}
+
+    def callers(self):
+        return [lambda number=number: self.run_caller(number) for number in range(self.CALLERS)]
+
+    def run_caller(self, number):
+        generator = self.generator(number)
+        while not self.soak.is_over.is_set():
+            try:
+                self.send_request(generator)
+            except (OSError, http.client.HTTPException):
+                pass
+            time.sleep(0.02)
+
+    def send_request(self, generator):
+        kind, service = generator.choice(["upload", "download"]), generator.choice(["keyed", "plain"])
+        request_id, behaviour = f"{generator.getrandbits(64):016x}", generator.choice(["fast", "slow", "leaves"])
+        size = generator.choice(self.UPLOAD_BYTES if kind == "upload" else self.DOWNLOAD_BYTES)
+        # The server breaks off some downloads in the middle.
+        path = f"/{service}/{kind}/{'cut' if kind == 'download' and generator.random() < 0.15 else 'long'}/{size}"
+        vm, proxy = generator.choice(list(zip(self.soak.entries, self.soak.front_proxies)))
+        # Without a proxy, backpressure of a slow caller reaches the entry VM at once.
+        address = generator.choice([(vm.address, self.soak.front_port), proxy.listener.getsockname()])
+        buffer_bytes, leave_after, key = generator.choice([8192, 65536]), generator.random(), generator.randrange(KEYS)
+        headers = {"Host": "soak.example", "Request-Id": request_id, "Deadline-Ms": "2000", "Shard-Key": str(key)}
+        with self.soak.lock:
+            self.soak.results[request_id] = ("unsafe" if kind == "upload" else "safe", 0)
+        connection = http.client.HTTPConnection(*address)
+        connection.sock = socket.socket()
+        try:
+            # The default segment of loopback does not fit into a small receive buffer.
+            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+            connection.sock.settimeout(self.RECEIVE_TIMEOUT)
+            connection.sock.connect(address)
+            if kind == "download":
+                connection.request("GET", path, None, headers)
+            elif not self.send_upload(connection, generator, path, headers, behaviour, leave_after):
+                return
+            self.read_response(connection, generator, kind, path, request_id, behaviour, leave_after)
+        finally:
+            connection.close()
+
+    def send_upload(self, connection, generator, path, headers, behaviour, leave_after):
+        """Returns False if the caller left, either in the middle of the body or behind its end."""
+        body = body_of(headers["Request-Id"], "POST", path)
+        connection.putrequest("POST", path, skip_host=True, skip_accept_encoding=True)
+        for name, value in (headers | {"Content-Length": str(len(body))}).items():
+            connection.putheader(name, value)
+        connection.endheaders()
+        end = len(body) if behaviour != "leaves" else min(len(body), int(len(body) * leave_after * 1.5))
+        for first in range(0, end, self.PIECE_BYTES):
+            connection.send(body[first:min(end, first + self.PIECE_BYTES)])
+            if behaviour == "slow":
+                time.sleep(generator.random() * self.MAX_PIECE_PAUSE_SECONDS)
+        return behaviour != "leaves"
+
+    def read_response(self, connection, generator, kind, path, request_id, behaviour, leave_after):
+        with self.soak.reading_status(request_id):
+            response = connection.getresponse()
+        self.soak.check_status(request_id, response.status)
+        expected = body_of(request_id, "POST" if kind == "upload" else "GET", path)
+        received, is_broken = b"", False
+        try:
+            while piece := response.read(self.PIECE_BYTES):
+                received += piece
+                if behaviour == "leaves" and len(received) > leave_after * len(expected):
+                    return
+                if behaviour == "slow":
+                    time.sleep(generator.random() * self.MAX_PIECE_PAUSE_SECONDS)
+            # A read of a part does not fail at an early end, but leaves the bytes that are missing of the declared length.
+            is_broken = bool(response.length)
+        except (OSError, http.client.HTTPException):
+            is_broken = True
+        if response.status == 200:
+            is_intact = expected.startswith(received) if is_broken else received == expected
+            if not is_intact or response.getheader("Upstream-Signature") != signature(request_id):
+                self.soak.violations.append(f"{kind} {request_id} of {path} got {len(received)} of {len(expected)} bytes, {'damaged' if is_broken else 'as a complete response'}")
+            self.whole[kind] += not is_broken
+        with self.soak.lock:
+            self.soak.results[request_id] = self.soak.results[request_id][0], 0 if is_broken else response.status
+
+    def check(self, runs):
+        return (f"request {run.request_id} ran with a damaged body at {run.server}" for run in runs if run.verb == "damaged")
+
+    def check_use(self, runs):
+        yield from (f"no {kind} was whole" for kind, count in self.whole.items() if not count)
+        if not any("/cut/" in run.path for run in runs):
+            yield "no server broke off a download"
+
+
+class Statuses(Feature):
+    """Upstreams that answer with a status that is not valid. Every caller of a run checks the statuses that it gets."""
+
+    PAUSE_SECONDS = 0.1
+    STATUSES = ("000", "099", "600", "1000", "2x0")
+
+    def faults(self):
+        paths = [(kind, f"/{service}/{kind}/status/{status}") for service in ("keyed", "plain") for kind in ("safe", "unsafe") for status in self.STATUSES]
+        return [lambda: self.send_requests(0, self.PAUSE_SECONDS, paths, self.soak.has_faults)]
+
+    def check_use(self, runs):
+        used = {run.path.split("/")[4] for run in runs if "/status/" in run.path}
+        return (f"no upstream answered with status {status}" for status in self.STATUSES if status not in used)
+
+
+class Evacuations(Feature):
+    """An order to evacuate zone-2 in the middle of the faults. It is withdrawn after all members have been restarted."""
+
+    ZONE = "zone-2"
+    MAX_ORDER_DELAY_SECONDS = 3.0
+    WITHDRAWN_AFTER_SECONDS = 1.0
+    # Operators repeat an order for 5 s. The rest allows for faults.
+    ACKNOWLEDGED_WITHIN_SECONDS = 15.0
+    # Data that a fault has held back, and an entry VM that was paused before it could learn of the order, need this long after it.
+    ALLOWANCE_SECONDS = 1.0
+
+    def __init__(self, soak):
+        super().__init__(soak)
+        self.acknowledged_at = self.withdrawn_at = self.ended_at = None
+
+    def faults(self):
+        return [self.order]
+
+    def order(self):
+        time.sleep(self.generator("order").uniform(0, self.MAX_ORDER_DELAY_SECONDS))
+        self.acknowledged_at = self.send_order("POST")
+        self.soak.note_fault(f"evacuation of {self.ZONE} acknowledged")
+
+    def send_order(self, method):
+        """Repeats the request until it is acknowledged. Returns when it was."""
+        started, response = time.monotonic(), None
+        while not (response and response[0] // 100 == 2):
+            if time.monotonic() - started > self.ACKNOWLEDGED_WITHIN_SECONDS:
+                self.soak.violations.append(f"{method} of the evacuation was not acknowledged within {self.ACKNOWLEDGED_WITHIN_SECONDS} s: {response}")
+                break
+            response = self.soak.send_control_request(method, f"/evacuations/{self.ZONE}")
+        return time.monotonic()
+
+    def end_faults(self):
+        for member in self.soak.members:
+            self.soak.kill(member, 0)
+            self.soak.wait_until_configured(member)
+        # An entry VM that starts has the order from the members only.
+        self.soak.kill(self.soak.entries[0], 0)
+        self.soak.wait_until_served("restart of all members")
+        while time.monotonic() < self.acknowledged_at + EVACUATE_SECONDS + self.WITHDRAWN_AFTER_SECONDS:
+            time.sleep(0.1)
+        self.withdrawn_at = time.monotonic()
+        self.ended_at = self.send_order("DELETE")
+        self.soak.note_fault(f"evacuation of {self.ZONE} withdrawn")
+
+    def after_recovery(self):
+        names = [server.name for server in self.soak.servers if server.zone == self.ZONE and not server.is_sharded]
+
+        def has_returned():
+            runs = [run for run in self.soak.read_runs() if run.time > self.ended_at]
+            return all(any(run.name == name for run in runs) for name in names)
+
+        self.soak.wait_until(has_returned, f"no request reaches {names} after the withdrawal of the evacuation")
+
+    def check(self, runs):
+        if not self.acknowledged_at:
+            return
+        for run in runs:
+            if run.time >= self.acknowledged_at + EVACUATE_SECONDS and not (self.withdrawn_at and run.time >= self.withdrawn_at):
+                server = next((server for server in self.soak.servers if server.name == run.name and server.zone == self.ZONE), None)
+                if server and not self.is_excused(run.time, server):
+                    yield f"request {run.request_id} reached {run.server} in evacuated {self.ZONE} {run.time - self.acknowledged_at:.3f} s after the acknowledgement"
+
+    def is_excused(self, run_time, server):
+        """Returns True if a fault held back requests to the server, or an entry VM that may not have heard of the order, at that time."""
+        for action, target, begin, end in list(self.soak.disturbances):
+            is_unaware = action == self.soak.pause and target in self.soak.entries and begin < self.acknowledged_at + EVACUATE_SECONDS
+            is_held = target is server or target is server.proxy or is_unaware
+            if is_held and begin <= run_time <= (end[0] if end else run_time) + self.ALLOWANCE_SECONDS:
+                return True
+        return False
+
+    def check_use(self, runs):
+        if not any(self.acknowledged_at + EVACUATE_SECONDS <= run.time < self.withdrawn_at for run in runs):
+            yield "no request ran while the evacuation was in effect"
+
+
+class WarmUps(Feature):
+    """A service whose servers are cold after each restart during the traffic."""
+
+    CALLERS = 4
+    MAX_COLD_REQUESTS = int(WARM_UP_RATE * WARM_UP_OVERAGE + WARM_UP_SLACK)
+
+    def make_servers(self):
+        return [self.soak.make_server("warm", index, FIRST_FEATURE_ADDRESS + index, False, has_proxy=False) for index in range(2)]
+
+    def services(self):
+        return {"warm": {"warmup_s": WARM_UP_SECONDS, "warmup_per_s": WARM_UP_RATE}}
+
+    def routes(self):
+        return {"warm-safe": self.soak.route("warm", "safe", "/warm/safe/", 1)}
+
+    def callers(self):
+        return [lambda number=number: self.send_requests(number, SERVICE_SECONDS, [("safe", "/warm/safe/1")]) for number in range(self.CALLERS)]
+
+    def faults(self):
+        return [self.restart_servers]
+
+    def restart_servers(self):
+        for server in self.servers:
+            server.environment["SOAK_WARM_UP_SECONDS"] = str(WARM_UP_SECONDS)
+        super().restart_servers()
+
+    def check(self, runs):
+        cold = sorted((run.server, run.time) for run in runs if run.verb == "cold")
+        for server, group in itertools.groupby(cold, key=lambda run: run[0]):
+            times = [run_time for _, run_time in group]
+            for first, last in zip(times, times[self.MAX_COLD_REQUESTS:]):
+                if last - first < 1.0:
+                    yield f"more than {self.MAX_COLD_REQUESTS} requests reached cold {server} in the second from {first}"
+                    break
+
+    def check_use(self, runs):
+        if not any(run.verb == "cold" for run in runs):
+            yield "no request reached a cold server"
+
+
+class Regions(Feature):
+    """Routes that one region each may serve, while the only servers of a region are killed."""
+
+    ZONE_OF = {"region-1": "zone-1", "region-2": "zone-3"}
+
+    def make_servers(self):
+        return [self.soak.make_server("placed", index, REGION_ADDRESS + index, False, has_proxy=False, zone=zone) for index, zone in enumerate(self.ZONE_OF.values())]
+
+    def services(self):
+        return {"placed": {}}
+
+    def routes(self):
+        return {f"placed-{region}-{kind}": self.soak.route("placed", kind, f"/placed/{kind}/{region}/", 1) | {"allowed_regions": [region]} for region in self.ZONE_OF for kind in ("safe", "unsafe")}
+
+    def callers(self):
+        paths = [(kind, f"/placed/{kind}/{region}/1") for region in self.ZONE_OF for kind in ("safe", "unsafe")]
+        return [lambda number=number: self.send_requests(number, SERVICE_SECONDS, paths) for number in range(2)]
+
+    def faults(self):
+        return [self.restart_servers]
+
+    def check(self, runs):
+        regions = {server.name: ZONES[server.zone] for server in self.servers}
+        return (f"request {run.request_id} to {run.path} reached {run.server} in {regions[run.name]}" for run in runs if run.name in regions and regions[run.name] not in run.path)
+
+    def check_use(self, runs):
+        return (f"no request was served in {region}" for region in self.ZONE_OF if not any(f"/{region}/" in run.path for run in runs))
+
+
+FEATURES = {"bodies": Bodies, "statuses": Statuses, "evacuations": Evacuations, "warm-ups": WarmUps, "regions": Regions}
+
+
+def draw(seed):
+    """Returns the names of two features. Ten seeds in a row have all pairs."""
+    pairs = list(itertools.combinations(FEATURES, 2))
+    return pairs[seed % len(pairs)]
--- a/tests/platform/soak/pipelining.py
+++ b/tests/platform/soak/pipelining.py
@@ -117,6 +117,7 @@
     def check_response(self, vm, response, received):
         request_id, path = self.pending.popleft()
         _, head_bytes, status, headers = response
+        self.soak.check_status(request_id, status)
         if status == 200 and (received[head_bytes:] != body_of(request_id, "GET", path) or headers.get("upstream-signature") != signature(request_id)):
             self.soak.violations.append(f"request {request_id} got the response of another request: {received[:80]!r}")
         self.whole += status == 200
--- a/tests/platform/soak/server.py
+++ b/tests/platform/soak/server.py
@@ -1,11 +1,14 @@
 #!/usr/bin/env python3
 """A stand-in for an upstream of the platform: sends heartbeats, holds keys under leases, and runs and records requests.
 
-usage: server.py NAME SERVICE LISTEN ADVERTISED RECORD SHARDED CONTROL[=THROUGH]...
-  RECORD   file of lines: time, "run", request id, key or -, fence or -, name, start of the process in ms
+usage: server.py NAME SERVICE LISTEN ADVERTISED RECORD SHARDED ZONE CONTROL[=THROUGH]...
+  RECORD   file of lines: time, "run", request id, key or -, fence or -, name, start of the process in ms, path. In place of "run",
+           "damaged" stands for an upload whose body is not the one that its caller sends, "cold" for a run before the server is warm
   CONTROL  address of a member's control port, and the address of a proxy to it
 
-The environment variable SOAK_MUTATION selects a guarantee that the server violates, to test that the soak detects it.
+A path names what the server does: /SERVICE/KIND/long/BYTES is a long response or upload, .../cut/BYTES a response that breaks off
+in the middle, .../status/TEXT a status that may be invalid. The environment variable SOAK_WARM_UP_SECONDS states how long the server
+is cold after its start. SOAK_MUTATION selects a guarantee that the server violates, to test that the soak detects it.
 """
 
 import hashlib
@@ -25,7 +28,9 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.87
 SERVICE_SECONDS = 0.015
 DRAIN_SECONDS = 3.0
-# "runs-twice", "crossed-answers", "refuses-after-run" or empty.
+DOWNLOAD_PIECE_BYTES = 32_768
+# "runs-twice", "crossed-answers", "refuses-after-run", "damages-uploads" or empty.
+WARM_UP_SECONDS = float(os.environ.get("SOAK_WARM_UP_SECONDS", 0))
 MUTATION = os.environ.get("SOAK_MUTATION", "")
 
 
@@ -34,9 +39,9 @@
 
 
 def body_of(request_id, method, path):
-    """Returns the body of a response. A path like "/plain/safe/long/200000" names its bytes."""
+    """Returns the body of a response, and of an upload. A path like "/plain/safe/long/200000" names its bytes."""
     text = f"body of {request_id} {method} {path}"
-    size = int(path.split("/")[4]) if "/long/" in path else len(text)
+    size = int(path.split("/")[4]) if "/long/" in path or "/cut/" in path else len(text)
     return (text * (size // len(text) + 1))[:size].encode()
 
 
@@ -51,11 +56,12 @@
 
 
 class Server:
-    def __init__(self, name, service, listen, advertised, record, sharded, controls):
-        self.name, self.service, self.advertised, self.is_sharded = name, service, advertised, sharded
+    def __init__(self, name, service, listen, advertised, record, sharded, zone, controls):
+        self.name, self.service, self.advertised, self.is_sharded, self.zone = name, service, advertised, sharded, zone
         self.proxies = dict((control.split("=") + [control])[:2] for control in controls)
         self.controls = list(self.proxies)
         self.born = int(time.time() * 1000)
+        self.warm_at = time.monotonic() + WARM_UP_SECONDS
         self.record = os.open(record, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         self.lock = threading.Lock()
         self.granted = [0] * KEYS
@@ -68,7 +74,7 @@
         self.state = "ready"
         self.listen = listen
 
-    def begin_request(self, request_id, key):
+    def begin_request(self, request_id, key, path, is_damaged):
         """Returns the fence, 0 for a service without keys, or None if the key is not held."""
         now = time.monotonic()
         with self.lock:
@@ -78,8 +84,9 @@
                 if not fence:
                     return None
                 self.busy[key] = self.busy.get(key, 0) + 1
+        verb = "damaged" if is_damaged else "cold" if now < self.warm_at else "run"
         for _ in range(2 if MUTATION == "runs-twice" else 1):
-            os.write(self.record, f"{now:.6f} run {request_id} {key if self.is_sharded else '-'} {fence or '-'} {self.name} {self.born}\n".encode())
+            os.write(self.record, f"{now:.6f} {verb} {request_id} {key if self.is_sharded else '-'} {fence or '-'} {self.name} {self.born} {path}\n".encode())
         return fence
 
     def end_request(self, key):
@@ -120,8 +127,8 @@
                 self.held = [0] * KEYS
                 self.released = []
             self.sequence += 1
-            body = {"service": self.service, "address": self.advertised, "zone": "zone-1", "version": "v1", "slots": 4, "state": self.state,
-                "warmup_left_s": 0, "sequence": self.sequence, "born": self.born}
+            body = {"service": self.service, "address": self.advertised, "zone": self.zone, "version": "v1", "slots": 4, "state": self.state,
+                "warmup_left_s": max(0.0, self.warm_at - time.monotonic()), "sequence": self.sequence, "born": self.born}
             released = self.released[:]
             if self.is_sharded:
                 body |= {"holds": [list(row) for row in ranges_of(self.held)], "released": released}
@@ -190,14 +197,21 @@
     timeout = 15
 
     def do_GET(self):
-        self.rfile.read(int(self.headers.get("Content-Length", 0)))
+        size = int(self.headers.get("Content-Length", 0))
+        content = self.rfile.read(size)
+        if len(content) < size:
+            # The connection ended within the body, for instance when the entry VM gave up while a fault held the rest back.
+            self.close_connection = True
+            return None
+        content = content[:-1] if MUTATION == "damages-uploads" else content
         server = self.server.stand_in
         request_id = self.headers.get("Request-Id", "")
+        is_damaged = self.command == "POST" and content != body_of(request_id, "POST", self.path)
         key = int(self.headers.get("Shard-Key", 0))
         if self.path == "/healthz":
             return self.reply(200, {"Instance-Id": server.name}, b"")
         is_expected_instance = self.headers.get("Expect-Instance", server.name) == server.name
-        if not is_expected_instance or server.begin_request(request_id, key) is None:
+        if not is_expected_instance or server.begin_request(request_id, key, self.path, is_damaged) is None:
             return self.reply(421, {"Not-Executed": "1", "Request-Id": request_id}, b"")
         try:
             time.sleep(SERVICE_SECONDS)
@@ -206,18 +220,34 @@
         if MUTATION == "refuses-after-run" and random.random() < 0.05:
             return self.reply(503, {"Not-Executed": "1", "Request-Id": request_id}, b"")
         echoed_id = request_id[::-1] if MUTATION == "crossed-answers" else request_id
-        self.reply(200, {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}, body_of(echoed_id, self.command, self.path))
+        headers = {"Request-Id": request_id, "Upstream-Signature": signature(request_id)}
+        body = body_of(echoed_id, self.command, self.path)
+        if "/download/" in self.path:
+            return self.reply_download(headers, body, int(request_id, 16) % 2 == 0)
+        self.reply(self.path.split("/")[4] if "/status/" in self.path else 200, headers, body)
 
     do_POST = do_GET
 
     def reply(self, status, headers, body):
-        self.send_response(status)
-        for name, value in headers.items():
-            self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
+        self.send_head(status, headers | {"Content-Length": len(body)})
         self.wfile.write(body)
 
+    def reply_download(self, headers, body, is_chunked):
+        self.send_head(200, headers | ({"Transfer-Encoding": "chunked"} if is_chunked else {"Content-Length": len(body)}))
+        end = len(body) // 2 if "/cut/" in self.path else len(body)
+        for first in range(0, end, DOWNLOAD_PIECE_BYTES):
+            piece = body[first:min(end, first + DOWNLOAD_PIECE_BYTES)]
+            self.wfile.write(b"%x\r\n%b\r\n" % (len(piece), piece) if is_chunked else piece)
+        if end < len(body):
+            self.close_connection = True
+        elif is_chunked:
+            self.wfile.write(b"0\r\n\r\n")
+
+    def send_head(self, status, headers):
+        """Sends any text as the status, which send_response() does not."""
+        lines = [f"HTTP/1.1 {status} Status", *(f"{name}: {value}" for name, value in headers.items())]
+        self.wfile.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+
     def log_message(self, *_):
         pass
 
@@ -231,8 +261,8 @@
 
 
 def main():
-    name, service, listen, advertised, record, sharded, *controls = sys.argv[1:]
-    server = Server(name, service, listen, advertised, record, sharded == "1", controls)
+    name, service, listen, advertised, record, sharded, zone, *controls = sys.argv[1:]
+    server = Server(name, service, listen, advertised, record, sharded == "1", zone, controls)
     host, port = listen.split(":")
     listener = Listener((host, int(port)), Handler)
     listener.stand_in = server
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -1,15 +1,16 @@
 #!/usr/bin/env python3
 """Runs the real programs on loopback, injects random faults and checks the guarantees to callers and servers.
 
-usage: soak.py [--seed N] [--seconds N] [--build FOLDER] [--entries N] [--keyed N] [--plain N] [--keep] [--stops] [--regressions]
+usage: soak.py [--seed N] [--seconds N] [--build FOLDER] [--entries N] [--keyed N] [--plain N] [--features LIST] [--keep] [--stops] [--regressions]
   --seed N        seed of the order and times of the faults (default: random); it is printed
   --seconds N     how long faults are injected (default 20); then all must recover
   --build FOLDER  build folder of teaselturnd (default build)
+  --features LIST names in features.py, separated by commas, in place of the two that the seed draws
   --keep          keep the folder with logs and records after a success too
   --stops         no faults but planned stops of entry VMs, one at a time
   --regressions   run the seeds of failed-seeds.txt, a few at a time
 
-Faults overlap, also with planned stops of entry VMs every few seconds. Only one member at a time is disturbed, since the
+The features of a run have servers, callers and faults of their own and change no fault that the seed plays. Faults overlap, also with planned stops of entry VMs every few seconds. Only one member at a time is disturbed, since the
 system tolerates the loss of one. Exit status 1 means that a guarantee was violated; the folder with logs and records is then
 kept.
 """
@@ -17,6 +18,7 @@
 import argparse
 import collections
 import concurrent.futures
+import contextlib
 import http.client
 import json
 import os
@@ -33,6 +35,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+from features import BOUNDS, FEATURES, ZONES, draw
 from pipelining import PipeliningCaller
 from proxy import Proxy
 from server import KEYS, body_of, signature
@@ -54,6 +57,9 @@
 CALLER_PAUSE_SECONDS = 0.02
 
 
+Run = collections.namedtuple("Run", "time verb request_id key fence name born path server")
+
+
 class Violation(Exception):
     pass
 
@@ -133,6 +139,8 @@
         self.outcomes = collections.Counter()
         self.acknowledged = {}
         self.faults = []
+        # Entries are (action, target, begin, end); end is an empty list while the fault lasts.
+        self.disturbances = []
         self.violations = []
         self.pipelining_callers = [PipeliningCaller(self, i, FRONT_PORT) for i in range(2 * options.entries)]
         self.members = [self.make_vm("member", i, 1 + i) for i in range(MEMBERS)]
@@ -140,8 +148,11 @@
         self.control_proxies = {f"{vm.address}:{CONTROL_PORT}": Proxy((vm.address, CONTROL_PORT)) for vm in self.members}
         self.front_proxies = [Proxy((vm.address, FRONT_PORT)) for vm in self.entries]
         self.server_proxies = []
-        self.servers = [self.make_server("keyed", i, 100 + i, True) for i in range(options.keyed)]
-        self.servers += [self.make_server("plain", i, 150 + i, False) for i in range(options.plain)]
+        # The last server of each service is in the zone that may be evacuated.
+        self.servers = [self.make_server("keyed", i, 100 + i, True, zone="zone-2" if i == options.keyed - 1 else "zone-1") for i in range(options.keyed)]
+        self.servers += [self.make_server("plain", i, 150 + i, False, zone="zone-2" if i == options.plain - 1 else "zone-1") for i in range(options.plain)]
+        self.front_port = FRONT_PORT
+        self.features = [FEATURES[name](self) for name in options.features]
 
     def make_vm(self, role, index, number):
         name = f"{role}-{index + 1}"
@@ -149,20 +160,24 @@
         process.address, process.is_member = f"{self.network}.{number}", role == "member"
         return process
 
-    def make_server(self, service, index, number, is_sharded):
+    def make_server(self, service, index, number, is_sharded, zone="zone-1", has_proxy=True):
+        """Makes a server. One without proxies is disturbed only by the feature that it belongs to."""
         name = f"{service}-{index + 1}"
         listen = f"{self.network}.{number}:{SERVER_PORT}"
-        proxy = Proxy((f"{self.network}.{number}", SERVER_PORT))
-        self.server_proxies.append(proxy)
-        controls = [f"{control}={control_proxy.address}" for control, control_proxy in self.control_proxies.items()]
-        return Process(self.folder, name, [sys.executable, SERVER, name, service, listen, proxy.address, self.folder / "runs.record", int(is_sharded), *controls])
+        proxy = Proxy((f"{self.network}.{number}", SERVER_PORT)) if has_proxy else None
+        if proxy:
+            self.server_proxies.append(proxy)
+        controls = [f"{control}={control_proxy.address}" if has_proxy else control for control, control_proxy in self.control_proxies.items()]
+        process = Process(self.folder, name, [sys.executable, SERVER, name, service, listen, proxy.address if proxy else listen, self.folder / "runs.record", int(is_sharded), zone, *controls])
+        process.zone, process.proxy, process.is_sharded = zone, proxy, is_sharded
+        return process
 
     def write_settings(self, vm, is_bootstrap):
         listen = {"control": f"{vm.address}:{CONTROL_PORT}"} if vm.is_member else {"front": f"{vm.address}:{FRONT_PORT}", "readiness": f"{vm.address}:{READINESS_PORT}"}
-        document = {"node_name": vm.name, "serves": ["control_plane"] if vm.is_member else ["edge"], "ip": vm.address, "zone": "zone-1", "zones": {"zone-1": "region-1"},
+        document = {"node_name": vm.name, "serves": ["control_plane"] if vm.is_member else ["edge"], "ip": vm.address, "zone": "zone-1", "zones": ZONES,
             "listen": listen, "internal_port_range": [PEER_PORT, PEER_PORT + 15], "seeds": [f"{member.address}:{CONTROL_PORT}" for member in self.members], "bootstrap": is_bootstrap,
             "limits": {"cpu_cores": 1, "bandwidth_mbps": None}, "data_dir": str(self.data_folder(vm)) if vm.is_member else None, "fault_tolerance": {"machines": 1},
-            "bounds": ["grace_period_s=6", "drain_s=2.5", "hold_max_s=10", "retry_budget_ratio=0.2", "budget_slack=50", "retry_window_s=10"]}
+            "bounds": ["grace_period_s=6", "drain_s=2.5", "hold_max_s=10", "retry_budget_ratio=0.2", "budget_slack=50", "retry_window_s=10", *BOUNDS]}
         (self.folder / f"{vm.name}.json").write_text(json.dumps(document))
 
     def data_folder(self, vm):
@@ -172,16 +187,18 @@
 
     # Operators and callers.
 
-    def send_control_request(self, method, body=None):
+    def send_control_request(self, method, path="/config", body=None):
         """Sends a control request to a random member and follows redirects.
 
         Returns the status and body, or None if four attempts fail.
         """
-        target = self.random_member()
+        return self.send_control_request_to(self.random_member(), method, path, body)
+
+    def send_control_request_to(self, target, method, path, body=None):
         for _ in range(4):
             connection = http.client.HTTPConnection(*target.split(":"), timeout=2)
             try:
-                connection.request(method, "/config", body and json.dumps(body), {"Content-Type": "application/json"})
+                connection.request(method, path, body and json.dumps(body), {"Content-Type": "application/json"})
                 response = connection.getresponse()
                 text = response.read()
             except (OSError, http.client.HTTPException):
@@ -208,7 +225,11 @@
     def first_configuration(self):
         service = {"health_check_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "version": "00000001"}
         routes = {f"{service}-{kind}": self.route(service, kind, f"/{service}/{kind}/", 1) for service in ("keyed", "plain") for kind in ("safe", "unsafe")}
-        return {"upsert": {"services": {"keyed": service | {"sharded": True, "warm_s": 1.0, "grants": "heartbeat"}, "plain": service}, "routes": routes}}
+        services = {"keyed": service | {"sharded": True, "warm_s": 1.0, "grants": "heartbeat"}, "plain": service}
+        for feature in self.features:
+            services |= {name: service | members for name, members in feature.services().items()}
+            routes |= feature.routes()
+        return {"upsert": {"services": services, "routes": routes}}
 
     def change_configuration(self):
         version = 1
@@ -216,7 +237,7 @@
             version += 1
             name = f"changing-{version % 5}"
             route = self.route("plain", "safe", f"/changing/{version % 5}/{version}/", version)
-            response = self.send_control_request("PATCH", {"upsert": {"routes": {name: route}}})
+            response = self.send_control_request("PATCH", body={"upsert": {"routes": {name: route}}})
             if response and response[0] == 200:
                 self.acknowledged[name] = version
 
@@ -232,13 +253,20 @@
         path = f"/{service}/{kind}/{generator.randrange(1000)}"
         # Half of the requests are for few keys, so that load balancing moves keys.
         key = generator.randrange(200) if generator.random() < 0.5 else generator.randrange(KEYS)
+        status = self.exchange(request_id, kind, path, key, generator.choice(self.front_proxies))
+        with self.lock:
+            self.outcomes[status] += 1
+
+    def exchange(self, request_id, kind, path, key, proxy):
+        """Sends a request, checks its response and records the result. Returns the status, or 0 without a whole response."""
         headers = {"Host": "soak.example", "Request-Id": request_id, "Deadline-Ms": str(int(DEADLINE * 1000)), "Shard-Key": str(key)}
-        proxy = generator.choice(self.front_proxies)
         connection = http.client.HTTPConnection(*proxy.address.split(":"), timeout=DEADLINE)
         status = 0
         try:
             connection.request("GET", path, None, headers)
-            response = connection.getresponse()
+            with self.reading_status(request_id):
+                response = connection.getresponse()
+            self.check_status(request_id, response.status)
             status, body = response.status, response.read()
             if status == 200 and (body != body_of(request_id, "GET", path) or response.getheader("Upstream-Signature") != signature(request_id)):
                 self.violations.append(f"request {request_id} got the response of another request: {body[:80]!r}")
@@ -248,7 +276,21 @@
             connection.close()
         with self.lock:
             self.results[request_id] = (kind, status)
-            self.outcomes[status] += 1
+        return status
+
+    @contextlib.contextmanager
+    def reading_status(self, request_id):
+        """Records a status that http.client does not accept, unless the line is not whole."""
+        try:
+            yield
+        except http.client.BadStatusLine as error:
+            if error.line.endswith("\n"):
+                self.violations.append(f"request {request_id} got the status line {error.line!r}")
+            raise
+
+    def check_status(self, request_id, status):
+        if not 200 <= status <= 599:
+            self.violations.append(f"request {request_id} got status {status}")
 
     # Faults.
 
@@ -268,16 +310,20 @@
         if isinstance(target, Process):
             if (is_member and any(member.is_disturbed for member in self.members)) or not self.claim(target):
                 return
-        self.faults.append(f"{time.monotonic() - self.started_at:.2f} {action.__name__} {getattr(target, 'name', getattr(target, 'target', ''))} {length:.2f} {mode if action == self.disturb_proxy else ''}")
+        self.note_fault(f"{action.__name__} {getattr(target, 'name', getattr(target, 'target', ''))} {length:.2f} {mode if action == self.disturb_proxy else ''}")
         thread = threading.Thread(target=self.run_fault, args=(action, target, length, mode), daemon=True)
         thread.start()
         self.fault_threads.append(thread)
 
     def run_fault(self, action, target, seconds, mode):
+        end = []
+        self.disturbances.append((action, target, time.monotonic(), end))
         if action == self.disturb_proxy:
             action(target, seconds, mode)
+            end.append(time.monotonic())
         else:
             action(target, seconds)
+            end.append(time.monotonic())
             if getattr(target, "is_member", False):
                 # The member must catch up before another one may be disturbed.
                 time.sleep(4)
@@ -324,6 +370,12 @@
         time.sleep(seconds)
         proxy.set_mode("pass")
 
+    def has_faults(self):
+        return time.monotonic() - self.started_at < self.options.seconds
+
+    def note_fault(self, text):
+        self.faults.append(f"{time.monotonic() - self.started_at:.2f} {text}")
+
     def claim(self, process):
         """Returns True and marks the process as disturbed, unless another fault disturbs it."""
         with self.lock:
@@ -334,13 +386,13 @@
     def stop_entries(self):
         """Stops an entry VM that no fault disturbs every few seconds."""
         generator = random.Random(self.options.seed + 1)
-        while time.monotonic() - self.started_at < self.options.seconds:
+        while self.has_faults():
             time.sleep(generator.uniform(0.5, 1.5))
             vm = generator.choice(self.entries)
             if self.claim(vm):
-                self.faults.append(f"{time.monotonic() - self.started_at:.2f} planned stop of {vm.name}")
+                self.note_fault(f"planned stop of {vm.name}")
                 self.terminate(vm, 0)
-                self.faults.append(f"{time.monotonic() - self.started_at:.2f} {vm.name} ended {vm.ended_at - vm.terminated_at:.2f} s after SIGTERM")
+                self.note_fault(f"{vm.name} ended {vm.ended_at - vm.terminated_at:.2f} s after SIGTERM")
                 vm.is_disturbed = False
 
     # Checks.
@@ -349,15 +401,15 @@
         record = self.folder / "runs.record"
         for line in record.read_text().splitlines() if record.exists() else []:
             fields = line.split()
-            if len(fields) == 7:
-                yield float(fields[0]), fields[2], fields[3], fields[4], f"{fields[5]}/{fields[6]}"
+            if len(fields) == 8:
+                yield Run(float(fields[0]), *fields[1:], f"{fields[5]}/{fields[6]}")
 
     def check(self):
         # Copied before the record is read: every run of these requests is then in the record.
         with self.lock:
             results = dict(self.results)
         runs = sorted(self.read_runs())
-        counts = collections.Counter(run[1] for run in runs)
+        counts = collections.Counter(run.request_id for run in runs)
         for request_id, count in counts.items():
             kind, status = results.get(request_id, (None, None))
             if kind == "unsafe" and count > 1:
@@ -368,17 +420,18 @@
             if status == 200 and request_id not in counts:
                 self.violations.append(f"request {request_id} got status 200 but never ran")
         latest = {}
-        for run_time, request_id, key, fence, server in runs:
+        for run_time, _, request_id, key, fence, _, _, _, server in runs:
             if key == "-":
                 continue
             previous_fence, previous_server = latest.get(key, (0, server))
             if int(fence) < previous_fence or (int(fence) == previous_fence and server != previous_server):
                 self.violations.append(f"key {key} ran at {server} under fence {fence} at {run_time} after {previous_server} under {previous_fence} (request {request_id})")
             latest[key] = (int(fence), server)
+        self.violations += [violation for feature in self.features for violation in feature.check(runs)]
         if self.violations:
             (self.folder / "violations.txt").write_text("\n".join(self.violations) + "\n")
             raise Violation("\n".join(self.violations[:10]))
-        return len(runs)
+        return runs
 
     def describe_pipelining(self):
         whole, in_stops, unfinished = (sum(getattr(caller, name) for caller in self.pipelining_callers) for name in ("whole", "whole_in_stops", "unfinished"))
@@ -392,7 +445,7 @@
             after = self.outcomes - before
         return after[200] / max(1, sum(after.values()))
 
-    def wait_until_served(self, timeout, what):
+    def wait_until_served(self, what, timeout=RECOVERY_SECONDS):
         end = time.monotonic() + timeout
         fraction = 0
         while time.monotonic() < end:
@@ -401,6 +454,14 @@
                 return
         raise Violation(f"{what}: only {fraction:.2f} of the requests are served {timeout} s later")
 
+    @staticmethod
+    def wait_until(condition, what, timeout=RECOVERY_SECONDS):
+        end = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > end:
+                raise Violation(f"{what} within {timeout} s")
+            time.sleep(0.1)
+
     def check_configuration(self):
         response = self.send_control_request("GET")
         if not response or response[0] != 200:
@@ -410,15 +471,23 @@
             if name not in routes or int(routes[name]["version"], 16) < version:
                 raise Violation(f"acknowledged version {version} of {name} is lost: {routes.get(name)}")
 
+    def wait_until_configured(self, member):
+        """Waits until the member is running and there is a leader."""
+        def has_leader():
+            response = self.send_control_request_to(f"{member.address}:{CONTROL_PORT}", "GET", "/config")
+            return response and response[0] == 200
+
+        self.wait_until(has_leader, f"no configuration can be read after the restart of {member.name}")
+
     def start(self):
         for vm in self.members + self.entries:
             self.write_settings(vm, True)
             vm.start()
-        for server in self.servers:
+        for server in self.all_servers():
             server.start()
         end = time.monotonic() + START_SECONDS
         while True:
-            response = self.send_control_request("PATCH", self.first_configuration())
+            response = self.send_control_request("PATCH", body=self.first_configuration())
             if response and response[0] == 200:
                 break
             if time.monotonic() > end:
@@ -431,15 +500,18 @@
         for caller in self.pipelining_callers:
             threading.Thread(target=caller.run, daemon=True).start()
         threading.Thread(target=self.change_configuration, daemon=True).start()
-        self.wait_until_served(START_SECONDS, "start")
+        self.wait_until_served("start", START_SECONDS)
 
     def run(self):
         self.start()
         self.started_at = time.monotonic()
         self.fault_threads = [threading.Thread(target=self.stop_entries, daemon=True)]
-        self.fault_threads[0].start()
+        self.fault_threads += [threading.Thread(target=function, daemon=True) for feature in self.features for function in feature.faults()]
+        callers = [threading.Thread(target=function, daemon=True) for feature in self.features for function in feature.callers()]
+        for thread in self.fault_threads + callers:
+            thread.start()
         checked_at = next_at = self.started_at
-        while time.monotonic() - self.started_at < self.options.seconds:
+        while self.has_faults():
             if not self.options.stops:
                 self.start_fault()
             # The time of a fault does not depend on how long earlier steps took.
@@ -451,17 +523,26 @@
                 checked_at = time.monotonic()
         for thread in self.fault_threads:
             thread.join()
-        self.wait_until_served(RECOVERY_SECONDS, "recovery")
+        for feature in self.features:
+            feature.end_faults()
+        self.wait_until_served("recovery")
+        for feature in self.features:
+            feature.after_recovery()
         self.check_configuration()
         self.is_over.set()
         time.sleep(DEADLINE + 0.5)
         # Without long responses, the check for cut ones would pass for nothing.
         self.violations += [f"caller {caller.number} got no long response" for caller in self.pipelining_callers if not caller.whole]
+        runs = self.check()
+        self.violations += [violation for feature in self.features for violation in feature.check_use(runs)]
         return self.check()
 
+    def all_servers(self):
+        return self.servers + [server for feature in self.features for server in feature.servers]
+
     def kill_all(self):
         self.is_over.set()
-        for process in self.members + self.entries + self.servers:
+        for process in self.members + self.entries + self.all_servers():
             process.end()
 
 
@@ -473,11 +554,14 @@
     parser.add_argument("--entries", type=int, default=3)
     parser.add_argument("--keyed", type=int, default=4)
     parser.add_argument("--plain", type=int, default=2)
+    parser.add_argument("--features", type=lambda text: [name for name in text.split(",") if name])
     parser.add_argument("--keep", action="store_true")
     parser.add_argument("--stops", action="store_true")
     parser.add_argument("--regressions", action="store_true")
     options = parser.parse_args()
     options.build = options.build.resolve()
+    # Without other faults, a run has no features either.
+    options.features = options.features if options.features is not None else () if options.stops else draw(options.seed)
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, lambda *_: sys.exit(1))
     if not options.regressions:
@@ -491,14 +575,15 @@
 
 def run_soak(options):
     soak = Soak(options)
+    features = ", ".join(options.features) or "no features"
     try:
         runs = soak.run()
-        print(f"soak: seed {options.seed}: {len(soak.results)} requests, {soak.outcomes[200]} served, {runs} runs, {len(soak.faults)} faults, {len(soak.acknowledged)} changed routes, {soak.describe_pipelining()}, no guarantee violated", flush=True)
+        print(f"soak: seed {options.seed} ({features}): {len(soak.results)} requests, {soak.outcomes[200]} served, {len(runs)} runs, {len(soak.faults)} faults, {len(soak.acknowledged)} changed routes, {soak.describe_pipelining()}, no guarantee violated", flush=True)
         if options.keep:
             print("faults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
         is_clean = True
     except Violation as violation:
-        print(f"soak: seed {options.seed}: VIOLATION: {violation}\n{soak.describe_pipelining()}\nfaults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
+        print(f"soak: seed {options.seed} ({features}): VIOLATION: {violation}\n{soak.describe_pipelining()}\nfaults:\n" + "\n".join(soak.faults) + f"\nkept {soak.folder}", flush=True)
         is_clean = False
     finally:
         soak.kill_all()
