Let large bodies cross a slow link in turns

Cause: on an entry VM with a link of 1.5 to 6.6 Mbit/s, every large request body and streamed download was read at full speed at the same time. Each had a whole TCP window in transit, and the datagrams of the registry's feed and small urgent messages waited behind all of them.

Change: TransferSchedule (src/core/dispatch) decides which bodies above 16 KiB are read, so that those which are read have at most 100 ms of the link in transit: by priority of the route, then those being read, the least left and the earliest deadline. A body that was paused for a quarter of the time to its deadline (at most 1 s) is read next. LinkTransfers holds the schedule for the listener, which pauses the caller's socket, and for the gateway, which pauses the upstream's connection; a body whose partner leaves frees its turn. Sockets begin with a receive buffer of 16 KiB and are widened with the first turn, since a paused body would otherwise still fill the kernel's buffer over the link; send buffers have the size of one window. The time in which a scheduled body arrives counts against its request's deadline. Without a stated speed of the link nothing changes. Metrics: teaselturn_transfers_paused and teaselturn_transfer_pauses_total.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -57,6 +57,9 @@
     if (!opened) {
         return opened.failure();
     }
+    if (this->transfers != nullptr) {
+        limitTransit(*opened, this->transfers->transitLimits());
+    }
     const MutexLock lock { this->listenerMutex };
     this->listener = std::move(*opened);
     this->listenerWatchId = this->reactor.add(this->listener, [this](std::uint32_t) {
@@ -131,16 +134,21 @@
         }
         // The input of a caller that sends faster than its requests are answered stays in the socket.
         connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
-        if (state == StreamState::Open && !connection->isReadPaused && (events & (EPOLLIN | disconnectEvents)) != 0) {
-            state = connection->stream.read(connection->input);
+        // Another body may have taken its turn. The end of a connection is read, so that it is noticed.
+        this->setBodyPaused(*connection, !connection->transfer.recordRead(0));
+        const bool mayRead = !connection->isReadPaused && (!connection->bodyPausedAt || (events & disconnectEvents) != 0);
+        if (state == StreamState::Open && mayRead && (events & (EPOLLIN | disconnectEvents)) != 0) {
+            // Small reads on a limited link, so that a large body is noticed before all of it has arrived.
+            const auto limit = this->transfers != nullptr ? TransferSchedule::smallBodyBytes : TcpStream::maxReadBytes;
+            state = connection->stream.read(connection->input, limit);
             if (state == StreamState::Open && (events & disconnectEvents) != 0) {
-                state = connection->stream.read(connection->input);
+                state = connection->stream.read(connection->input, limit);
             }
         }
         if (state == StreamState::Open) {
             this->readRequests(connection, callbacks);
             this->writeResponses(connection, callbacks);
-            if (!connection->isClosed && !connection->closing && !connection->isReadPaused && connection->stream.hasUnreadInput()) {
+            if (!connection->isClosed && !connection->closing && mayRead && connection->stream.hasUnreadInput()) {
                 this->continueReading(connection, events);
             }
         } else if (state == StreamState::Ended && connection->stream.unsentBytes() > 0 && !isWithinResponse(*connection)) {
@@ -188,14 +196,18 @@
         }
         if (progress == ReadProgress::Incomplete) {
             // lastActiveAt is not updated here: the timeout of a head counts from its first byte.
+            this->recordTransfer(connection, callbacks);
             return;
         }
+        const auto headReadAt = connection->transfer ? std::optional { connection->headReadAt } : std::nullopt;
+        this->endTransfer(*connection);
         if (progress != ReadProgress::Complete) {
             this->queueErrorResponse(*connection, errorStatusOf(progress));
             return;
         }
         auto request = connection->reader.take();
         request.reservation = std::move(connection->reservation);
+        request.headReadAt = headReadAt;
         connection->lastActiveAt = this->reactor.now();
         connection->closesAfterResponses = !request.keepsAlive || this->isDraining;
         const auto id = this->registerRequest(connection);
@@ -211,6 +223,7 @@
 
 void HttpListener::queueErrorResponse(Connection& connection, unsigned status)
 {
+    this->endTransfer(connection);
     connection.exchanges.push_back({ {}, OutgoingResponse { status, {}, {}, true, {} } });
     connection.closesAfterResponses = true;
     connection.input.clear();
@@ -268,7 +281,7 @@
 
 void HttpListener::queueHandlers(Connection& connection, PendingCallbacks callbacks)
 {
-    if (!callbacks.requests.empty() || !callbacks.disconnected.empty() || !callbacks.writable.empty()) {
+    if (!callbacks.requests.empty() || !callbacks.disconnected.empty() || !callbacks.writable.empty() || !callbacks.bodies.empty()) {
         connection.handlerCalls.push([this, callbacks = std::move(callbacks)]() mutable { this->invokeHandlers(callbacks); });
     }
 }
@@ -289,6 +302,11 @@
     for (const auto id : callbacks.writable) {
         this->handlers.bodyWritable(id);
     }
+    for (const auto& [id, head] : callbacks.bodies) {
+        if (this->handlers.bodyBegun) {
+            this->handlers.bodyBegun(id, head);
+        }
+    }
     for (auto& [id, request] : callbacks.requests) {
         this->handlers.request(id, std::move(request));
     }
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/LinkTransfers.h"
 #include "adapters/http/ListenerCounters.h"
 #include "adapters/http/MessageReader.h"
 #include "adapters/log/LogRateLimiter.h"
@@ -65,6 +66,9 @@
         DisconnectHandler disconnected;
         /// Called after appendBody() returned Full, when there is room for more.
         std::function<void(HttpRequestId id)> bodyWritable {};
+        /// Called with the head of a request whose large body shares the link with others. The owner may set the urgency of the
+        /// transfer, which is the least before.
+        std::function<void(TransferId transfer, const ReceivedRequest& head)> bodyBegun {};
     };
 
     /// @param reactor Must outlive the listener.
@@ -93,6 +97,10 @@
     /// @param budget Must outlive the requests.
     void setBuffers(BufferBudget& budget) noexcept { this->buffers = &budget; }
 
+    /// Lets the bodies of large requests share a link of limited speed. Call it before listen().
+    /// @param target Must outlive the listener.
+    void setTransfers(LinkTransfers& target) noexcept { this->transfers = target.isLimited() ? &target : nullptr; }
+
     /// Logs connections that are cut. Call it before listen(). Without a logger, they are only counted.
     /// @param target Must outlive the listener.
     void setLogger(Logger& target) noexcept { this->logger = &target; }
@@ -183,6 +191,13 @@
         CloseReason endReason ABSL_GUARDED_BY(mutex) { CloseReason::LastResponse };
         /// True while input is left in the socket because the caller sent more requests than may be open.
         bool isReadPaused ABSL_GUARDED_BY(mutex) {};
+        /// The large body that is being read.
+        LinkTransfer transfer ABSL_GUARDED_BY(mutex);
+        Instant headReadAt ABSL_GUARDED_BY(mutex);
+        /// Bytes of that body so far.
+        std::size_t transferredBytes ABSL_GUARDED_BY(mutex) {};
+        /// Set while that body may not be read.
+        std::optional<Instant> bodyPausedAt ABSL_GUARDED_BY(mutex);
 
         Connection(FileDescriptor socket, ReadLimits limits)
             : stream(std::move(socket))
@@ -197,6 +212,7 @@
         std::vector<std::pair<HttpRequestId, ReceivedRequest>> requests;
         std::vector<HttpRequestId> disconnected;
         std::vector<HttpRequestId> writable;
+        std::vector<std::pair<TransferId, ReceivedRequest>> bodies;
     };
 
     void accept() ABSL_EXCLUSIVE_LOCKS_REQUIRED(listenerMutex);
@@ -204,6 +220,13 @@
     /// Handles the events again later.
     void continueReading(const ConnectionPointer& connection, std::uint32_t events);
     void readRequests(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// Records what was read of a large body, which may pause it.
+    void recordTransfer(const ConnectionPointer& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection->mutex);
+    /// Pauses reading of a large body, or not.
+    void setBodyPaused(Connection& connection, bool isPaused) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    void endTransfer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Reads on from a paused body.
+    void resumeBody(const ConnectionPointer& connection);
     /// @return False if the budget has no room for the request that is being read.
     bool reserveBuffer(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void queueErrorResponse(Connection& connection, unsigned status) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
@@ -262,6 +285,8 @@
     /// The default leaves as many descriptors of the smallest VM to connections to upstreams.
     std::size_t maxConnections { 2'000 };
     BufferBudget* buffers {};
+    /// Null if the link has no limit.
+    LinkTransfers* transfers {};
     Logger* logger {};
     ListenerCounters counters;
     std::atomic<std::size_t> closingCount {};
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -26,6 +26,7 @@
     connection.exchanges.clear();
     // Frees the part of a request that was read, with its reservation.
     connection.reader = MessageReader<ReceivedRequest> { this->readLimits() };
+    this->endTransfer(connection);
     connection.reservation.reset();
 }
 
@@ -140,6 +141,10 @@
                 }
                 continue;
             }
+            if (connection->bodyPausedAt) {
+                // The listener, not the caller, delays the body.
+                continue;
+            }
             const bool isReading = connection->reader.isWithinMessage();
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             recordDelivery(*connection, now);
--- a/src/adapters/http/MessageReader.h
+++ b/src/adapters/http/MessageReader.h
@@ -34,6 +34,8 @@
     bool acceptsChunks {};
     /// Null if the message is too small to be counted.
     std::shared_ptr<BufferReservation> reservation;
+    /// When its head was read, if the body is large and shares a link of limited speed with others.
+    std::optional<Instant> headReadAt {};
 
     /// @return The value of the first header of that name, or an empty view.
     std::string_view header(std::string_view name) const noexcept;
--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -15,22 +15,23 @@
 
 }
 
-Result<std::shared_ptr<UpstreamConnection>> UpstreamConnection::open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers)
+Result<std::shared_ptr<UpstreamConnection>> UpstreamConnection::open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers, const TransitLimits& transit)
 {
-    auto socket = startConnect(address, userTimeout);
+    auto socket = startConnect(address, userTimeout, transit);
     if (!socket) {
         return socket.failure();
     }
-    std::shared_ptr<UpstreamConnection> connection { new UpstreamConnection { reactor, id, std::move(*socket), handlers, buffers } };
+    std::shared_ptr<UpstreamConnection> connection { new UpstreamConnection { reactor, id, std::move(*socket), handlers, buffers, transit } };
     connection->startWatching();
     return connection;
 }
 
-UpstreamConnection::UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers)
+UpstreamConnection::UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers, const TransitLimits& transit)
     : reactor(reactor)
     , id(id)
     , handlers(handlers)
     , buffers(buffers)
+    , transit(transit)
     , stream(std::move(socket))
     , reader({ maxResponseHeadBytes, limits::maxBodyBytes })
 {
@@ -69,6 +70,9 @@
             this->reader.expectPieces();
             this->bodyState = BodyState::Undecided;
         }
+        if (body != ResponseBody::Streamed) {
+            this->widenWindow();
+        }
         if (this->phase == Phase::Connecting) {
             this->request = bytes;
         } else if (this->phase == Phase::Closed) {
@@ -206,6 +210,7 @@
     if (!std::exchange(this->isPaused, false) || this->phase == Phase::Closed) {
         return false;
     }
+    this->widenWindow();
     this->lastReadAt = this->reactor.now();
     this->pausedDuration += this->lastReadAt - this->pausedAt;
     return true;
@@ -221,6 +226,13 @@
     }
 }
 
+void UpstreamConnection::widenWindow()
+{
+    if (this->phase != Phase::Closed && !std::exchange(this->isWindowWide, true)) {
+        widenReceiveWindow(this->stream.descriptor(), this->transit);
+    }
+}
+
 void UpstreamConnection::resume()
 {
     const MutexLock lock { this->mutex };
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -70,8 +70,10 @@
     /// @param reactor Must outlive the connection.
     /// @param handlers Must outlive the connection.
     /// @param buffers Budget of the responses. Must outlive them.
+    /// @param transit Limits of the bytes in transit. The window is the initial one until a body is read that is streamed, or
+    /// may not be.
     /// @return The connection, or PeerUnreachable.
-    static Result<std::shared_ptr<UpstreamConnection>> open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers);
+    static Result<std::shared_ptr<UpstreamConnection>> open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers, const TransitLimits& transit = {});
 
     ~UpstreamConnection();
     UpstreamConnection(const UpstreamConnection&) = delete;
@@ -119,7 +121,7 @@
         Streaming,
     };
 
-    UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers);
+    UpstreamConnection(Reactor& reactor, ConnectionId id, FileDescriptor socket, const Handlers& handlers, BufferBudget& buffers, const TransitLimits& transit);
 
     void startWatching();
     void handleEvents(std::uint32_t events);
@@ -130,6 +132,7 @@
     StreamState readInput(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void scheduleRead(std::uint32_t events) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void continueBody(BodyState state);
+    void widenWindow() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void pause() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     /// @return True if reading was paused.
     bool unpause() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
@@ -142,6 +145,7 @@
     const ConnectionId id;
     const Handlers& handlers;
     BufferBudget& buffers;
+    const TransitLimits transit;
     /// Filled under the mutex, so that its order is that of the events.
     HandlerQueue handlerCalls;
 
@@ -156,6 +160,7 @@
     Phase phase ABSL_GUARDED_BY(mutex) { Phase::Connecting };
     bool hasRequest ABSL_GUARDED_BY(mutex) {};
     BodyState bodyState ABSL_GUARDED_BY(mutex) {};
+    bool isWindowWide ABSL_GUARDED_BY(mutex) {};
     /// True while the owner has to decide or to make room.
     bool isPaused ABSL_GUARDED_BY(mutex) {};
     /// Events of the socket while reading paused.
--- a/src/adapters/peer/Socket.cpp
+++ b/src/adapters/peer/Socket.cpp
@@ -95,7 +95,7 @@
     return socket;
 }
 
-Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout)
+Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout, const TransitLimits& transit)
 {
     FileDescriptor socket { ::socket(address.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) };
     if (!socket) {
@@ -103,10 +103,29 @@
     }
     setOption(socket.number(), IPPROTO_TCP, TCP_NODELAY, 1);
     setOption(socket.number(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout.count()));
+    limitTransit(socket, transit);
     if (connect(socket.number(), address.pointer(), address.length) != 0 && errno != EINPROGRESS) {
         return { ResultCode::PeerUnreachable, lastError() };
     }
     return socket;
 }
 
+void limitTransit(const FileDescriptor& socket, const TransitLimits& transit) noexcept
+{
+    if (transit.windowBytes == 0) {
+        return;
+    }
+    setOption(socket.number(), SOL_SOCKET, SO_SNDBUF, static_cast<int>(transit.windowBytes));
+    // A buffer of a stated size is not grown by the kernel, and bounds the window.
+    setOption(socket.number(), SOL_SOCKET, SO_RCVBUF, static_cast<int>(transit.initialBytes));
+}
+
+void widenReceiveWindow(const FileDescriptor& socket, const TransitLimits& transit) noexcept
+{
+    if (transit.windowBytes > transit.initialBytes) {
+        setOption(socket.number(), SOL_SOCKET, SO_RCVBUF, static_cast<int>(transit.windowBytes));
+        setOption(socket.number(), IPPROTO_TCP, TCP_WINDOW_CLAMP, static_cast<int>(transit.windowBytes));
+    }
+}
+
 }
--- a/src/adapters/peer/Socket.h
+++ b/src/adapters/peer/Socket.h
@@ -43,6 +43,14 @@
     const sockaddr* pointer() const noexcept { return reinterpret_cast<const sockaddr*>(&this->storage); }
 };
 
+/// Limits of the bytes that one TCP connection has in transit on a slow link. Zero leaves a limit to the kernel.
+struct TransitLimits {
+    /// Receive window of a connection that is being read, and limit of its sent bytes without acknowledgement.
+    std::size_t windowBytes {};
+    /// Receive window of a connection before it may read a large body. The peer can send that much while reading is paused.
+    std::size_t initialBytes {};
+};
+
 /// @return The address, or SettingsInvalidValue if the endpoint's address is not an IP address.
 Result<SocketAddress> toSocketAddress(const Endpoint& endpoint);
 
@@ -56,6 +64,14 @@
 
 /// Starts a non-blocking TCP connection that fails when sent bytes stay unacknowledged for userTimeout.
 /// @return The socket, or PeerUnreachable.
-Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout);
+Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout, const TransitLimits& transit = {});
+
+/// Limits the bytes in transit of a new connection, or of the connections that a listening socket will accept.
+void limitTransit(const FileDescriptor& socket, const TransitLimits& transit) noexcept;
+
+/// Widens the receive window of a connection to windowBytes. It is not narrowed again: the kernel would drop bytes that arrive
+/// in a window which it has advertised, and it advertises no window at all once the segments of the peer, which may be half
+/// as large as the widest window, exceed the narrow one.
+void widenReceiveWindow(const FileDescriptor& socket, const TransitLimits& transit) noexcept;
 
 }
--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include "adapters/http/CarriedRequests.h"
 #include "adapters/http/HttpListener.h"
+#include "adapters/http/LinkTransfers.h"
 #include "adapters/http/UpstreamConnection.h"
 #include "adapters/log/LogRateLimiter.h"
 #include "adapters/log/Logger.h"
@@ -54,7 +55,6 @@
             HttpRequestId requestId;
             OutgoingResponse head;
             std::optional<std::uint64_t> length;
-            std::shared_ptr<UpstreamConnection> connection;
         };
         struct End {
             HttpRequestId requestId;
@@ -97,7 +97,7 @@
 
     const GatewayCounters& statistics() const noexcept { return this->counters; }
     /// @return The metrics in the Prometheus text format.
-    std::string metricsText() const { return this->counters.text(this->listener.statistics()); }
+    std::string metricsText() const { return this->counters.text(this->listener.statistics(), this->linkTransfers.statistics()); }
     Endpoint localEndpoint() const { return this->listener.localEndpoint(); }
 
     /// Bytes that one streamed response may occupy: its caller's buffer with a piece beyond its limit, and a piece that is
@@ -105,11 +105,38 @@
     static constexpr std::size_t transferBytes = HttpListener::maxUnsentBody + 2 * UpstreamConnection::maxPieceBytes;
 
 private:
+    /// Why the upstream of a streamed response is not read.
+    enum class PauseReason : std::uint8_t {
+        /// The listener has not got the head yet.
+        Head = 1,
+        /// The caller's buffer is full.
+        Caller = 2,
+        /// Other large bodies have their turn on the link.
+        Link = 4,
+    };
+
     /// A response that is forwarded while it arrives.
     struct Transfer {
         /// Bytes received so far, without the status line.
         std::size_t bytes {};
-        std::string lastBytes;
+        std::string lastBytes {};
+        /// Its turn on the link. None if the link is not limited, or the body may still be small.
+        LinkTransfer link {};
+        std::optional<std::uint64_t> length {};
+        std::size_t bodyBytes {};
+        /// The set of PauseReason. The upstream is read when it is empty.
+        std::uint8_t pauseReasons {};
+        bool isBodyBegun {};
+
+        void pause(PauseReason reason) noexcept { this->pauseReasons |= static_cast<std::uint8_t>(reason); }
+        /// @return True if no reason is left and there was one.
+        bool unpause(PauseReason reason) noexcept
+        {
+            const auto bit = static_cast<std::uint8_t>(reason);
+            const bool wasSet = (this->pauseReasons & bit) != 0;
+            this->pauseReasons &= static_cast<std::uint8_t>(~bit);
+            return wasSet && this->pauseReasons == 0;
+        }
     };
 
     struct PendingRequest {
@@ -118,6 +145,7 @@
         CallerRequestInfo info;
         std::shared_ptr<const CompiledRoute> route;
         Instant arrivedAt;
+        Instant deadline;
         ConnectionId connection;
         std::uint32_t attempts {};
         /// Name of the upstream of the last attempt, "-" before the first.
@@ -140,8 +168,13 @@
     void handleResponseHead(ConnectionId connection, ReceivedResponse head, std::optional<std::uint64_t> length);
     void handleBody(ConnectionId connection, std::string bytes);
     void handleBodyEnd(ConnectionId connection, std::string bytes, bool isReusable);
-    /// Reads on from the upstream of a streamed response whose caller has received more.
-    void handleBodyWritable(HttpRequestId requestId);
+    /// Sets the urgency of the large body of a request.
+    void handleRequestBody(TransferId transfer, const ReceivedRequest& head);
+    /// Removes a reason to pause a streamed response, and reads on from its upstream if none is left.
+    void unpauseTransfer(PendingRequestId id, PauseReason reason);
+    /// Records body bytes of a streamed response, which takes part in the turns on the link unless it is small.
+    /// @return False if it has to wait for its turn.
+    bool recordOnLink(PendingRequestId id, PendingRequest& pending, std::size_t bytes) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex);
     void endStalledTransfers();
     void handleConnectionFailure(ConnectionId connection, ConnectionFailure failure);
     void handleConnectionClosed(ConnectionId connection);
@@ -178,6 +211,8 @@
     UpstreamConnection::Handlers connectionHandlers;
     /// Destroyed after the messages that it counts.
     BufferBudget buffers;
+    /// Destroyed after the transfers that it counts.
+    LinkTransfers linkTransfers;
 
     Mutex mutex;
     LogRateLimiter logRateLimiter ABSL_GUARDED_BY(mutex);
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -7,9 +7,9 @@
 
 namespace teaselturn {
 
-std::string GatewayCounters::text(const ListenerCounters& callers) const
+std::string GatewayCounters::text(const ListenerCounters& callers, const TransferCounters& transfers) const
 {
-    const std::array<std::pair<std::string_view, const Counter*>, 17> rows { {
+    const std::array<std::pair<std::string_view, const Counter*>, 18> rows { {
         { "teaselturn_requests_received_total", &this->received },
         { "teaselturn_requests_delivered_total", &this->delivered },
         { "teaselturn_requests_refused_total", &this->refused },
@@ -27,6 +27,7 @@
         { "teaselturn_responses_streamed_total", &this->responsesStreamed },
         { "teaselturn_responses_broken_total", &this->responsesBroken },
         { "teaselturn_caller_connections_cut_total", &callers.cut },
+        { "teaselturn_transfer_pauses_total", &transfers.pauses },
     } };
     std::string out;
     for (const auto& [name, counter] : rows) {
@@ -38,6 +39,9 @@
     for (std::size_t i = 0; i < closeReasonNames.size(); ++i) {
         writeSample(out, closedName, writeLabel("reason", closeReasonNames[i]), callers.closed[i].value());
     }
+    constexpr std::string_view pausedName = "teaselturn_transfers_paused";
+    writeMetricHead(out, pausedName, "gauge", "Large bodies that wait for their turn on the link.");
+    writeSample(out, pausedName, "", static_cast<std::uint64_t>(transfers.paused.value()));
     constexpr std::string_view latencyName = "teaselturn_request_latency_seconds";
     writeMetricHead(out, latencyName, "summary", "Time from the whole request to the whole answer.");
     for (const auto* quantile : { "0.5", "0.9", "0.99" }) {
--- a/src/node/gateway/GatewayCounters.h
+++ b/src/node/gateway/GatewayCounters.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/http/LinkTransfers.h"
 #include "adapters/http/ListenerCounters.h"
 #include "core/metrics/Counter.h"
 #include "core/metrics/LatencyHistogram.h"
@@ -36,8 +37,9 @@
     Counter responsesBroken;
 
     /// @param callers Counters of the listener for callers.
+    /// @param transfers Counters of the large bodies on the link.
     /// @return All counters in the Prometheus text format.
-    std::string text(const ListenerCounters& callers) const;
+    std::string text(const ListenerCounters& callers, const TransferCounters& transfers) const;
 };
 
 }
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -58,10 +58,12 @@
         [this](ConnectionId connection, std::string bytes, bool isReusable) { this->handleBodyEnd(connection, std::move(bytes), isReusable); },
     }
     , buffers(bufferBytes)
+    , linkTransfers(reactor, options.linkBytesPerSecond)
     , dispatcher(std::move(options))
-    , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); }, [this](HttpRequestId requestId) { this->handleBodyWritable(requestId); } })
+    , listener(reactor, { [this](HttpRequestId requestId, ReceivedRequest request) { this->handleRequest(requestId, std::move(request)); }, [this](HttpRequestId requestId) { this->handleCallerDisconnect(requestId); }, [this](HttpRequestId requestId) { this->unpauseTransfer(PendingRequestId { requestId.value }, PauseReason::Caller); }, [this](TransferId transfer, const ReceivedRequest& head) { this->handleRequestBody(transfer, head); } })
 {
     this->listener.setBuffers(this->buffers);
+    this->listener.setTransfers(this->linkTransfers);
     this->listener.setLogger(logger);
     reactor.every(gateway::connectionExpiryInterval, [this](Instant) {
         this->closeExpiredConnections();
@@ -181,8 +183,10 @@
             rejection = Protocol::refusal(*info, ResultCode::RequestTableStale, std::chrono::milliseconds { 500 });
         } else if (auto route = this->routes->find(info->host, gateway::pathOf(request.target))) {
             const PendingRequestId id { requestId.value };
-            DispatchRequest dispatch { id, route, info->key, now, now + info->timeLeft, gateway::messageBytes(request.headers, request.body) };
-            this->pendingRequests.emplace(id, PendingRequest { requestId, std::move(request), std::move(*info), std::move(route), now, {}, 0, "-" });
+            // The time that the listener took to read a large body is the caller's.
+            const auto deadline = request.headReadAt.value_or(now) + info->timeLeft;
+            DispatchRequest dispatch { id, route, info->key, now, deadline, gateway::messageBytes(request.headers, request.body) };
+            this->pendingRequests.emplace(id, PendingRequest { requestId, std::move(request), std::move(*info), std::move(route), now, deadline, {}, 0, "-" });
             DispatchDecisions decisions;
             this->dispatcher.submit(now, std::move(dispatch), decisions);
             this->applyDecisions(now, decisions, effects);
@@ -295,7 +299,7 @@
         return nullptr;
     }
     const ConnectionId id { ++this->lastConnectionId };
-    auto opened = UpstreamConnection::open(this->reactor, id, *address, this->connectionHandlers, this->buffers);
+    auto opened = UpstreamConnection::open(this->reactor, id, *address, this->connectionHandlers, this->buffers, this->linkTransfers.transitLimits());
     if (!opened) {
         return nullptr;
     }
@@ -527,9 +531,9 @@
     for (auto& [requestId, response] : effects.responses) {
         this->listener.respond(requestId, std::move(response));
     }
-    for (auto& [requestId, head, length, connection] : effects.begins) {
+    for (auto& [requestId, head, length] : effects.begins) {
         this->listener.beginResponse(requestId, std::move(head), length);
-        connection->streamBody();
+        this->unpauseTransfer(PendingRequestId { requestId.value }, PauseReason::Head);
     }
     for (auto& [requestId, lastBytes] : effects.ends) {
         this->listener.endBody(requestId, std::move(lastBytes));
--- a/src/node/gateway/GatewayTransfers.h
+++ b/src/node/gateway/GatewayTransfers.h
@@ -59,12 +59,18 @@
             this->counters.responsesStreamed.add();
             const auto idleTime = gateway::parseKeepAliveTimeout(head.header("Keep-Alive"));
             connection.idleTime = idleTime.value_or(connection.idleTime);
-            pending->transfer = Transfer { gateway::messageBytes(head.headers, {}), {} };
+            auto& transfer = pending->transfer.emplace();
+            transfer.bytes = gateway::messageBytes(head.headers, {});
+            transfer.length = length;
+            transfer.pause(PauseReason::Head);
+            if (!this->recordOnLink(pendingId, *pending, 0)) {
+                transfer.pause(PauseReason::Link);
+            }
             const auto notice = Protocol::readNotice(head);
             auto outgoing = relay(std::move(head));
             outgoing.requestName = pending->info.requestId;
             outgoing.reservation = std::move(reservation);
-            effects.begins.push_back({ pending->requestId, std::move(outgoing), length, connection.connection });
+            effects.begins.push_back({ pending->requestId, std::move(outgoing), length });
             this->dispatcher.responseStarted(pendingId);
             DispatchDecisions decisions;
             this->dispatcher.noticeReceived(now, pendingId, notice, decisions);
@@ -74,11 +80,27 @@
     this->executeEffects(std::move(effects));
 }
 
+template <CallerProtocol Protocol>
+bool Gateway<Protocol>::recordOnLink(PendingRequestId id, PendingRequest& pending, std::size_t bytes)
+{
+    auto& transfer = *pending.transfer;
+    transfer.bodyBytes += bytes;
+    if (transfer.link) {
+        return transfer.link.recordRead(bytes);
+    }
+    if (transfer.length.value_or(transfer.bodyBytes) > TransferSchedule::smallBodyBytes) {
+        const TransferUrgency urgency { pending.route->item.priority, pending.deadline };
+        const auto bytesLeft = transfer.length ? std::optional { *transfer.length - std::min<std::uint64_t>(*transfer.length, transfer.bodyBytes) } : std::nullopt;
+        transfer.link = this->linkTransfers.begin(urgency, bytesLeft, [this, id] { this->unpauseTransfer(id, PauseReason::Link); });
+    }
+    return transfer.link.recordRead(0);
+}
+
 template <CallerProtocol Protocol>
 void Gateway<Protocol>::handleBody(ConnectionId id, std::string bytes)
 {
     HttpRequestId requestId;
-    std::shared_ptr<UpstreamConnection> connection;
+    PendingRequestId pendingId;
     {
         const MutexLock lock { this->mutex };
         auto* const pending = this->findCarried(id);
@@ -87,28 +109,56 @@
         }
         pending->transfer->bytes += bytes.size();
         requestId = pending->requestId;
-        connection = this->connections.at(id).connection;
+        pendingId = this->connections.at(id).pendingId;
+        // The connection reads nothing until the reasons are gone. The listener may report room before appendBody() returns.
+        pending->transfer->pause(PauseReason::Caller);
+        if (!this->recordOnLink(pendingId, *pending, bytes.size())) {
+            pending->transfer->pause(PauseReason::Link);
+        }
     }
-    // The connection reads nothing until it is resumed. If the caller's buffer is full, handleBodyWritable() resumes it.
     if (this->listener.appendBody(requestId, std::move(bytes)) == BodyFlow::Open) {
-        connection->resume();
+        this->unpauseTransfer(pendingId, PauseReason::Caller);
     }
 }
 
 template <CallerProtocol Protocol>
-void Gateway<Protocol>::handleBodyWritable(HttpRequestId requestId)
+void Gateway<Protocol>::unpauseTransfer(PendingRequestId id, PauseReason reason)
 {
     std::shared_ptr<UpstreamConnection> connection;
+    bool isBegun = false;
     {
         const MutexLock lock { this->mutex };
-        const auto pending = this->pendingRequests.find(PendingRequestId { requestId.value });
+        const auto pending = this->pendingRequests.find(id);
         const auto found = pending == this->pendingRequests.end() ? this->connections.end() : this->connections.find(pending->second.connection);
-        if (found == this->connections.end() || found->second.pendingId != pending->first) {
+        if (found == this->connections.end() || found->second.pendingId != id || !pending->second.transfer || !pending->second.transfer->unpause(reason)) {
             return;
         }
         connection = found->second.connection;
+        isBegun = std::exchange(pending->second.transfer->isBodyBegun, true);
+    }
+    if (isBegun) {
+        connection->resume();
+    } else {
+        connection->streamBody();
+    }
+}
+
+template <CallerProtocol Protocol>
+void Gateway<Protocol>::handleRequestBody(TransferId transfer, const ReceivedRequest& head)
+{
+    const auto info = Protocol::readRequest(head);
+    if (!info) {
+        return;
+    }
+    std::shared_ptr<const RouteIndex> index;
+    {
+        const MutexLock lock { this->mutex };
+        index = this->routes;
+    }
+    const auto route = index ? index->find(info->host, gateway::pathOf(head.target)) : nullptr;
+    if (route) {
+        this->linkTransfers.setUrgency(transfer, { route->item.priority, this->reactor.now() + std::min(info->timeLeft, route->item.timeout) });
     }
-    connection->resume();
 }
 
 template <CallerProtocol Protocol>
--- a/tests/node/gateway/LoopbackGateway.h
+++ b/tests/node/gateway/LoopbackGateway.h
@@ -20,9 +20,9 @@
     teaselturn::Gateway<teaselturn::platform::CallerHeaders> gateway;
     teaselturn::RegistryState state;
 
-    explicit LoopbackGateway(std::size_t workers = 2, std::size_t bufferBytes = teaselturn::BufferBudget::defaultLimit)
+    explicit LoopbackGateway(std::size_t workers = 2, std::size_t bufferBytes = teaselturn::BufferBudget::defaultLimit, std::size_t linkBytesPerSecond = 0)
         : reactor(workers)
-        , gateway(reactor, *logger, { "z1", {}, 1, 200, 100, std::chrono::milliseconds { 10'000 } }, bufferBytes)
+        , gateway(reactor, *logger, { "z1", {}, 1, 200, 100, std::chrono::milliseconds { 10'000 }, std::chrono::milliseconds { 2'000 }, linkBytesPerSecond }, bufferBytes)
     {
     }
 
