Give the entry VM of daemon tests an address of its own

Cause: its peer port has the number that the system chose at the member's address. At 127.0.0.1 that number may be in use by a connection of another test, and the daemon could not open: "an entry VM that receives replies of the feed while it is destroyed does not crash" failed once, at REQUIRE(daemon.open()) after 10 ms, in the whole check on.

Change: the entry VM uses 127.0.0.9, where no other test binds.

--- a/tests/node/gateway/EntryDaemonTest.cpp
+++ b/tests/node/gateway/EntryDaemonTest.cpp
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr auto memberAddress = "127.0.0.2";
+/// The peers share a port number, which the system chose at the member's address. At 127.0.0.1 connections of tests that run
+/// at the same time may use it.
+constexpr auto entryAddress = "127.0.0.9";
 const std::vector<std::uint8_t> clusterKey { 1, 2, 3, 4, 5, 6, 7, 8 };
 
 /// A registry member that feeds a fixed log to entry VMs.
@@ -93,10 +96,10 @@
     static EntryOptions makeOptions(std::uint16_t peerPort, std::chrono::milliseconds gracePeriod)
     {
         EntryOptions options;
-        options.self = *nodeAtAddress("127.0.0.1");
+        options.self = *nodeAtAddress(entryAddress);
         options.front = { "127.0.0.1", 0 };
         options.readiness = { "127.0.0.1", 0 };
-        options.peer = { "127.0.0.1", peerPort };
+        options.peer = { entryAddress, peerPort };
         options.seeds = { *nodeAtAddress(memberAddress) };
         options.clusterKey = clusterKey;
         options.dispatch = { "z1", {}, 1, 200, 100, milliseconds { 10'000 } };
@@ -232,7 +235,7 @@
     std::atomic<bool> isOver { false };
     std::thread replies { [&] {
         while (!isOver) {
-            member->send(*nodeAtAddress("127.0.0.1"), FeedReply {});
+            member->send(*nodeAtAddress(entryAddress), FeedReply {});
         }
     } };
     const auto logger = std::move(*Logger::open({ LogLevel::Fatal, {}, LogStream::Error }));
