Take an upstream that refused a connection for a cold one

Cause: an entry VM learned only from the registry that an upstream had been started again.

Change: a refused connection, at once or later, tells the dispatcher that no process listens there. If the service has a warm-up, the next process at that endpoint gets the share of a cold upstream. Without a warm-up nothing changes.

Not covered: a restart during which this entry VM opened no connection.

--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -132,8 +132,9 @@
         return;
     }
     if (this->phase == Phase::Connecting) {
-        if ((events & (EPOLLERR | EPOLLHUP)) != 0 || !this->stream.isConnected()) {
-            this->fail(ConnectionFailure::NotConnected);
+        const auto error = this->stream.takeConnectError();
+        if ((events & (EPOLLERR | EPOLLHUP)) != 0 || error != 0) {
+            this->fail(error == ECONNREFUSED ? ConnectionFailure::Refused : ConnectionFailure::NotConnected);
             return;
         }
         if ((events & EPOLLOUT) == 0) {
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -21,6 +21,8 @@
 enum class ConnectionFailure : std::uint8_t {
     /// The connection was never established, so no byte of the request was sent.
     NotConnected,
+    /// The same, because no process listens on the upstream's port.
+    Refused,
     /// The connection broke after the request was sent.
     Broken,
     /// The received bytes are not a valid response.
--- a/src/adapters/peer/Socket.cpp
+++ b/src/adapters/peer/Socket.cpp
@@ -105,7 +105,8 @@
     setOption(socket.number(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(userTimeout.count()));
     limitTransit(socket, transit);
     if (connect(socket.number(), address.pointer(), address.length) != 0 && errno != EINPROGRESS) {
-        return { ResultCode::PeerUnreachable, lastError() };
+        const auto code = errno == ECONNREFUSED ? ResultCode::RequestConnectionRefused : ResultCode::PeerUnreachable;
+        return { code, lastError() };
     }
     return socket;
 }
--- a/src/adapters/peer/Socket.h
+++ b/src/adapters/peer/Socket.h
@@ -63,7 +63,7 @@
 Result<FileDescriptor> openBound(const Endpoint& endpoint, int type);
 
 /// Starts a non-blocking TCP connection that fails when sent bytes stay unacknowledged for userTimeout.
-/// @return The socket, or PeerUnreachable.
+/// @return The socket, RequestConnectionRefused if it is known already that no process listens there, or PeerUnreachable.
 Result<FileDescriptor> startConnect(const SocketAddress& address, std::chrono::milliseconds userTimeout, const TransitLimits& transit = {});
 
 /// Limits the bytes in transit of a new connection, or of the connections that a listening socket will accept.
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -85,11 +85,11 @@
     return { static_cast<std::size_t>(std::max(unread, 0)), static_cast<std::size_t>(std::max(unacknowledged, 0)) };
 }
 
-bool TcpStream::isConnected() const
+int TcpStream::takeConnectError() const
 {
     int error = 0;
     socklen_t length = sizeof error;
-    return getsockopt(this->socket.number(), SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error == 0;
+    return getsockopt(this->socket.number(), SOL_SOCKET, SO_ERROR, &error, &length) == 0 ? error : errno;
 }
 
 void shrinkInput(std::string& input)
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -53,8 +53,8 @@
     StreamState flush();
     std::size_t unsentBytes() const noexcept { return this->backlog.size() - this->sentBytes; }
 
-    /// @return False if a pending connect has failed.
-    bool isConnected() const;
+    /// @return The error with which a pending connect has failed, as in errno; zero if it has not. It is returned once.
+    int takeConnectError() const;
 
     const FileDescriptor& descriptor() const noexcept { return this->socket; }
     void close() noexcept { this->socket = FileDescriptor {}; }
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -285,6 +285,17 @@
     }
 }
 
+void Dispatcher::connectionRefused(Instant now, PendingRequestId id)
+{
+    const auto found = this->pendingRequests.find(id);
+    auto* const upstream = found == this->pendingRequests.end() ? nullptr : this->upstreams.find(found->second->sentTo);
+    if (upstream == nullptr || !found->second->service->item.hasWarmUp()) {
+        return;
+    }
+    const auto& service = found->second->service->item;
+    this->beginWarmUp(now, service, *upstream, service.warmUpTime);
+}
+
 void Dispatcher::noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions)
 {
     const auto found = this->pendingRequests.find(id);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -68,6 +68,10 @@
     /// Applies what the upstream of a request's attempt states about itself. Called before attemptEnded() reports the
     /// outcome of the same attempt.
     void noticeReceived(Instant now, PendingRequestId id, const UpstreamNotice& notice, DispatchDecisions& decisions);
+    /// Records that no process listens at the upstream of a request's attempt. Called before attemptEnded() reports the outcome
+    /// of the same attempt. If the upstream's service needs a warm-up, the next process there is taken for a cold one: the
+    /// registry may hear of it later, or cannot be reached.
+    void connectionRefused(Instant now, PendingRequestId id);
     /// Handles the end of an attempt: completes the request, or queues it for a retry. Adds at most one decision for
     /// this request, and others for queued requests that can now be sent.
     void attemptEnded(Instant now, PendingRequestId id, AttemptOutcome outcome, DispatchDecisions& decisions);
--- a/src/node/gateway/GatewayInlines.h
+++ b/src/node/gateway/GatewayInlines.h
@@ -308,6 +308,9 @@
     const ConnectionId id { ++this->lastConnectionId };
     auto opened = UpstreamConnection::open(this->reactor, id, *address, this->connectionHandlers, this->buffers, this->linkTransfers.transitLimits());
     if (!opened) {
+        if (opened.failure().code == ResultCode::RequestConnectionRefused) {
+            this->dispatcher.connectionRefused(this->reactor.now(), decision.id);
+        }
         return nullptr;
     }
     this->counters.connectionsOpened.add();
@@ -459,7 +462,11 @@
         if (failure == ConnectionFailure::BufferExhausted) {
             this->counters.responsesOverBudget.add();
         }
-        const auto outcome = failure == ConnectionFailure::NotConnected ? AttemptOutcome::NotSent : AttemptOutcome::Lost;
+        if (failure == ConnectionFailure::Refused) {
+            this->dispatcher.connectionRefused(this->reactor.now(), pendingId);
+        }
+        const bool isUnsent = failure == ConnectionFailure::NotConnected || failure == ConnectionFailure::Refused;
+        const auto outcome = isUnsent ? AttemptOutcome::NotSent : AttemptOutcome::Lost;
         this->endAttempt(this->reactor.now(), pendingId, outcome, effects);
     }
     this->executeEffects(std::move(effects));
--- a/tests/core/dispatch/DispatcherWarmUpTest.cpp
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -102,6 +102,22 @@
     CHECK(vm.sendsTo(vm.owner.key, keyedRoute, std::chrono::seconds { 1 }).size() > 90);
 }
 
+TEST_CASE("an upstream that refused a connection is taken for cold")
+{
+    // Guards against full load on a process that was started again before the registry knew of it. The entry VM still has
+    // the endpoint of the process before, and its key.
+    EntryVm vm;
+    const auto id = vm.submit(keyedRoute, KeyNumber { 5 });
+    REQUIRE(vm.decisionsOf<SendRequest>().size() == 1);
+    vm.dispatcher.connectionRefused(vm.now, id);
+    vm.endAttempt(id, AttemptOutcome::NotSent);
+    const auto sends = vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime);
+    CHECK(busiestSecond(sends) <= 8);
+    CHECK(sends.size() >= 13);
+    vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime);
+    CHECK(vm.sendsTo(vm.owner.key, keyedRoute, std::chrono::seconds { 1 }).size() > 90);
+}
+
 TEST_CASE("retries and probes of a cold owner count against its limit")
 {
     EntryVm vm;
