--- a/src/core/registry/FeedDelay.h
+++ b/src/core/registry/FeedDelay.h
@@ -10,9 +10,9 @@
 /// the feed's datagrams. The entry VM then leaves more of the link to the feed. Deterministic; not thread-safe.
 class FeedDelay {
 public:
-    /// The feed is delayed once the copy may lack commits of this time; two lost replies take a second. A change has to
-    /// be in effect 2.5 s after its acknowledgement, which leaves 1.2 s to drain the link and fetch it.
-    static constexpr std::chrono::milliseconds maxAge { 1'300 };
+    /// The feed is delayed once the copy may lack commits of this time; most replies that are lost are repeated in time without
+    /// help. A change has to be in effect 2.5 s after its acknowledgement, which leaves 0.7 s to drain the link and fetch it.
+    static constexpr std::chrono::milliseconds maxAge { 1'800 };
     /// If the feed has not returned by then, the link is not the cause: no member can be reached.
     static constexpr std::chrono::milliseconds maxDelayedTime { 2'500 };
     /// Members without contact to a leader are the cause if one of them replied within this time. Members are probed every
