Send an entry VM up to 512 missing entries in datagrams

Cause: an entry VM that lagged by more than 96 entries got them over a stream, which stalls on a full link.

Change: the limit is 512 entries.

--- a/src/core/registry/RegistryFeedInlines.h
+++ b/src/core/registry/RegistryFeedInlines.h
@@ -16,9 +16,10 @@
     inline constexpr std::size_t minBytesPerMs = 5 * 125;
     /// Size limit of the entries in one feed reply, in bytes.
     inline constexpr std::size_t feedReplyBytes = 48 * 1024;
-    /// Entry VMs that lag by at most this many entries get them in datagrams of a few entries each: a stream that loses
-    /// a packet stalls for seconds, with everything queued behind it.
-    inline constexpr std::uint64_t maxDatagramFeedEntries = 96;
+    /// Entry VMs that lag by at most this many entries get them in datagrams of a few entries each, in several replies if
+    /// need be: a stream that loses a packet stalls for seconds, with everything queued behind it. Members commit 150
+    /// entries within 2 s when many upstreams leave or move at once.
+    inline constexpr std::uint64_t maxDatagramFeedEntries = 512;
     /// Limit of the estimated size of the entries in one datagram, in bytes before compression; compressed they fit.
     inline constexpr std::size_t maxDatagramFeedBytes = 2'000;
     /// Maximum number of datagrams in reply to one request. Each further request from another region takes 60 ms, and a
