Keep Catch2 assertions out of the threads of slow-link tests

Cause: assertions of Catch2 are not thread-safe. ThreadSanitizer reported five of the new tests for them, none for the product. One of these also failed because a paused body has its turn of 100 ms once a second, which a slow build meets.

Change: SlowCaller and LoopbackGateway throw instead of asserting, and results of threads are checked after they end. The count of paused bodies is awaited.

--- a/tests/adapters/http/HttpListenerTransferTest.cpp
+++ b/tests/adapters/http/HttpListenerTransferTest.cpp
@@ -148,16 +148,18 @@
     BusyLink busy { fixture.transfers };
     const auto body = makeBody(150'000, 1);
     SlowCaller caller { fixture.listener.localEndpoint() };
+    std::atomic<bool> isSent { false };
     std::thread sender { [&] {
         std::string bytes = "POST /photo HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
         for (std::size_t sent = 0; sent < body.size(); sent += 10'000) {
             bytes += "2710\r\n" + body.substr(sent, 10'000) + "\r\n";
         }
-        CHECK(caller.send(bytes + "0\r\n\r\n"));
+        isSent = caller.send(bytes + "0\r\n\r\n");
     } };
     CHECK(waitUntil([&] { return fixture.paused() == 1; }));
     busy.release();
     sender.join();
+    CHECK(isSent);
     while (caller.receivedBody().size() < body.size() && caller.readSome()) {
     }
     CHECK(caller.receivedBody() == body);
@@ -193,16 +195,19 @@
     BusyLink busy { fixture.transfers };
     const auto body = makeBody(2'000'000, 1);
     SlowCaller caller { fixture.listener.localEndpoint() };
-    std::thread sender { [&] { CHECK(caller.send(headOf(body.size()) + body)); } };
+    std::atomic<bool> isSent { false };
+    std::thread sender { [&] { isSent = caller.send(headOf(body.size()) + body); } };
     REQUIRE(waitUntil([&] { return fixture.paused() == 1; }));
     for (unsigned i = 0; i < 20; ++i) {
         CHECK(fixture.echo(makeBody(i % 2 == 0 ? 100 : TransferSchedule::smallBodyBytes, i)));
     }
     CHECK(fixture.begun == 1);
-    CHECK(fixture.paused() == 1);
+    // Once a second a paused body is read for 100 ms.
+    CHECK(waitUntil([&] { return fixture.paused() == 1; }));
     CHECK(fixture.pauses() <= 3);
     busy.release();
     sender.join();
+    CHECK(isSent);
     while (caller.receivedBody().size() < body.size() && caller.readSome()) {
     }
     CHECK(caller.receivedBody() == body);
--- a/tests/adapters/http/SlowCaller.h
+++ b/tests/adapters/http/SlowCaller.h
@@ -3,8 +3,8 @@
 #include "adapters/peer/Socket.h"
 
 #include <array>
-#include <catch2/catch.hpp>
 #include <cerrno>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -28,8 +28,10 @@
         const timeval receiveTimeout { 10, 0 };
         setsockopt(this->socket.number(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
         const auto address = teaselturn::toSocketAddress(server);
-        REQUIRE(address);
-        REQUIRE(connect(this->socket.number(), address->pointer(), address->length) == 0);
+        // Throws, since the assertions of Catch2 are not thread-safe.
+        if (!address || connect(this->socket.number(), address->pointer(), address->length) != 0) {
+            throw std::runtime_error("no connection to the server");
+        }
     }
 
     /// @return True if the kernel took all bytes.
--- a/tests/node/gateway/LoopbackGateway.h
+++ b/tests/node/gateway/LoopbackGateway.h
@@ -5,6 +5,7 @@
 #include "platform/CallerHeaders.h"
 
 #include <catch2/catch.hpp>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 
@@ -53,9 +54,11 @@
     teaselturn::FileDescriptor connectCaller() const
     {
         const auto address = teaselturn::toSocketAddress(this->gateway.localEndpoint());
-        REQUIRE(address);
         teaselturn::FileDescriptor socket { ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0) };
-        REQUIRE(connect(socket.number(), address->pointer(), address->length) == 0);
+        // Throws, since the assertions of Catch2 are not thread-safe.
+        if (!address || connect(socket.number(), address->pointer(), address->length) != 0) {
+            throw std::runtime_error("no connection to the gateway");
+        }
         const timeval receiveTimeout { 10, 0 };
         setsockopt(socket.number(), SOL_SOCKET, SO_RCVTIMEO, &receiveTimeout, sizeof receiveTimeout);
         return socket;
@@ -63,7 +66,9 @@
 
     static void sendBytes(const teaselturn::FileDescriptor& socket, const std::string& bytes)
     {
-        REQUIRE(send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+        if (send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) != static_cast<ssize_t>(bytes.size())) {
+            throw std::runtime_error("a request could not be sent");
+        }
     }
 
     /// Reads until responseCount responses are complete, the connection ends, or 10 s pass without data.
