Move attempts at upstreams into a header of their own

Functions moved unchanged; two comments that restated a name say what their types are. Checked with node-tests of the normal build.

--- a/src/node/gateway/Gateway.h
+++ b/src/node/gateway/Gateway.h
@@ -50,7 +50,7 @@
             std::string bytes;
             ResponseBody body {};
         };
-        /// A response that is forwarded while it arrives.
+        /// A streamed response whose head is passed to the listener.
         struct Begin {
             HttpRequestId requestId;
             OutgoingResponse head;
@@ -118,7 +118,7 @@
         Link = 4,
     };
 
-    /// A response that is forwarded while it arrives.
+    /// State of a streamed response.
     struct Transfer {
         /// Bytes received so far, without the status line.
         std::size_t bytes {};
@@ -239,5 +239,6 @@
 
 }
 
+#include "node/gateway/GatewayAttempts.h"
 #include "node/gateway/GatewayInlines.h"
 #include "node/gateway/GatewayTransfers.h"
