--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -72,8 +72,8 @@
     /// @param reactor Must outlive the connection.
     /// @param handlers Must outlive the connection.
     /// @param buffers Budget of the responses. Must outlive them.
-    /// @param transit Limits of the bytes in transit. The window is the initial one until a body is read that is streamed, or
-    /// may not be.
+    /// @param transit Limits of the bytes in transit. The receive window stays at its initial size while the connection reads
+    /// only heads of streamed responses.
     /// @return The connection, or PeerUnreachable.
     static Result<std::shared_ptr<UpstreamConnection>> open(Reactor& reactor, ConnectionId id, const SocketAddress& address, const Handlers& handlers, BufferBudget& buffers, const TransitLimits& transit = {});
 
--- a/src/core/dispatch/UnresponsiveUpstream.h
+++ b/src/core/dispatch/UnresponsiveUpstream.h
@@ -42,7 +42,7 @@
         }
         const auto& load = upstream.load;
         if (isUnresponsive(now, pending, upstream)) {
-            // A share of one request is used by the one without a response, which serves as the trial.
+            // If the share is one request, the one that waits for its response already is the trial.
             const bool isInTrial = load.responses().hasTrial() || (load.equalShare() <= 1 && load.inFlight() > 0);
             return !isInTrial && !load.isCircuitOpen(now) && !load.isPaused(now) && upstream.warmUp.hasRoom(now);
         }
--- a/src/core/dispatch/UpstreamRank.h
+++ b/src/core/dispatch/UpstreamRank.h
@@ -25,7 +25,7 @@
 /// Factor of the rank of a dead upstream. Its heartbeats have stopped, but it may still serve requests.
 inline constexpr int deadFactor = 3;
 
-/// Ranks by the latency that the next request is expected to have, from latencies and requests in flight alone.
+/// Ranks by the expected latency of the next request. Uses past latencies and requests in flight, no load reports.
 struct ExpectedLatencyRank {
     Duration operator()(Instant now, const DispatchService& service, const DispatchUpstream& upstream) const
     {
--- a/src/core/registry/WarmUpWatch.h
+++ b/src/core/registry/WarmUpWatch.h
@@ -35,7 +35,7 @@
         /// When the upstream is warm; empty if it stated that it is.
         std::optional<Instant> coldUntil;
         Instant limitedUntil;
-        /// True until the command is applied.
+        /// A command that states this was proposed and is not applied yet.
         bool isProposed {};
     };
 
