--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -4,13 +4,11 @@
 """
 
 import http.client
-import itertools
 import json
 import os
 import pathlib
 import random
 import re
-import resource
 import shutil
 import signal
 import socket
@@ -129,8 +127,8 @@
         self.servers = []
 
     def note(self, text):
-        if self.record:
-            with self.record_lock:
+        with self.record_lock:
+            if self.record:
                 self.record.write(f"{time.monotonic() - self.begun_at:9.4f} {text}\n")
 
     def start(self):
@@ -193,9 +191,10 @@
             server.end()
         for node in self.cores + self.entries:
             node.end()
-        if self.record:
-            self.record.close()
-            self.record = None
+        with self.record_lock:
+            if self.record:
+                self.record.close()
+                self.record = None
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
@@ -228,7 +227,7 @@
 class Server:
     """A server of the protocol page: checks in, holds keys under leases, runs requests in `slots` threads and queues a few more."""
 
-    def __init__(self, deployment, service, name, number, sharded, zone="z-1", slots=4, queue=12, work=0.1, port=None, hold_slow=1.0):
+    def __init__(self, deployment, service, name, number, sharded, zone="z-1", slots=4, queue=12, work=0.1, port=None):
         self.deployment, self.service, self.name, self.sharded, self.zone = deployment, service, name, sharded, zone
         self.slots, self.queue, self.work = slots, queue, work
         self.address = f"{deployment.network}.{number}"
