--- /dev/null
+++ b/review/9/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")"
+PYTHONDONTWRITEBYTECODE=1 exec python3 case.py record.txt
