--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -511,8 +511,9 @@
         signal.signal(number, lambda *_: sys.exit(2))
     try:
         violations = case(has_trouble, record)
-    except CannotRun as error:
-        print(f"the case could not run: {error}")
+    except Exception as error:
+        # Exit status 1 is for a broken rule only.
+        print(f"the case could not run: {type(error).__name__}: {error}")
         return 2
     for violation in violations[:10]:
         print(violation)
