Keep queued requests consistent when a service's sharding changes

Cause: the dispatcher derived the queue of a request from the service's present item each time. A sync replaced the item and left the requests where they were, so they were removed from a queue that did not contain them. Their ids stayed in the other one, and the next sync that read it looked up a request that had ended.

In the other direction (sharded to not sharded) the queued requests were never sent.

Why it works: a request stores how it is queued, so it leaves the queue that it entered. After a change of items all waiting requests move to the queues that their services ask for; their order is by sequence number, which does not change. Requests without a key are refused at once, since no upstream can own their key.

Related paths: the bundle front end queues by upstream and looks up the service again after each wait; nothing to change.

--- a/src/core/dispatch/Admission.cpp
+++ b/src/core/dispatch/Admission.cpp
@@ -23,6 +23,10 @@
 std::optional<ResultCode> Admission::checkPlacement(Instant now, const PendingDispatch& pending) const
 {
     if (pending.service->item.isSharded) {
+        if (!pending.request.key) {
+            // The service was not sharded when the request arrived.
+            return ResultCode::RequestNoOwner;
+        }
         const auto* range = pending.findRange();
         const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
         if (owner == nullptr) {
--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -138,9 +138,12 @@
     std::uint32_t attempts {};
     /// Attempts that may have run the request.
     std::uint32_t possibleRuns {};
-    /// Owner under which the request is queued; valid only while isQueued.
-    UpstreamKey queueOwner;
     bool isQueued {};
+    /// Whether the request is queued by the owner of its key. Stored, because the service may be sharded differently by the
+    /// time the request leaves the queue; valid only while isQueued.
+    bool isQueuedByOwner {};
+    /// Owner under which the request is queued; valid only while isQueuedByOwner.
+    UpstreamKey queueOwner;
     bool isHeldBack {};
     /// Upstream of the latest attempt.
     UpstreamKey sentTo;
@@ -175,8 +178,8 @@
     /// @return Latest time at which a response still has its full value to the caller.
     Instant targetTime() const noexcept { return std::min(this->expiresAt, this->request.arrivedAt + this->route().targetLatency); }
 
-    /// @return The range with the request's key; null if the request has no key or the service no ranges.
-    const KeyRange* findRange() const { return this->request.key ? findKeyRange(this->service->ranges, *this->request.key) : nullptr; }
+    /// @return The range with the request's key; null if the request has no key, or the service is not sharded or has no ranges.
+    const KeyRange* findRange() const { return this->service->item.isSharded && this->request.key ? findKeyRange(this->service->ranges, *this->request.key) : nullptr; }
 
     QueuePosition position() const noexcept { return { this->route().priority, this->sequenceNumber, this->request.id, this->allowedRegions }; }
 };
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -102,8 +102,8 @@
     void syncEvacuations(Instant now);
     /// @return Limit of an upstream that may be used again from now on.
     ReturnRamp makeReturnRamp(Instant now, const DispatchUpstream& upstream) const;
-    /// Moves queued requests to the queues of their keys' owners.
-    void requeueByOwner(DispatchService& service);
+    /// Moves queued requests to the queues that the service's present item and key owners ask for. Requests keep their order.
+    void requeue(DispatchService& service);
     /// Begins and ends warm-ups as the registry states them, and those of new upstreams that it states nothing about.
     void syncWarmUps(Instant now, const RegistryState& state);
     void beginWarmUp(Instant now, const ServiceItem& service, DispatchUpstream& upstream, Duration timeLeft);
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -22,12 +22,13 @@
 
 RequestQueue& Dispatcher::queueFor(PendingDispatch& pending)
 {
-    return pending.service->item.isSharded ? pending.service->queues[pending.queueOwner] : pending.service->queue;
+    return pending.isQueuedByOwner ? pending.service->queues[pending.queueOwner] : pending.service->queue;
 }
 
 void Dispatcher::enqueue(PendingDispatch& pending)
 {
-    if (pending.service->item.isSharded) {
+    pending.isQueuedByOwner = pending.service->item.isSharded;
+    if (pending.isQueuedByOwner) {
         const auto* range = pending.findRange();
         pending.queueOwner = range == nullptr ? UpstreamKey {} : range->owner;
     }
@@ -35,7 +36,7 @@
     pending.isQueued = true;
     // When refuseHopeless() refuses it at the latest.
     this->deadlines.emplace(pending.expiresAt - pending.service->averageLatency / 2, pending.request.id);
-    const auto* owner = pending.service->item.isSharded ? this->upstreams.find(pending.queueOwner) : nullptr;
+    const auto* owner = pending.isQueuedByOwner ? this->upstreams.find(pending.queueOwner) : nullptr;
     if (owner != nullptr && owner->load.pauseEnd() > pending.request.arrivedAt && owner->load.pauseEnd() < pending.expiresAt) {
         this->deadlines.emplace(owner->load.pauseEnd(), pending.request.id);
     }
@@ -54,7 +55,7 @@
     }
     auto& queue = this->queueFor(pending);
     queue.erase(pending.position());
-    if (pending.service->item.isSharded && queue.empty()) {
+    if (pending.isQueuedByOwner && queue.empty()) {
         pending.service->queues.erase(pending.queueOwner);
     }
     pending.isQueued = false;
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -247,12 +247,13 @@
     service.ranges.assign(ranges.begin(), ranges.end());
     service.unconfirmedRanges.sync(now, service.ranges, service.rangesIndex);
     service.rangesIndex = state.keysChangedAt(service.name);
-    this->requeueByOwner(service);
+    this->requeue(service);
 }
 
-void Dispatcher::requeueByOwner(DispatchService& service)
+void Dispatcher::requeue(DispatchService& service)
 {
     std::vector<PendingRequestId> waiting;
+    std::ranges::transform(service.queue, std::back_inserter(waiting), &QueuePosition::id);
     for (const auto& [owner, queue] : service.queues) {
         std::ranges::transform(queue, std::back_inserter(waiting), &QueuePosition::id);
     }
@@ -278,7 +279,8 @@
     if (hasNewOrders || hasNewUpstreams) {
         this->syncEvacuations(now);
     }
-    if (this->itemsIndex != state.itemsChangedAt()) {
+    const bool hasNewItems = this->itemsIndex != state.itemsChangedAt();
+    if (hasNewItems) {
         this->itemsIndex = state.itemsChangedAt();
         state.forEachItem([this](const ConfigItem& item) {
             if (const auto* content = std::get_if<ServiceItem>(&item.content)) {
@@ -303,8 +305,8 @@
         const auto changedAt = state.keysChangedAt(name);
         if (service->item.isSharded && service->rangesIndex != changedAt) {
             this->syncKeys(now, state, *service);
-        } else if (hasNewOrders) {
-            this->requeueByOwner(*service);
+        } else if (hasNewOrders || hasNewItems) {
+            this->requeue(*service);
         }
     }
     for (auto& [name, service] : this->services) {
