Apply changes of a service's warm-up to upstreams that are cold

What callers would see: requests that wait for a cold upstream while an operator drops the warm-up of its service stay queued until their deadline is near, and are then refused although the upstream may be used.

Cause: the limit of a cold upstream did not follow its service's item. Placement asked the limit, while scheduling and admission asked the item, so that no time was set at which the requests are tried again. A new rate did not apply either.

Evidence: two of the three new tests fail without the call of syncWarmUpItems(): no request is sent by the sync, and 6 requests reach the upstream in a second where the new rate permits 2.

Why it works: a sync with new items lifts the limits of services without a warm-up, restores those of services that regain one, and sets the rate of the others.

--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -53,6 +53,9 @@
     /// flight to it removes it.
     bool isRegistered { true };
     WarmUpLimit warmUp;
+    /// Limit that does not apply because the service lost its warm-up. It applies again if the service regains one before the
+    /// limit ends.
+    std::optional<WarmUpLimit> liftedWarmUp;
     /// True if the warm-up was assumed because the upstream is new, and the registry has not confirmed it.
     bool isWarmUpAssumed {};
     /// Log index of the registry's latest statement about the upstream's warm-up that this entry VM applied.
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -106,6 +106,8 @@
     void requeue(DispatchService& service);
     /// Begins and ends warm-ups as the registry states them, and those of new upstreams that it states nothing about.
     void syncWarmUps(Instant now, const RegistryState& state);
+    /// Applies the warm-ups of new service items to the limits in effect.
+    void syncWarmUpItems();
     void beginWarmUp(Instant now, const ServiceItem& service, DispatchUpstream& upstream, Duration timeLeft);
     void syncKeys(Instant now, const RegistryState& state, DispatchService& service);
     Duration extraRoundTripTo(std::string_view zone) const;
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -201,6 +201,23 @@
     upstream.load.resetLimit(now);
 }
 
+void Dispatcher::syncWarmUpItems()
+{
+    for (auto& [key, upstream] : this->upstreams.map) {
+        const auto& service = this->findOrCreateService(upstream.announcement.service).item;
+        if (!service.hasWarmUp()) {
+            if (!upstream.liftedWarmUp) {
+                upstream.liftedWarmUp = std::exchange(upstream.warmUp, {});
+            }
+            continue;
+        }
+        if (upstream.liftedWarmUp) {
+            upstream.warmUp = *std::exchange(upstream.liftedWarmUp, std::nullopt);
+        }
+        upstream.warmUp.setRate(this->warmUpShare.sendsPerSecond(service));
+    }
+}
+
 void Dispatcher::syncWarmUps(Instant now, const RegistryState& state)
 {
     std::uint64_t latestIncarnation = 0;
@@ -294,6 +311,7 @@
             }
         });
         this->syncAllowedRegions(state);
+        this->syncWarmUpItems();
         this->linkBudget.retainRoutes([&routes](const std::string& name) { return routes.contains(name); });
     }
     if (hasNewUpstreams || this->warmUpsIndex != state.warmUpsChangedAt()) {
--- a/tests/core/dispatch/DispatcherWarmUpTest.cpp
+++ b/tests/core/dispatch/DispatcherWarmUpTest.cpp
@@ -24,12 +24,12 @@
     return result;
 }
 
-ConfigItem warmUpService(const std::string& name, bool isSharded)
+ConfigItem warmUpService(const std::string& name, bool isSharded, std::uint64_t version = 2, std::uint32_t milliRequestsPerSecond = 5'200)
 {
-    auto item = serviceItem(name, isSharded, 2);
+    auto item = serviceItem(name, isSharded, version);
     auto& content = std::get<ServiceItem>(item.content);
     content.warmUpTime = warmUpTime;
-    content.warmUpMilliRequestsPerSecond = 5'200;
+    content.warmUpMilliRequestsPerSecond = milliRequestsPerSecond;
     item.document += " with warm-up";
     return item;
 }
@@ -379,3 +379,53 @@
     CHECK(vm.decisionsOf<RefuseRequest>().size() == 6 - sent);
     CHECK(vm.dispatcher.pendingRequestCount() == sent);
 }
+
+TEST_CASE("requests that wait for a cold upstream are sent when their service loses its warm-up")
+{
+    // Guards against requests that wait for the end of a limit that the configuration no longer has, without a time at which
+    // they are tried again.
+    EntryVm vm;
+    vm.beginWarmUp(vm.first.key);
+    vm.beginWarmUp(vm.second.key);
+    vm.beginWarmUp(vm.owner.key);
+    const bool isSharded = GENERATE(false, true);
+    const auto route = isSharded ? keyedRoute : plainRoute;
+    const auto submitted = [&] {
+        vm.clearDecisions();
+        const auto id = vm.submit(route, KeyNumber { 5 });
+        REQUIRE(vm.decisionsOf<RefuseRequest>().empty());
+        return vm.decisionsOf<SendRequest>().empty() ? std::optional { id } : std::nullopt;
+    };
+    auto waiting = submitted();
+    while (!waiting) {
+        waiting = submitted();
+    }
+    vm.clearDecisions();
+    vm.apply(ChangeItems { { serviceItem(isSharded ? "keys" : "plain", isSharded, 3) }, {} });
+    vm.sync();
+    const auto sends = vm.decisionsOf<SendRequest>();
+    REQUIRE(sends.size() == 1);
+    CHECK(sends[0].id == *waiting);
+}
+
+TEST_CASE("a cold upstream is limited again when its service regains its warm-up")
+{
+    // Guards against full load on a cold upstream after a service lost its warm-up for a moment.
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    vm.apply(ChangeItems { { serviceItem("keys", true, 3) }, {} });
+    vm.sync();
+    vm.apply(ChangeItems { { warmUpService("keys", true, 4) }, {} });
+    vm.sync();
+    CHECK(busiestSecond(vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime)) <= 7);
+}
+
+TEST_CASE("a cold upstream gets the rate of its service's newest item")
+{
+    // Guards against a rate that a change lowered and that stays in effect until the upstream is warm.
+    EntryVm vm;
+    vm.beginWarmUp(vm.owner.key);
+    vm.apply(ChangeItems { { warmUpService("keys", true, 3, 1'000) }, {} });
+    vm.sync();
+    CHECK(busiestSecond(vm.sendsTo(vm.owner.key, keyedRoute, warmUpTime)) <= 2);
+}
