Judge a change of items by the configuration that it leaves behind

What callers saw: a call that drops a service was acknowledged although a standing route names the service.

Cause: the check asked only for the routes of the call whether their services exist, and took a service for existing if the call contains it under any version. For the same reason a call that had been accepted was rejected when it was sent again after its routes had been replaced and its services dropped.

Why it works: ItemsAfterChange takes the highest version of each item from the state and the call. The routes that then stand because of the call, and those that name a service which the call drops, must name services that stand. Overtaken routes come into force in no case and need services that are known. Members and entry VMs apply the same check at commit, so that two calls that are valid only alone do not both take effect.

--- a/src/core/registry/ItemRules.cpp
+++ b/src/core/registry/ItemRules.cpp
@@ -1,6 +1,8 @@
 #include "core/registry/ItemRules.h"
 
 #include <algorithm>
+#include <string>
+#include <string_view>
 
 namespace teaselturn {
 
@@ -11,7 +13,7 @@
         return { ResultCode::ItemsInvalid, item.name + ": " + std::string { reason } };
     }
 
-    Status checkRoute(const ConfigItem& item, const RouteItem& route, const std::function<bool(std::string_view)>& hasService)
+    Status checkRoute(const ConfigItem& item, const RouteItem& route)
     {
         if (route.host.empty()) {
             return invalid(item, "the host is empty");
@@ -28,22 +30,19 @@
         if (route.shares.empty()) {
             return invalid(item, "no service is named");
         }
-        if (const auto unknown = std::ranges::find_if_not(route.shares, hasService, &TrafficShare::service); unknown != route.shares.end()) {
-            return invalid(item, "service " + unknown->service + " does not exist");
-        }
         const auto hasWeight = std::ranges::any_of(route.shares, [](const TrafficShare& share) { return share.weight > 0; });
         return hasWeight ? success() : invalid(item, "every weight is zero");
     }
 
 }
 
-Status checkItem(const ConfigItem& item, const std::function<bool(std::string_view)>& hasService)
+Status checkItem(const ConfigItem& item)
 {
     if (item.name.empty()) {
         return invalid(item, "an item has no name");
     }
     const auto* route = std::get_if<RouteItem>(&item.content);
-    return route != nullptr ? checkRoute(item, *route, hasService) : success();
+    return route != nullptr ? checkRoute(item, *route) : success();
 }
 
 }
--- a/src/core/registry/RegistryState.cpp
+++ b/src/core/registry/RegistryState.cpp
@@ -1,6 +1,7 @@
 #include "core/registry/RegistryState.h"
 
 #include "core/registry/ItemRules.h"
+#include "core/registry/ItemsAfterChange.h"
 #include "core/registry/KeyRanges.h"
 
 #include <algorithm>
@@ -62,20 +63,8 @@
 
 Status RegistryState::check(const ChangeItems& change) const
 {
-    const auto hasService = [this, &change](std::string_view name) {
-        const auto isDeletionOfService = [name](const auto& item) { return item.name == name && item.kind == ItemKind::Service; };
-        const auto isUpserted = std::ranges::any_of(change.upserts, [name](const ConfigItem& item) { return item.name == name && item.kind() == ItemKind::Service; });
-        if (isUpserted) {
-            return true;
-        }
-        const auto deleted = std::ranges::find_if(change.deletions, isDeletionOfService);
-        if (deleted != change.deletions.end() && this->isNewerVersion(ItemKind::Service, name, deleted->version)) {
-            return false;
-        }
-        return this->findService(name) != nullptr;
-    };
     for (const auto& item : change.upserts) {
-        if (auto checked = checkItem(item, hasService); !checked) {
+        if (auto checked = checkItem(item); !checked) {
             return checked;
         }
         if (auto checked = this->checkVersion(item.kind(), item.name, item.version, item.document); !checked) {
@@ -87,6 +76,9 @@
             return checked;
         }
     }
+    if (auto checked = ItemsAfterChange { *this, change }.checkServicesOfRoutes(); !checked) {
+        return checked;
+    }
     if (this->items.size() + change.upserts.size() + change.deletions.size() > limits::maxConfigItems) {
         return { ResultCode::ItemsInvalid, "too many items" };
     }
--- a/src/core/registry/RegistryState.h
+++ b/src/core/registry/RegistryState.h
@@ -58,6 +58,10 @@
         }
     }
 
+    /// @return The latest version of an item, which may be deleted; null if there never was one.
+    const ItemRecord* findItem(ItemKind kind, std::string_view name) const;
+    /// @return True if the version is higher than that of the item, so that it would take effect.
+    bool isNewerVersion(ItemKind kind, std::string_view name, std::uint64_t version) const;
     /// @return The service, or null if no such item exists.
     const ServiceItem* findService(std::string_view name) const;
     /// @return The configured limits, or the defaults if no item sets them.
@@ -114,9 +118,7 @@
     ApplyOutcome applyCommand(const BeginWarmUp& command);
     ApplyOutcome applyCommand(const EvacuateZone& command);
 
-    const ItemRecord* findItem(ItemKind kind, std::string_view name) const;
     Status checkVersion(ItemKind kind, std::string_view name, std::uint64_t version, std::string_view document) const;
-    bool isNewerVersion(ItemKind kind, std::string_view name, std::uint64_t version) const;
     void markDeparted(RegisteredUpstream& upstream, UpstreamState state);
     /// Ends the moves to upstreams for which the predicate returns true.
     void clearMovesTo(const std::function<bool(const UpstreamKey&)>& isTarget);
--- a/tests/core/registry/RegistryStateTest.cpp
+++ b/tests/core/registry/RegistryStateTest.cpp
@@ -86,6 +86,81 @@
     CHECK(state.isAlreadyApplied(change));
 }
 
+TEST_CASE("a change that drops a service which a standing route names is rejected")
+{
+    // Guards against a route whose service is gone, so that none of its requests is served any more (review/9).
+    auto state = stateWithService();
+    auto split = routeItem("split", "a", 5);
+    std::get<RouteItem>(split.content).shares = { { "a", 90 }, { "k", 0 } };
+    REQUIRE(applyNext(state, ChangeItems { { routeItem("r", "a", 5), split }, {} }) == ResultCode::Ok);
+    const auto before = state.itemsChangedAt();
+    const ItemDeletion dropsA { ItemKind::Service, "a", 9 };
+    const ItemDeletion dropsK { ItemKind::Service, "k", 9 };
+    CHECK(applyNext(state, ChangeItems { {}, { dropsA } }) == ResultCode::ItemsInvalid);
+    CHECK(applyNext(state, ChangeItems { {}, { dropsK } }) == ResultCode::ItemsInvalid);
+    // Only versions that take effect move a route away from the service.
+    CHECK(applyNext(state, ChangeItems { { routeItem("r", "k", 4) }, { dropsA, { ItemKind::Route, "split", 9 } } }) == ResultCode::ItemsInvalid);
+    CHECK(applyNext(state, ChangeItems { {}, { dropsA, { ItemKind::Route, "r", 4 }, { ItemKind::Route, "split", 9 } } }) == ResultCode::ItemsInvalid);
+    // A service that the same change sets under a lower version stays dropped.
+    CHECK(applyNext(state, ChangeItems { { serviceItem("a", false, 8) }, { dropsA } }) == ResultCode::ItemsInvalid);
+    CHECK(state.itemsChangedAt() == before);
+    CHECK(state.findService("a") != nullptr);
+}
+
+TEST_CASE("a service may be dropped if no standing route names it")
+{
+    auto state = stateWithService();
+    REQUIRE(applyNext(state, ChangeItems { { routeItem("r", "a", 5) }, {} }) == ResultCode::Ok);
+    SECTION("the route goes elsewhere in the same change")
+    {
+        CHECK(applyNext(state, ChangeItems { { routeItem("r", "k", 6) }, { { ItemKind::Service, "a", 9 } } }) == ResultCode::Ok);
+        CHECK(state.findService("a") == nullptr);
+    }
+    SECTION("the route is dropped in the same change")
+    {
+        CHECK(applyNext(state, ChangeItems { {}, { { ItemKind::Route, "r", 6 }, { ItemKind::Service, "a", 9 } } }) == ResultCode::Ok);
+        CHECK(state.findService("a") == nullptr);
+    }
+    SECTION("the same change sets it under a higher version")
+    {
+        CHECK(applyNext(state, ChangeItems { { serviceItem("a", false, 10) }, { { ItemKind::Service, "a", 9 } } }) == ResultCode::Ok);
+        CHECK(state.findService("a") != nullptr);
+    }
+    SECTION("the drop is older than the service and takes no effect")
+    {
+        REQUIRE(applyNext(state, ChangeItems { { serviceItem("a", false, 10) }, {} }) == ResultCode::Ok);
+        CHECK(applyNext(state, ChangeItems { {}, { { ItemKind::Service, "a", 9 } } }) == ResultCode::Ok);
+        CHECK(state.findService("a") != nullptr);
+    }
+}
+
+TEST_CASE("a route does not bring back a service that a higher version has dropped")
+{
+    // Guards against a check that takes a service for set because the change contains it, whatever its version.
+    auto state = stateWithService();
+    REQUIRE(applyNext(state, ChangeItems { {}, { { ItemKind::Service, "a", 9 } } }) == ResultCode::Ok);
+    CHECK(applyNext(state, ChangeItems { { serviceItem("a", false, 7), routeItem("r", "a", 10) }, {} }) == ResultCode::ItemsInvalid);
+    CHECK(applyNext(state, ChangeItems { { serviceItem("a", false, 10), routeItem("r", "a", 10) }, {} }) == ResultCode::Ok);
+}
+
+TEST_CASE("a change that was accepted is accepted again when its routes and services have been replaced")
+{
+    // Guards against a rejection of a change that is sent again after its acknowledgement was lost.
+    auto state = stateWithService();
+    const ChangeItems change { { serviceItem("new", false, 5), routeItem("r", "new", 5), routeItem("s", "a", 5) }, {} };
+    REQUIRE(applyNext(state, change) == ResultCode::Ok);
+    const ChangeItems laterPart { { routeItem("t", "new", 6) }, {} };
+    REQUIRE(applyNext(state, laterPart) == ResultCode::Ok);
+    const ChangeItems drop { { routeItem("s", "k", 7) }, { { ItemKind::Route, "r", 7 }, { ItemKind::Route, "t", 7 }, { ItemKind::Service, "new", 7 }, { ItemKind::Service, "a", 7 } } };
+    REQUIRE(applyNext(state, drop) == ResultCode::Ok);
+    for (const auto& again : { change, laterPart, drop }) {
+        CHECK(state.check(again));
+        CHECK(state.isAlreadyApplied(again));
+    }
+    // A service that never existed makes a change invalid under any version.
+    CHECK(applyNext(state, ChangeItems { { routeItem("s", "missing", 6) }, {} }) == ResultCode::ItemsInvalid);
+}
+
 TEST_CASE("a late announcement of an earlier incarnation does not replace the upstream that has its address")
 {
     auto state = stateWithService();
