Compare a new bundle with every bundle that is in force

What callers would see: while a bundle that drops a service is rolled out, a third bundle may give the service's id to another one. Regions that the rollout has not reached serve the old service under the same slots, so that requests of one service reach upstreams of the other.

Cause: a bundle was compared only with the one accepted last, although the one before it is in force in some regions until the rollout ends.

Evidence: without the new check the test's bundle is accepted.

Why it works: during a rollout the ids of a new bundle must agree with both bundles in force.

--- a/src/core/bundle/BundleRules.cpp
+++ b/src/core/bundle/BundleRules.cpp
@@ -261,6 +261,11 @@
     if (next.version.value <= inForce.version.value) {
         return { ResultCode::BundleOutdated, "version: " + std::to_string(next.version.value) + " is not higher than " + std::to_string(inForce.version.value) };
     }
+    return validateSameIds(inForce, next);
+}
+
+Status validateSameIds(const Bundle& inForce, const Bundle& next)
+{
     const auto sameZone = [](const NodeSpec& a, const NodeSpec& b) { return a.zone == b.zone; };
     for (auto finding : {
              checkUnchanged("regions", inForce.regions, next.regions, "the id belongs to a region with another name", [](const auto&a, const auto&b) { return a.name == b.name; }),
--- a/src/core/bundle/BundleRules.h
+++ b/src/core/bundle/BundleRules.h
@@ -44,6 +44,11 @@
 /// @return Success, BundleInvalid with the path of the invalid element, or BundleOutdated if the version is not higher.
 Status validateSuccessor(const Bundle& inForce, const Bundle& next);
 
+/// Checks that elements with the same id in both bundles are the same: regions, zones and services keep their names, zones
+/// their regions, nodes their zones, and services their number of partitions.
+/// @return Success, or BundleInvalid with the path of the invalid element.
+Status validateSameIds(const Bundle& inForce, const Bundle& next);
+
 /// Checks the digest and the signatures of a bundle. Each signature must be valid and by one of the operators, no
 /// operator may sign twice, and the number of signatures must reach the threshold.
 /// @param operators The operators of the bundle in force, or of the settings before the first bundle.
--- a/src/core/ownership/OwnershipBundles.cpp
+++ b/src/core/ownership/OwnershipBundles.cpp
@@ -1,3 +1,4 @@
+#include "core/bundle/BundleRules.h"
 #include "core/ownership/OwnershipState.h"
 
 #include <algorithm>
@@ -41,6 +42,10 @@
         return { ResultCode::BundleConflict, {}, {}, this->accepted->digest, signersOf(*this->accepted) };
     }
     auto code = codeOf(this->check(candidate, this->accepted ? &this->accepted->bundle : nullptr));
+    if (code == ResultCode::Ok && this->previous) {
+        // Regions that the rollout has not reached still have the previous bundle, and share all slots with the others.
+        code = codeOf(validateSameIds(this->previous->bundle, candidate.bundle));
+    }
     if (code == ResultCode::Ok) {
         code = this->checkServices(candidate.bundle);
     }
--- a/tests/core/ownership/OwnershipStateTest.cpp
+++ b/tests/core/ownership/OwnershipStateTest.cpp
@@ -136,6 +136,24 @@
     }
 }
 
+TEST_CASE("a bundle may not reuse an id of the bundle that other regions still have")
+{
+    // Guards against two services with the same slots: one in the regions that a rollout has reached, the other in the rest.
+    OwnershipFixture fixture;
+    fixture.apply(AcceptBundle { fixture.bundle(1) });
+    auto without = fixture.bundle(2);
+    without.bundle.rollout = { wcape, ecape };
+    std::erase_if(without.bundle.services, [](const ServiceSpec& service) { return service.id == catalogue; });
+    REQUIRE(fixture.apply(AcceptBundle { without }).code == ResultCode::Ok);
+    auto reused = fixture.bundle(3);
+    reused.bundle.rollout = { wcape, ecape };
+    reused.bundle.services[0].name = "desk";
+    CHECK(fixture.apply(AcceptBundle { reused }).code == ResultCode::BundleInvalid);
+    CHECK(fixture.state.acceptedBundle()->bundle.version == BundleVersion { 2 });
+    REQUIRE(fixture.apply(AdvanceRollout { { 2 }, 2 }).code == ResultCode::Ok);
+    CHECK(fixture.apply(AcceptBundle { reused }).code == ResultCode::Ok);
+}
+
 TEST_CASE("upstreams of a retired zone expire, and their slots wait for leases that may still be valid")
 {
     OwnershipFixture fixture;
