Let the soak change services under load and test ambiguous statuses

The new feature `service-changes` changes the items of both services while callers fill their queues, and sends drops of services that routes name, which must be rejected. `statuses` has a second caller for 408, 429 and 503 without a statement. A process that ends by SIGABRT or SIGSEGV is a violation.

--- a/tests/platform/soak/features.py
+++ b/tests/platform/soak/features.py
@@ -186,14 +186,17 @@
 
     PAUSE_SECONDS = 0.1
     STATUSES = ("000", "099", "600", "1000", "2x0")
+    # Callers take these for a promise that the request did not run, which the upstreams do not state.
+    PROMISES = ("408", "429", "503")
 
     def faults(self):
         paths = [(kind, f"/{service}/{kind}/status/{status}") for service in ("keyed", "plain") for kind in ("safe", "unsafe") for status in self.STATUSES]
-        return [lambda: self.send_requests(0, self.PAUSE_SECONDS, paths, self.soak.has_faults)]
+        promises = [("unsafe", f"/{service}/unsafe/status/{status}") for service in ("keyed", "plain") for status in self.PROMISES]
+        return [lambda: self.send_requests(0, self.PAUSE_SECONDS, paths, self.soak.has_faults), lambda: self.send_requests(1, self.PAUSE_SECONDS, promises, self.soak.has_faults)]
 
     def check_use(self, runs):
         used = {run.path.split("/")[4] for run in runs if "/status/" in run.path}
-        return (f"no upstream answered with status {status}" for status in self.STATUSES if status not in used)
+        return (f"no upstream answered with status {status}" for status in self.STATUSES + self.PROMISES if status not in used)
 
 
 class Evacuations(Feature):
@@ -343,7 +346,68 @@
         return (f"no request was served in {region}" for region in self.ZONE_OF if not any(f"/{region}/" in run.path for run in runs))
 
 
+class ServiceChanges(Feature):
+    """Changes of service items under load, and drops of services that routes name, which must be rejected."""
+
+    CALLERS = 12
+    SERVICES = {"keyed": {"sharded": True, "warm_s": 1.0, "grants": "heartbeat"}, "plain": {"sharded": False}}
+    ACKNOWLEDGED_WITHIN_SECONDS = 15.0
+
+    def __init__(self, soak):
+        super().__init__(soak)
+        self.version = 1
+        self.rejected = 0
+
+    def callers(self):
+        paths = [(kind, f"/{service}/{kind}/1") for service in self.SERVICES for kind in ("safe", "unsafe")]
+        return [lambda number=number: self.send_requests(number, 0.0, paths, self.soak.has_faults) for number in range(self.CALLERS)]
+
+    def faults(self):
+        return [self.change_services, self.drop_services]
+
+    def set_service(self, name, **members):
+        """Sends the next version of a service's item. Returns the response."""
+        self.version += 1
+        return self.soak.send_control_request("PATCH", body={"upsert": {"services": {name: self.soak.service(self.version) | self.SERVICES[name] | members}}})
+
+    def change_services(self):
+        generator = self.generator("changes")
+        while self.soak.has_faults():
+            name = generator.choice(list(self.SERVICES))
+            members = generator.choice([{"sharded": not self.SERVICES[name]["sharded"]}, {"warmup_s": WARM_UP_SECONDS, "warmup_per_s": WARM_UP_RATE}])
+            self.soak.note_fault(f"service {name} gets {members}")
+            self.set_service(name, **members)
+            time.sleep(generator.uniform(0.05, 0.8))
+            self.set_service(name)
+            time.sleep(generator.uniform(0.2, 1.0))
+
+    def drop_services(self):
+        generator = self.generator("drops")
+        while self.soak.has_faults():
+            time.sleep(generator.uniform(0.2, 1.0))
+            name = generator.choice(list(self.SERVICES))
+            response = self.soak.send_control_request("PATCH", body={"delete": {"services": [{"name": name, "version": "00100000"}]}})
+            if response and response[0] // 100 == 2:
+                self.soak.violations.append(f"a drop of service {name}, which routes name, was acknowledged")
+            self.rejected += bool(response and response[0] // 100 == 4)
+
+    def end_faults(self):
+        for name in self.SERVICES:
+            response, end = None, time.monotonic() + self.ACKNOWLEDGED_WITHIN_SECONDS
+            while not (response and response[0] == 200):
+                if time.monotonic() > end:
+                    self.soak.violations.append(f"a change of service {name} was not acknowledged within {self.ACKNOWLEDGED_WITHIN_SECONDS} s: {response}")
+                    break
+                response = self.set_service(name)
+
+    def check_use(self, runs):
+        if not self.rejected:
+            yield "no drop of a service was rejected"
+
+
 FEATURES = {"bodies": Bodies, "statuses": Statuses, "evacuations": Evacuations, "warm-ups": WarmUps, "regions": Regions}
+# Not drawn, so that a seed goes on drawing the features that it had.
+ALL_FEATURES = FEATURES | {"service-changes": ServiceChanges}
 
 
 def draw(seed):
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -35,7 +35,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
-from features import BOUNDS, FEATURES, ZONES, draw
+from features import ALL_FEATURES, BOUNDS, ZONES, draw
 from pipelining import PipeliningCaller
 from proxy import Proxy
 from server import KEYS, body_of, signature
@@ -75,6 +75,9 @@
         self.is_over = False
         self.lock = threading.Lock()
         self.terminated_at = self.ended_at = self.killed_at = 0.0
+        self.crashes = []
+        # The last process whose end was recorded.
+        self.noted = None
 
     def start(self, file_limit=None):
         def limit():
@@ -85,12 +88,27 @@
         with self.lock:
             if self.is_over:
                 return
+            self.note_crash()
             with open(self.folder / f"{self.name}.log", "ab") as log:
                 self.handle = subprocess.Popen(self.command, env=self.environment, stdin=subprocess.DEVNULL, stdout=subprocess.PIPE if file_limit else log,
                     stderr=subprocess.DEVNULL if file_limit else log, preexec_fn=limit)
         if file_limit:
             threading.Thread(target=lambda pipe: [None for _ in pipe], args=(self.handle.stdout,), daemon=True).start()
 
+    def note_crash(self):
+        """Records an end by a signal that no fault sends."""
+        code = self.handle.poll() if self.handle and self.handle is not self.noted else None
+        if code in (-signal.SIGABRT, -signal.SIGSEGV):
+            self.crashes.append(signal.Signals(-code).name)
+            self.noted = self.handle
+
+    def take_crashes(self):
+        """Returns the names of the signals since the last call."""
+        with self.lock:
+            self.note_crash()
+            crashes, self.crashes = self.crashes, []
+        return crashes
+
     def signal(self, number):
         if self.handle.poll() is None:
             self.handle.send_signal(number)
@@ -152,7 +170,7 @@
         self.servers = [self.make_server("keyed", i, 100 + i, True, zone="zone-2" if i == options.keyed - 1 else "zone-1") for i in range(options.keyed)]
         self.servers += [self.make_server("plain", i, 150 + i, False, zone="zone-2" if i == options.plain - 1 else "zone-1") for i in range(options.plain)]
         self.front_port = FRONT_PORT
-        self.features = [FEATURES[name](self) for name in options.features]
+        self.features = [ALL_FEATURES[name](self) for name in options.features]
 
     def make_vm(self, role, index, number):
         name = f"{role}-{index + 1}"
@@ -222,8 +240,11 @@
     def route(self, service, kind, path, version):
         return {"host": "soak.example", "path_prefix": path, "kind": kind, "timeout_s": ROUTE_TIMEOUT, "target_latency_s": 0.5, "priority": 1, "service": service, "attempts": 2, "version": f"{version:08x}"}
 
+    def service(self, version):
+        return {"health_check_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "version": f"{version:08x}"}
+
     def first_configuration(self):
-        service = {"health_check_path": "/healthz", "max_connections": 200, "protocol": "h1", "tls": False, "version": "00000001"}
+        service = self.service(1)
         routes = {f"{service}-{kind}": self.route(service, kind, f"/{service}/{kind}/", 1) for service in ("keyed", "plain") for kind in ("safe", "unsafe")}
         services = {"keyed": service | {"sharded": True, "warm_s": 1.0, "grants": "heartbeat"}, "plain": service}
         for feature in self.features:
@@ -428,6 +449,7 @@
                 self.violations.append(f"key {key} ran at {server} under fence {fence} at {run_time} after {previous_server} under {previous_fence} (request {request_id})")
             latest[key] = (int(fence), server)
         self.violations += [violation for feature in self.features for violation in feature.check(runs)]
+        self.violations += [f"{vm.name} ended by itself with {name}" for vm in self.members + self.entries for name in vm.take_crashes()]
         if self.violations:
             (self.folder / "violations.txt").write_text("\n".join(self.violations) + "\n")
             raise Violation("\n".join(self.violations[:10]))
