Send the soak's feature requests to all paths in turn

Trace: 27 requests for five statuses reached an upstream in that run, each drawn at random, and none of them was for 1000. The check of use is right; the draw left it to chance. Each path now comes once before any comes again.

--- a/tests/platform/soak/features.py
+++ b/tests/platform/soak/features.py
@@ -60,10 +60,12 @@
         return random.Random(f"{type(self).__name__} {number} {self.soak.options.seed}")
 
     def send_requests(self, number, pause, paths, goes_on=None):
-        """Sends requests to random ones of the paths while the function returns True, by default until the run is over."""
+        """Sends requests to all of the paths in turn, each time in a random order, while the function returns True, by default until the run is over."""
         generator = self.generator(number)
+        order = []
         while goes_on() if goes_on else not self.soak.is_over.is_set():
-            kind, path = generator.choice(paths)
+            order = order or generator.sample(paths, len(paths))
+            kind, path = order.pop()
             self.soak.exchange(f"{generator.getrandbits(64):016x}", kind, path, generator.randrange(KEYS), generator.choice(self.soak.front_proxies))
             time.sleep(pause)
 
