Report what callers send on connections that were closed as idle

A request that crosses the close of its idle connection was discarded without a trace, so that the log could not tell the close of a planned stop, the idle limit, a response that closes its connection and the end of a process apart. A line LateInput and a counter by reason of the close now do.

--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -40,6 +40,7 @@
     ResponseCut = 3010,
     RequestsHeldBack = 3011,
     ResponseBroken = 3012,
+    LateInput = 3013,
     MessageDropped = 4001,
     PeerUnreachable = 4002,
     ElectionStarted = 5001,
@@ -83,7 +84,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 55> logEventTable;
+extern const std::array<LogEventRow, 56> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -1,6 +1,7 @@
 #include "adapters/http/HttpListener.h"
 
 #include <sys/epoll.h>
+#include <utility>
 
 /// How a listener closes the connections of its callers.
 namespace teaselturn {
@@ -45,7 +46,9 @@
 
 void HttpListener::continueClose(const ConnectionPointer& connection, PendingCallbacks& callbacks)
 {
-    switch (connection->closing->discardInput()) {
+    const auto peer = connection->closing->discardInput();
+    this->reportLateInput(*connection);
+    switch (peer) {
     case GracefulClose::PeerState::Open:
         break;
     case GracefulClose::PeerState::Sending:
@@ -98,15 +101,40 @@
     if (this->logger == nullptr) {
         return;
     }
-    std::uint64_t skippedLines = 0;
-    {
-        const MutexLock lock { this->mutex };
-        if (!this->logRateLimiter.tryAcquire(this->reactor.now())) {
-            return;
-        }
-        skippedLines = this->logRateLimiter.takeSkipped();
+    const auto skippedLines = this->acquireLogLine();
+    if (!skippedLines) {
+        return;
+    }
+    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", *skippedLines } });
+}
+
+std::optional<std::uint64_t> HttpListener::acquireLogLine()
+{
+    const MutexLock lock { this->mutex };
+    if (!this->logRateLimiter.tryAcquire(this->reactor.now())) {
+        return std::nullopt;
+    }
+    return this->logRateLimiter.takeSkipped();
+}
+
+void HttpListener::reportLateInput(Connection& connection)
+{
+    const auto bytes = connection.closing->lateInputBytes();
+    if (bytes == 0 || std::exchange(connection.isLateInputReported, true)) {
+        return;
+    }
+    const auto reason = connection.closeReason;
+    this->counters.lateInput[static_cast<std::size_t>(reason)].add();
+    // A caller that pipelines sends behind its last response; only a close of an idle connection takes callers by surprise.
+    if (this->logger == nullptr || (reason != CloseReason::Idle && reason != CloseReason::TimedOut)) {
+        return;
+    }
+    const auto skippedLines = this->acquireLogLine();
+    if (!skippedLines) {
+        return;
     }
-    this->logger->log(LogEvent::ResponseCut, "", { { "request", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "unsentBytes", unsent }, { "unacknowledgedBytes", unacknowledged }, { "unreadBytes", inKernel.unread }, { "skippedLines", skippedLines } });
+    const auto millisecondsSince = [now = this->reactor.now()](Instant time) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - time).count(); };
+    this->logger->log(LogEvent::LateInput, "", { { "lastRequest", connection.lastRequestName }, { "reason", closeReasonName(reason) }, { "bytes", bytes }, { "closedMs", millisecondsSince(connection.closing->beganAt()) }, { "idleMs", millisecondsSince(connection.lastActiveAt) }, { "skippedLines", *skippedLines } });
 }
 
 void HttpListener::recordDelivery(Connection& connection, Instant now)
--- a/src/adapters/http/ListenerCounters.h
+++ b/src/adapters/http/ListenerCounters.h
@@ -42,6 +42,8 @@
     /// Connections that the listener closed while bytes of a response were not acknowledged or bytes of the caller were not
     /// read, so that the caller may have lost a part of the response.
     Counter cut;
+    /// Connections on which input arrived after the listener had ended its sending direction, by CloseReason.
+    std::array<Counter, closeReasonNames.size()> lateInput;
 
     Counter& closedFor(CloseReason reason) noexcept { return this->closed[static_cast<std::size_t>(reason)]; }
 };
--- a/src/adapters/reactor/GracefulClose.h
+++ b/src/adapters/reactor/GracefulClose.h
@@ -48,6 +48,11 @@
     /// @return The state of the peer. After Ended and Reset the socket may be closed.
     PeerState discardInput() noexcept;
 
+    /// @return Bytes that arrived after the sending direction had ended.
+    std::size_t lateInputBytes() const noexcept { return this->discardedBytes; }
+    /// @return When the sending direction ended.
+    Instant beganAt() const noexcept { return this->begunAt; }
+
     /// @return Bytes written before the close that the peer has not acknowledged.
     std::size_t undeliveredBytes() const noexcept;
 
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 55> logEventTable { {
+const std::array<LogEventRow, 56> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -28,6 +28,7 @@
     { LogEvent::ResponseCut, "ResponseCut", LogLevel::Warning, "a connection was closed before its caller had received a whole response" },
     { LogEvent::RequestsHeldBack, "RequestsHeldBack", LogLevel::Warning, "a limit far under the stated slots holds requests back" },
     { LogEvent::ResponseBroken, "ResponseBroken", LogLevel::Warning, "a response broke off after its beginning was forwarded; the caller's connection is closed" },
+    { LogEvent::LateInput, "LateInput", LogLevel::Info, "a caller sent something on a connection that had been closed because it was idle" },
     { LogEvent::MessageDropped, "MessageDropped", LogLevel::Warning, "a message from a peer was dropped" },
     { LogEvent::PeerUnreachable, "PeerUnreachable", LogLevel::Debug, "a peer cannot be reached" },
     { LogEvent::ElectionStarted, "ElectionStarted", LogLevel::Info, "an election started" },
--- a/src/node/gateway/GatewayCounters.cpp
+++ b/src/node/gateway/GatewayCounters.cpp
@@ -39,6 +39,11 @@
     for (std::size_t i = 0; i < closeReasonNames.size(); ++i) {
         writeSample(out, closedName, writeLabel("reason", closeReasonNames[i]), callers.closed[i].value());
     }
+    constexpr std::string_view lateName = "teaselturn_caller_connections_late_input_total";
+    writeMetricHead(out, lateName, "counter", "Connections of callers that sent something after the end of their responses, by reason of the close.");
+    for (std::size_t i = 0; i < closeReasonNames.size(); ++i) {
+        writeSample(out, lateName, writeLabel("reason", closeReasonNames[i]), callers.lateInput[i].value());
+    }
     constexpr std::string_view pausedName = "teaselturn_transfers_paused";
     writeMetricHead(out, pausedName, "gauge", "Large bodies that wait for their turn on the link.");
     writeSample(out, pausedName, "", static_cast<std::uint64_t>(transfers.paused.value()));
