--- a/tests/adapters/http/SlowCaller.h
+++ b/tests/adapters/http/SlowCaller.h
@@ -4,10 +4,12 @@
 
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
+#include <thread>
 
 /// A caller whose kernel buffers little, so that most of a long response waits in the send buffer of the server until the
 /// caller reads it.
@@ -75,6 +77,21 @@
         }
     }
 
+    /// Waits for a reset, which recv() does not report behind an orderly end.
+    /// @return True if the connection was reset within 10 s.
+    bool waitForReset() const
+    {
+        for (int i = 0; i < 1'000; ++i) {
+            int error = 0;
+            socklen_t length = sizeof error;
+            if (getsockopt(this->socket.number(), SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error != 0) {
+                return true;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds { 10 });
+        }
+        return false;
+    }
+
     /// @return The bytes behind the first head.
     std::string_view receivedBody() const
     {
