Send the reset of late input at once, and drop no response for it

A process that ended, or a close at its limit, with input unread reset the connection and dropped what its caller had not received of an earlier response: 24,532 of 1,048,576 bytes arrived. And a caller whose late upload filled the window was waited for until the limit of 2 s, which delayed planned stops.

Late input now ends the close as soon as everything is acknowledged, since closing the socket is what tells the caller. At a limit, and at the end of the process, unacknowledged bytes go before: the input is read then.

--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -263,11 +263,11 @@
     /// Reports the requests without a response as disconnected.
     void cancelRequests(Connection& connection, PendingCallbacks& callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Reports a connection that is about to be closed while its caller may not have received a whole response.
+    void reportIfCut(Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Counts a closing connection on which input has arrived, and logs it if the connection was idle.
     void reportLateInput(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// @return The number of lines that the limit of log lines has suppressed; empty if it suppresses this one too.
     std::optional<std::uint64_t> acquireLogLine();
-    void reportIfCut(Connection& connection, CloseReason reason) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Queues the handler calls. The caller runs them after it has released the connection's lock.
     void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -78,6 +78,9 @@
     this->cancelRequests(connection, callbacks);
     connection.unsentReservations.clear();
     this->reactor.remove(connection.stream.descriptor(), connection.watchId);
+    if (connection.closing) {
+        connection.closing->prepareClose();
+    }
     connection.stream.close();
     const MutexLock lock { this->mutex };
     this->connections.erase(&connection);
--- a/src/adapters/http/HttpServer.cpp
+++ b/src/adapters/http/HttpServer.cpp
@@ -402,6 +402,9 @@
             const auto due = std::max(state.idleSince, this->drainSince) + idleTime;
             const bool isIdle = !state.closeBegunAt && !state.isBeingServed && due <= now && state.connection->isIdle();
             if ((isIdle && this->beginClose(descriptor, state, LateInput::LeaveUnread, now)) || (state.closeBegunAt && (this->closesAtOnce || this->isCloseExpired(descriptor, state, now)))) {
+                if (state.closing) {
+                    state.closing->prepareClose();
+                }
                 closed.push_back(std::move(state.connection));
                 entry = this->connections.erase(entry);
                 continue;
--- a/src/adapters/reactor/GracefulClose.cpp
+++ b/src/adapters/reactor/GracefulClose.cpp
@@ -27,16 +27,25 @@
     }
     // recv() reports the peer's end only behind the input, so it is asked for as an event.
     pollfd peer { this->descriptor, POLLRDHUP, 0 };
-    if (::poll(&peer, 1, 0) <= 0) {
+    if (::poll(&peer, 1, 0) < 0) {
         return PeerState::Open;
     }
     if ((peer.revents & POLLERR) != 0) {
         return PeerState::Reset;
     }
-    const bool hasEnded = (peer.revents & (POLLRDHUP | POLLHUP)) != 0;
-    // Closing with input unread resets the connection, which would drop what is not acknowledged.
-    const bool wouldDrop = kernelBuffers(this->descriptor).unread > 0 && this->undeliveredBytes() > 0;
-    return hasEnded && !wouldDrop ? PeerState::Ended : PeerState::Open;
+    if (this->lateInputBytes() > 0) {
+        // Closing resets the connection, which tells the peer at once, but would drop what is not acknowledged. The end of a peer
+        // that fills its window may never arrive, so it is not waited for.
+        return this->undeliveredBytes() > 0 ? PeerState::Open : PeerState::Ended;
+    }
+    return (peer.revents & (POLLRDHUP | POLLHUP)) != 0 ? PeerState::Ended : PeerState::Open;
+}
+
+void GracefulClose::prepareClose() noexcept
+{
+    if (this->leavesInputUnread() && this->undeliveredBytes() > 0) {
+        static_cast<void>(this->discardInput());
+    }
 }
 
 GracefulClose::PeerState GracefulClose::discardInput() noexcept
--- a/src/adapters/reactor/GracefulClose.h
+++ b/src/adapters/reactor/GracefulClose.h
@@ -13,8 +13,8 @@
 enum class LateInput : std::uint8_t {
     /// It is read, so that a peer that sends before it reads does not block. For connections that end with a response.
     Discard,
-    /// It stays in the kernel, so that the peer can tell that its request was not read and may send it again. For connections
-    /// that were idle.
+    /// It stays in the kernel, and closing the socket resets the connection, so that the peer learns that its request was not
+    /// read. For connections that were idle.
     LeaveUnread,
 };
 
@@ -43,7 +43,7 @@
         Open,
         /// There may be more input; the caller must call again.
         Sending,
-        /// The peer has ended its direction, and closing the socket loses no sent bytes.
+        /// The peer has ended its direction, or sent late input that stays unread. Closing the socket loses no sent bytes.
         Ended,
         /// The connection was reset or has failed.
         Reset,
@@ -59,6 +59,10 @@
     /// @return The state of the peer. After Ended and Reset the socket may be closed.
     PeerState checkPeer() noexcept;
 
+    /// Reads late input if the peer has not acknowledged everything, so that closing the socket does not drop sent bytes. Must be
+    /// called before the socket is closed at a limit.
+    void prepareClose() noexcept;
+
     /// @return Bytes that arrived after the sending direction had ended.
     std::size_t lateInputBytes() const noexcept;
     /// @return True if late input stays unread.
--- /dev/null
+++ b/tests/adapters/http/LateInputTest.cpp
@@ -0,0 +1,130 @@
+#include "adapters/http/HttpListener.h"
+
+#include "adapters/http/SlowCaller.h"
+
+#include <absl/synchronization/notification.h>
+#include <catch2/catch.hpp>
+#include <optional>
+
+/// Closes of connections whose callers did not get a response to what they sent, or lost a part of one.
+using namespace teaselturn;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Fits into the kernel's send buffer on loopback, but not into the receive buffer of a SlowCaller.
+constexpr std::size_t sendBufferBody = 1'024 * 1'024;
+
+bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds limit = 10s)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (std::chrono::steady_clock::now() < end) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    return false;
+}
+
+/// A listener that responds at once.
+struct RespondingListener {
+    const std::string body;
+    Reactor reactor { 2 };
+    std::optional<HttpListener> listener;
+
+    explicit RespondingListener(std::size_t bodyBytes)
+        : body(bodyBytes, 'x')
+    {
+        this->listener.emplace(this->reactor, HttpListener::Handlers { [this](HttpRequestId id, const ReceivedRequest&) { this->listener->respond(id, { 200, {}, this->body, false, "one", {} }); }, {} });
+        REQUIRE(this->listener->listen({ "127.0.0.1", 0 }));
+        this->reactor.start();
+    }
+    ~RespondingListener() { this->reactor.stop(); }
+
+    std::uint64_t lateInput(CloseReason reason) const { return this->listener->statistics().lateInput[static_cast<std::size_t>(reason)].value(); }
+    bool hasOpenRequests() { return this->listener->openRequests() > 0; }
+};
+
+}
+
+TEST_CASE("the end of the process does not cut a response behind which its caller has sent more")
+{
+    // Input that stays unread at the end of the process makes the kernel reset the connection, which drops the rest of a
+    // response that was written before the connection was closed as idle.
+    RespondingListener server { sendBufferBody };
+    SlowCaller caller { server.listener->localEndpoint() };
+    REQUIRE(caller.send(request));
+    caller.readAtLeast(1);
+    REQUIRE(waitUntil([&] { return !server.hasOpenRequests(); }));
+    server.listener->beginDrain();
+    server.listener->closeIdle();
+    REQUIRE(server.listener->closingConnections() == 1);
+    REQUIRE(caller.send(request));
+    REQUIRE(waitUntil([&] { return server.lateInput(CloseReason::Idle) == 1; }));
+    server.reactor.stop();
+    server.listener.reset();
+    caller.readToEnd();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(caller.end == SlowCaller::End::Orderly);
+}
+
+TEST_CASE("a connection with late input closes as soon as its caller has ended and received everything")
+{
+    // An acknowledgement causes no event unless the send buffer was full, so that the end of the process waited for the time
+    // limit of the close.
+    RespondingListener server { 128 * 1'024 };
+    SlowCaller caller { server.listener->localEndpoint() };
+    REQUIRE(caller.send(request));
+    caller.readAtLeast(1);
+    REQUIRE(waitUntil([&] { return !server.hasOpenRequests(); }));
+    server.listener->closeIdle();
+    REQUIRE(caller.send(request));
+    REQUIRE(waitUntil([&] { return server.lateInput(CloseReason::Idle) == 1; }));
+    caller.endSending();
+    caller.readToEnd();
+    const auto receivedAt = std::chrono::steady_clock::now();
+    CHECK(caller.receivedBody().size() == server.body.size());
+    CHECK(waitUntil([&] { return server.listener->connectionCount() == 0; }));
+    CHECK(std::chrono::steady_clock::now() - receivedAt < 1s);
+}
+
+TEST_CASE("a late request that fills the receive window does not hold its connection")
+{
+    // The end of a caller that is behind its unread bytes never arrives, so that the end of the process waited for the time
+    // limit of the close.
+    RespondingListener server { 4 };
+    {
+        SlowCaller caller { server.listener->localEndpoint() };
+        REQUIRE(caller.send(request));
+        caller.readAtLeast(1);
+        server.listener->closeIdle();
+        caller.readToEnd();
+        // More than the receive window of a connection that is not read, less than the send buffer of the caller.
+        // The connection may be reset within it.
+        static_cast<void>(caller.send(std::string(sendBufferBody, 'x')));
+    }
+    const auto endedAt = std::chrono::steady_clock::now();
+    CHECK(waitUntil([&] { return server.listener->connectionCount() == 0; }));
+    CHECK(std::chrono::steady_clock::now() - endedAt < 1s);
+}
+
+TEST_CASE("the end of a connection with a late request looks the same to its caller, whether the request was read or not")
+{
+    // States what a caller can know: recv() reports an orderly end. Only SO_ERROR, or a later send(), reports the reset.
+    RespondingListener server { 4 };
+    SlowCaller caller { server.listener->localEndpoint() };
+    REQUIRE(caller.send(request));
+    caller.readAtLeast(1);
+    server.listener->beginDrain();
+    server.listener->closeIdle();
+    CHECK(caller.send(request));
+    caller.readToEnd();
+    CHECK(caller.end == SlowCaller::End::Orderly);
+    REQUIRE(waitUntil([&] { return server.lateInput(CloseReason::Idle) == 1; }));
+    CHECK(caller.waitForReset());
+    caller.end = SlowCaller::End::TimedOut;
+    caller.readToEnd();
+    CHECK(caller.end == SlowCaller::End::Orderly);
+}
