Exercise kept idle connections in the fault soak

What callers saw: a request that crossed the close of its idle kept connection was read and discarded. The soak did not find it, because none of its callers left a connection idle.

The feature kept-connections of the soak has callers that keep connections, leave them idle and send on them without looking whether they have ended, while planned stops, SIGHUP and changes of the idle limit overlap. Without a whole response, a direct connection must end with a reset: the kernel sends one if the socket is closed while the request is unread, or if the request arrives later. Such a request must not be in the servers' records either. Connections to entry VMs that were killed are not judged, nor those through a proxy that a fault disturbed.

--- a/tests/platform/soak/features.py
+++ b/tests/platform/soak/features.py
@@ -1,13 +1,16 @@
 """Features that only some runs of the soak exercise, each with its servers, routes, callers, faults and checks."""
 
+import contextlib
 import http.client
 import itertools
 import random
+import select
 import signal
 import socket
 import threading
 import time
 
+from pipelining import DRAIN_SECONDS, RECEIVE_TIMEOUT
 from server import KEYS, SERVICE_SECONDS, body_of, signature
 
 ZONES = {"zone-1": "region-1", "zone-2": "region-1", "zone-3": "region-2"}
@@ -407,9 +410,125 @@
             yield "no drop of a service was rejected"
 
 
+class KeptConnections(Feature):
+    """Callers that keep connections, leave them idle and send without looking whether they have ended, while planned stops, SIGHUP and changes of the idle limit overlap.
+
+    The kernel resets a connection whose socket is closed while a request is unread, or before it arrives. Without a reset, the request was read.
+    """
+
+    CALLERS_PER_VM = 4
+    # A planned stop closes only connections that are idle from its beginning on, for 2.6 s.
+    SHORT_PAUSE_SECONDS, LONG_PAUSE_SECONDS = (0.0, 0.1), (0.5, 6.0)
+    # Shorter limits would cut responses to slow readers on a busy machine.
+    IDLE_LIMITS_SECONDS = (1.0, 2.5, 15.0)
+    # The program holds a closed connection for 2 s. The rest allows for a pause of the VM.
+    RESET_WITHIN_SECONDS = 8.0
+    # The first that matches names how a connection ended before a whole response.
+    ENDS = {http.client.RemoteDisconnected: "end", ConnectionError: "reset", socket.timeout: "stall", http.client.HTTPException: "cut"}
+
+    def __init__(self, soak):
+        super().__init__(soak)
+        self.unread = set()
+        self.crossed = self.crossed_in_stops = self.changes = 0
+
+    def callers(self):
+        return [lambda vm=vm, proxy=proxy, number=number: self.run_caller(vm, proxy if number == 0 else None, number)
+            for vm, proxy in zip(self.soak.entries, self.soak.front_proxies) for number in range(self.CALLERS_PER_VM)]
+
+    def run_caller(self, vm, proxy, number):
+        generator = self.generator(f"{vm.name} {number}")
+        while not self.soak.is_over.is_set():
+            time.sleep(0.05)
+            connected_at = time.monotonic()
+            with contextlib.suppress(OSError), socket.create_connection(proxy.listener.getsockname() if proxy else (vm.address, self.soak.front_port), RECEIVE_TIMEOUT) as connection:
+                while not self.soak.is_over.is_set() and self.send_request(connection, connected_at, vm, proxy, generator):
+                    # Every second caller sends as soon as the end arrives, since a planned stop leaves little time between it and the end of the process.
+                    self.wait_for(connection, select.POLLIN if number % 2 else 0, generator.uniform(*generator.choice([self.SHORT_PAUSE_SECONDS, self.LONG_PAUSE_SECONDS])))
+
+    @staticmethod
+    def wait_for(connection, events, seconds):
+        """Waits for input, if asked for, or a reset. Returns False if there was none. Unlike recv(), poll() reports a reset behind an orderly end."""
+        poll = select.poll()
+        poll.register(connection, events)
+        return bool(poll.poll(seconds * 1000))
+
+    def send_request(self, connection, connected_at, vm, proxy, generator):
+        """Returns True if the connection stays open after the response."""
+        request_id, kind = f"{generator.getrandbits(64):016x}", generator.choice(["safe", "unsafe"])
+        path = f"/{generator.choice(['keyed', 'plain'])}/{kind}/{generator.randrange(1000)}"
+        head = f"GET {path} HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {request_id}\r\nDeadline-Ms: 2000\r\nShard-Key: {generator.randrange(KEYS)}\r\n\r\n"
+        sent_at, status, end = time.monotonic(), 0, None
+        response = http.client.HTTPResponse(connection, method="GET")
+        try:
+            connection.sendall(head.encode())
+            with self.soak.reading_status(request_id):
+                response.begin()
+            status = self.soak.receive(request_id, path, response)
+        except tuple(self.ENDS) as error:
+            end = next(name for kind, name in self.ENDS.items() if isinstance(error, kind))
+        with self.soak.lock:
+            self.soak.results[request_id] = (kind, status)
+        if end:
+            self.record_end(connection, connected_at, sent_at, request_id, vm, proxy, end)
+        return not end and not response.will_close
+
+    def record_end(self, connection, connected_at, sent_at, request_id, vm, proxy, end):
+        """Records a request without a whole response, unless more than planned stops, SIGHUP and changes disturbed its connection."""
+        ended_at, terminated_at = time.monotonic(), vm.planned_stop_since(connected_at)
+        is_direct_end = end == "end" and not proxy
+        if is_direct_end:
+            end = "reset" if self.wait_for(connection, 0, self.RESET_WITHIN_SECONDS) else "end without a reset"
+        is_unfinished = end != "reset" and terminated_at is not None and ended_at - terminated_at >= DRAIN_SECONDS
+        is_proxy_disturbed = any(target is proxy and not (ends and ends[0] < connected_at) for _, target, _, ends in list(self.soak.disturbances))
+        # The signal may follow the recorded time of a kill late.
+        if vm.killed_at >= connected_at - 1.0 or is_unfinished or is_proxy_disturbed:
+            return
+        self.unread.add(request_id)
+        is_crossing = is_direct_end and end == "reset"
+        self.crossed, self.crossed_in_stops = self.crossed + is_crossing, self.crossed_in_stops + (is_crossing and terminated_at is not None)
+        if end not in ("reset", "end"):
+            when = "no planned stop" if terminated_at is None else f"{ended_at - terminated_at:.3f} s after SIGTERM"
+            self.soak.violations.append(f"request {request_id}: {end} of the kept connection to {vm.name}, {when}, {ended_at - sent_at:.3f} s after the request")
+
+    def faults(self):
+        return [self.stop_entries, self.change_limits]
+
+    def stop_entries(self):
+        generator = self.generator("stops")
+        while self.soak.has_faults():
+            vm = generator.choice(self.soak.entries)
+            if self.soak.claim(vm):
+                self.soak.note_fault(f"SIGHUP and planned stop of {vm.name}")
+                self.soak.rotate_seeds(vm, 0)
+                # To the process that stops only, since it would end the next one before its handler is in place.
+                threading.Timer(generator.uniform(0.0, 2.5), vm.handle.send_signal, [signal.SIGHUP]).start()
+                self.soak.terminate(vm, 0)
+                vm.is_disturbed = False
+            time.sleep(generator.uniform(0.0, 0.5))
+
+    def change_limits(self):
+        generator = self.generator("limits")
+        for version in itertools.takewhile(lambda _: self.soak.has_faults(), itertools.count(1)):
+            limits = {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_s": 3, "idle_timeout_s": generator.choice(self.IDLE_LIMITS_SECONDS), "version": f"{version:08x}"}
+            response = self.soak.send_control_request("PATCH", body={"upsert": {"limits": limits}})
+            self.changes += bool(response and response[0] == 200)
+            self.soak.note_fault(f"idle limit of {limits['idle_timeout_s']} s: {response and response[0]}")
+            time.sleep(generator.uniform(0.3, 2.0))
+
+    def after_recovery(self):
+        self.soak.note_fault(f"{self.crossed} requests had crossed the close of their connection ({self.crossed_in_stops} in planned stops), the idle limit had changed {self.changes} times")
+
+    def check(self, runs):
+        return (f"request {run.request_id} ran at {run.server}, but its kept connection ended without a response" for run in runs if run.request_id in self.unread)
+
+    def check_use(self, runs):
+        if not self.crossed or not self.changes:
+            yield f"{self.crossed} requests crossed the close of their connection, and {self.changes} changes of the idle limit were acknowledged"
+
+
 FEATURES = {"bodies": Bodies, "statuses": Statuses, "evacuations": Evacuations, "warm-ups": WarmUps, "regions": Regions}
 # Not drawn, so that a seed goes on drawing the features that it had.
-ALL_FEATURES = FEATURES | {"service-changes": ServiceChanges}
+ALL_FEATURES = FEATURES | {"service-changes": ServiceChanges, "kept-connections": KeptConnections}
 
 
 def draw(seed):
--- a/tests/platform/soak/soak.py
+++ b/tests/platform/soak/soak.py
@@ -287,10 +287,7 @@
             connection.request("GET", path, None, headers)
             with self.reading_status(request_id):
                 response = connection.getresponse()
-            self.check_status(request_id, response.status)
-            status, body = response.status, response.read()
-            if status == 200 and (body != body_of(request_id, "GET", path) or response.getheader("Upstream-Signature") != signature(request_id)):
-                self.violations.append(f"request {request_id} got the response of another request: {body[:80]!r}")
+            status = self.receive(request_id, path, response)
         except (OSError, http.client.HTTPException):
             pass
         finally:
@@ -299,6 +296,14 @@
             self.results[request_id] = (kind, status)
         return status
 
+    def receive(self, request_id, path, response):
+        """Reads the body of a response and checks the response. Returns the status."""
+        self.check_status(request_id, response.status)
+        body = response.read()
+        if response.status == 200 and (body != body_of(request_id, "GET", path) or response.getheader("Upstream-Signature") != signature(request_id)):
+            self.violations.append(f"request {request_id} got the response of another request: {body[:80]!r}")
+        return response.status
+
     @contextlib.contextmanager
     def reading_status(self, request_id):
         """Records a status that http.client does not accept, unless the line is not whole."""
