Serve the request behind a streamed response that did not announce a close

What callers saw in a planned stop: a request on a kept connection ended without a response, though the response before it had no Connection: close. Only streamed responses, whose head goes out early.

Cause: any event within the body made that response the last one of its connection, since the process drains. The caller could not know that, and its next request was read and discarded.

Now the next request is read, and its response closes the connection.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -177,8 +177,9 @@
 
 void HttpListener::readRequests(const ConnectionPointer& connection, PendingCallbacks& callbacks)
 {
-    if (this->isDraining && !connection->exchanges.empty()) {
-        // A caller that always has a request in flight would keep the connection open until the process ends.
+    if (this->isDraining && !connection->exchanges.empty() && !isWithinResponse(*connection)) {
+        // A caller that always has a request in flight would keep the connection open until the process ends. If the head of the
+        // response is written, the caller cannot know that it is the last one, so the next response closes the connection.
         connection->closesAfterResponses = true;
     }
     if (connection->closesAfterResponses) {
--- a/tests/adapters/http/LateInputTest.cpp
+++ b/tests/adapters/http/LateInputTest.cpp
@@ -128,3 +128,48 @@
     caller.readToEnd();
     CHECK(caller.end == SlowCaller::End::Orderly);
 }
+
+TEST_CASE("a request behind a response without Connection: close is not read without a response in a planned stop")
+{
+    // The head was written before the stop, so its caller may send the next request behind the body. An event within the body
+    // made the response the last one of its connection.
+    Mutex mutex;
+    std::vector<HttpRequestId> requests;
+    Reactor reactor { 2 };
+    HttpListener listener { reactor, { [&](HttpRequestId id, const ReceivedRequest&) {
+                                          const MutexLock lock { mutex };
+                                          requests.push_back(id);
+                                      },
+                                         {}, [](HttpRequestId) {} } };
+    REQUIRE(listener.listen({ "127.0.0.1", 0 }));
+    reactor.start();
+    const auto requestCount = [&] {
+        const MutexLock lock { mutex };
+        return requests.size();
+    };
+    SlowCaller caller { listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    REQUIRE(waitUntil([&] { return requestCount() == 1; }));
+    const auto id = requests.front();
+    // Fills the send buffer, so that reading causes an event.
+    const std::string piece(HttpListener::maxUnsentBody, 'x');
+    constexpr std::size_t pieceCount = 128;
+    listener.beginResponse(id, { 200, {}, {}, false, "one", {} }, pieceCount * piece.size());
+    for (std::size_t i = 0; i + 1 < pieceCount; ++i) {
+        listener.appendBody(id, piece);
+    }
+    listener.beginDrain();
+    caller.readAtLeast((pieceCount - 1) * piece.size());
+    listener.endBody(id, piece);
+    while (caller.receivedBody().size() < pieceCount * piece.size() && caller.readSome()) {
+    }
+    REQUIRE(caller.receivedBody().size() == pieceCount * piece.size());
+    CHECK(caller.received.find("Connection: close") == std::string::npos);
+    CHECK(caller.send(request));
+    // It is either served or stays unread.
+    const bool isServed = waitUntil([&] { return requestCount() == 2; }, 500ms);
+    const bool isDiscarded = listener.statistics().lateInput[static_cast<std::size_t>(CloseReason::LastResponse)].value() > 0;
+    CAPTURE(isServed);
+    CHECK(!isDiscarded);
+    reactor.stop();
+}
