Serve a request that arrived before the time limit of its connection was checked

What callers saw: a process that ran late, or had been paused, closed an idle connection whose next request was already in its receive buffer.

Cause: the idle limit, unlike the close of idle connections in a planned stop, took no account of unread input. Now it leaves such a connection to the event that reads it.

--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -179,6 +179,10 @@
                 continue;
             }
             const bool isReading = connection->reader.isWithinMessage();
+            if (!isReading && hasUnreadInput(*connection)) {
+                // A request has arrived whose event waits for a worker.
+                continue;
+            }
             const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             recordDelivery(*connection, now);
             const bool isSendingPieces = isWithinResponse(*connection) && connection->stream.unsentBytes() > 0;
--- a/tests/adapters/http/LateInputTest.cpp
+++ b/tests/adapters/http/LateInputTest.cpp
@@ -173,3 +173,41 @@
     CHECK(!isDiscarded);
     reactor.stop();
 }
+
+TEST_CASE("a request that has arrived is served if the time limit of its connection is checked before it is read")
+{
+    // The check took no account of unread input: a process that was paused for longer than the limit closed connections whose
+    // requests it had not read.
+    absl::Notification isBlocked;
+    absl::Notification isReleased;
+    Reactor reactor { 1 };
+    HttpListener* target = nullptr;
+    HttpListener listener { reactor, { [&](HttpRequestId id, const ReceivedRequest& received) {
+                                          if (received.target == "/block") {
+                                              isBlocked.Notify();
+                                              isReleased.WaitForNotification();
+                                          }
+                                          target->respond(id, {});
+                                      },
+                                         {} } };
+    target = &listener;
+    CallerLimits limits;
+    limits.idleTimeout = 300ms;
+    listener.setLimits(limits);
+    REQUIRE(listener.listen({ "127.0.0.1", 0 }));
+    reactor.start();
+    SlowCaller blocking { listener.localEndpoint() };
+    SlowCaller caller { listener.localEndpoint() };
+    REQUIRE(caller.send(request));
+    caller.readAtLeast(1);
+    const auto firstBytes = caller.received.size();
+    REQUIRE(blocking.send("GET /block HTTP/1.1\r\nHost: h\r\n\r\n"));
+    isBlocked.WaitForNotification();
+    REQUIRE(caller.send(request));
+    // Longer than the limit; the worker checks it as soon as it is released.
+    std::this_thread::sleep_for(700ms);
+    isReleased.Notify();
+    caller.readAtLeast(firstBytes + 1);
+    CHECK(caller.received.size() == 2 * firstBytes);
+    reactor.stop();
+}
