Answer a change that is still arriving when a member stops

What operators and servers saw: a change or heartbeat whose last bytes came after the stop of a member had begun got no answer, although the member has 1 s to stop.

Cause: a request of which only a part had arrived counted neither as open nor as closing, so that the process ended 50 ms after its stop began. Now such connections are waited for within the same limit.

--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -132,6 +132,8 @@
     /// @return The closing connections without those that were closed for idleness and whose callers have acknowledged
     /// everything. The kernel resets the latter if the process ends, but no byte of a response is lost.
     std::size_t undeliveredConnections();
+    /// @return The number of connections on which a request without a response, or a part of one, has arrived, read or not.
+    std::size_t receivingConnections();
     /// @return The address that the listener was bound to.
     Endpoint localEndpoint() const
     {
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -219,6 +219,17 @@
     }
 }
 
+std::size_t HttpListener::receivingConnections()
+{
+    std::size_t count = 0;
+    for (const auto& connection : this->allConnections()) {
+        const MutexLock lock { connection->mutex };
+        const bool isReceiving = !connection->exchanges.empty() || connection->reader.isWithinMessage() || hasUnreadInput(*connection);
+        count += !connection->isClosed && !connection->closing && isReceiving ? 1 : 0;
+    }
+    return count;
+}
+
 std::size_t HttpListener::undeliveredConnections()
 {
     std::size_t count = 0;
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -264,13 +264,14 @@
     this->listener.closeIdle();
     const auto open = this->listener.openRequests();
     const auto closing = this->listener.undeliveredConnections();
+    const auto receiving = this->listener.receivingConnections();
     const auto now = this->reactor.now();
     if (open > 0 && now >= this->stopDeadline - deliveryTime && !this->hasEndedRequests.exchange(true)) {
         this->logger.log(LogEvent::DrainDeadlineReached, "", { { "open", open }, { "closing", closing } });
         this->endOpenRequests();
         return;
     }
-    const bool isDrained = open == 0 && closing == 0;
+    const bool isDrained = open == 0 && closing == 0 && receiving == 0;
     if ((isDrained || now >= this->stopDeadline) && !this->hasStopped.exchange(true)) {
         this->callbacks.onStopped();
     }
--- a/tests/node/registry/RegistryDaemonTest.cpp
+++ b/tests/node/registry/RegistryDaemonTest.cpp
@@ -181,6 +181,25 @@
     }
 }
 
+TEST_CASE("a planned stop of a member answers a change that is still being received")
+{
+    // A request that was partly read counted neither as open nor as closing, so that the process ended 50 ms after its stop began.
+    const TemporaryFolder folder;
+    auto member = std::make_unique<MemberProcess>((folder.path() / "data").string(), memberAddress, findPeerPort(), std::vector<std::string> { memberAddress });
+    member->waitUntilLeader();
+    SlowCaller caller { member->control };
+    const auto request = changeRequest(10);
+    REQUIRE(caller.send(request.substr(0, request.size() - 1)));
+    auto end = MemberProcess::stop(std::move(member));
+    // Four times the interval of the drain, and a fifth of the default time to stop.
+    std::this_thread::sleep_for(milliseconds { 200 });
+    static_cast<void>(caller.send(request.substr(request.size() - 1)));
+    caller.readToEnd();
+    end.join();
+    CHECK(caller.received.starts_with("HTTP/1.1 200"));
+    CHECK(caller.end == SlowCaller::End::Orderly);
+}
+
 TEST_CASE("a member without a quorum answers its requests and stops in time")
 {
     // A change that cannot be committed must not keep the process from ending, and had no response.
