Keep idle connections of callers for a margin beyond their time limit

What callers saw: a request that they sent just within the idle timeout of the limits got no response, because the listener had ended its connection 0.1 to 0.6 s before the request arrived.

Cause: the listener counted the timeout from the moment at which it wrote the last response, and closed connections exactly at it. Callers count from the moment at which they receive that response, and their next request takes time on the link. A change of the limits to a shorter timeout closed at once all connections that had been idle for longer, although their callers counted on the old timeout.

Change: a connection without a request stays open for 2 s more (HttpListener::idleMargin), also while input waits that no worker has read. It keeps the longer of the current timeout and the one under which it became idle; from its next response on, the current one applies. A request that begins to arrive within the margin has headerTimeout from its first byte, which is the least that any request has had. A caller that has not acknowledged its response is closed at the timeout, as before.

--- a/src/adapters/http/HttpListener.cpp
+++ b/src/adapters/http/HttpListener.cpp
@@ -103,7 +103,7 @@
         }
         auto connection = std::make_shared<Connection>(std::move(socket), this->readLimits());
         const MutexLock connectionLock { connection->mutex };
-        connection->lastActiveAt = this->reactor.now();
+        this->recordActivity(*connection);
         {
             const MutexLock lock { this->mutex };
             if (this->connections.size() >= this->maxConnections) {
@@ -130,7 +130,7 @@
         const bool wasSending = connection->stream.unsentBytes() > 0;
         auto state = connection->stream.flush();
         if (wasSending && connection->stream.unsentBytes() == 0) {
-            connection->lastActiveAt = this->reactor.now();
+            this->recordActivity(*connection);
         }
         // The input of a caller that sends faster than its requests are answered stays in the socket.
         connection->isReadPaused = connection->exchanges.size() >= maxPipelinedRequests && connection->input.size() >= TcpStream::maxReadBytes && (events & disconnectEvents) == 0;
@@ -187,6 +187,7 @@
     }
     while (!connection->closesAfterResponses && !connection->input.empty() && connection->exchanges.size() < maxPipelinedRequests) {
         connection->reader.setLimits(this->readLimits());
+        const bool wasReading = connection->reader.isWithinMessage();
         const auto progress = connection->reader.read(connection->input);
         shrinkInput(connection->input);
         if ((progress == ReadProgress::Incomplete || progress == ReadProgress::Complete) && !this->reserveBuffer(*connection)) {
@@ -195,7 +196,10 @@
             return;
         }
         if (progress == ReadProgress::Incomplete) {
-            // lastActiveAt is not updated here: the timeout of a head counts from its first byte.
+            // Later bytes do not count, so that a caller cannot prolong a request without end.
+            if (!wasReading) {
+                connection->readBegunAt = this->reactor.now();
+            }
             this->recordTransfer(connection, callbacks);
             return;
         }
@@ -208,7 +212,7 @@
         auto request = connection->reader.take();
         request.reservation = std::move(connection->reservation);
         request.headReadAt = headReadAt;
-        connection->lastActiveAt = this->reactor.now();
+        this->recordActivity(*connection);
         connection->closesAfterResponses = !request.keepsAlive || this->isDraining;
         const auto id = this->registerRequest(connection);
         connection->exchanges.push_back({ id });
@@ -241,7 +245,7 @@
         dropLaterRequests(connection, callbacks);
     }
     connection.lastRequestName = std::move(response.requestName);
-    connection.lastActiveAt = this->reactor.now();
+    this->recordActivity(connection);
 }
 
 void HttpListener::writeResponses(const ConnectionPointer& connection, PendingCallbacks& callbacks)
--- a/src/adapters/http/HttpListener.h
+++ b/src/adapters/http/HttpListener.h
@@ -89,7 +89,12 @@
     /// response.
     void closeIdle();
 
+    /// Sets the limits of the requests. A shorter idle timeout applies to a connection from its next response on, since its
+    /// caller counts on the timeout under which the connection became idle.
     void setLimits(const CallerLimits& limits);
+    /// Idle connections stay open for so much longer than the idle timeout. Callers count the timeout from the moment at which
+    /// they receive a response, and in traces, requests that were sent within it arrived up to 1.2 s after it had passed here.
+    static constexpr std::chrono::seconds idleMargin { 2 };
     /// Sets the maximum number of open connections; those beyond it are closed on arrival. Call it before listen().
     /// Each connection holds a descriptor.
     void setMaxConnections(std::size_t count) noexcept { this->maxConnections = count; }
@@ -177,6 +182,10 @@
         /// Requests whose responses have not been written, in the order of arrival.
         std::deque<Exchange> exchanges ABSL_GUARDED_BY(mutex);
         Instant lastActiveAt ABSL_GUARDED_BY(mutex);
+        /// The idle timeout that was in force then.
+        Duration idleTimeout ABSL_GUARDED_BY(mutex) {};
+        /// When the first bytes of the request that is being read were read.
+        Instant readBegunAt ABSL_GUARDED_BY(mutex);
         /// Bytes of responses that the caller had not acknowledged at the last check.
         std::size_t undeliveredBytes ABSL_GUARDED_BY(mutex) {};
         /// Name of the request whose response was written last.
@@ -272,8 +281,12 @@
     void queueHandlers(Connection& connection, PendingCallbacks callbacks) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     void invokeHandlers(PendingCallbacks& callbacks);
     void closeTimedOut(Instant now);
+    /// @return True if the caller has taken too long to send a request or to receive a response.
+    static bool isTimedOut(Connection& connection, const CallerLimits& currentLimits, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// Counts a connection as active if its caller has acknowledged more of a response since the last call.
     static void recordDelivery(Connection& connection, Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
+    /// Restarts the idle timeout of a connection.
+    void recordActivity(Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     /// @return True if a request may have arrived that no worker has read yet.
     static bool hasUnreadInput(const Connection& connection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(connection.mutex);
     std::vector<ConnectionPointer> allConnections();
--- a/src/adapters/http/HttpListenerBody.cpp
+++ b/src/adapters/http/HttpListenerBody.cpp
@@ -133,7 +133,7 @@
         out.append("\r\n");
     }
     if (!response.unwritten.empty()) {
-        connection.lastActiveAt = this->reactor.now();
+        this->recordActivity(connection);
         auto pieces = std::exchange(response.unwritten, {});
         if (out.empty()) {
             out = std::move(pieces);
--- a/src/adapters/http/HttpListenerClose.cpp
+++ b/src/adapters/http/HttpListenerClose.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http/HttpListener.h"
 
+#include <algorithm>
 #include <sys/epoll.h>
 #include <utility>
 
@@ -151,6 +152,33 @@
     }
 }
 
+void HttpListener::recordActivity(Connection& connection)
+{
+    connection.lastActiveAt = this->reactor.now();
+    const MutexLock lock { this->mutex };
+    connection.idleTimeout = this->limits.idleTimeout;
+}
+
+bool HttpListener::isTimedOut(Connection& connection, const CallerLimits& currentLimits, Instant now)
+{
+    const auto inactiveTime = now - connection.lastActiveAt;
+    const bool isReading = connection.reader.isWithinMessage();
+    if (inactiveTime <= (isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout)) {
+        return false;
+    }
+    const auto inKernel = kernelBuffers(connection.stream.descriptor().number());
+    if (connection.stream.unsentBytes() > 0 || inKernel.unacknowledged > 0) {
+        // The caller does not read, so it is not about to send a request.
+        return true;
+    }
+    if (isReading) {
+        // A request that begins to arrive at the end of the margin gets the same time as any other.
+        return now - connection.readBegunAt > currentLimits.headerTimeout;
+    }
+    // Unread input may be a request that no worker has read yet.
+    return inKernel.unread == 0 && inactiveTime > std::max(connection.idleTimeout, currentLimits.idleTimeout) + idleMargin;
+}
+
 void HttpListener::closeTimedOut(Instant now)
 {
     CallerLimits currentLimits;
@@ -175,11 +203,9 @@
                 // The listener, not the caller, delays the body.
                 continue;
             }
-            const bool isReading = connection->reader.isWithinMessage();
-            const auto timeout = isReading ? currentLimits.headerTimeout + currentLimits.idleTimeout : currentLimits.idleTimeout;
             recordDelivery(*connection, now);
             const bool isSendingPieces = isWithinResponse(*connection) && connection->stream.unsentBytes() > 0;
-            if ((connection->exchanges.empty() || isSendingPieces) && now - connection->lastActiveAt > timeout) {
+            if ((connection->exchanges.empty() || isSendingPieces) && isTimedOut(*connection, currentLimits, now)) {
                 if (connection->stream.unsentBytes() > 0) {
                     this->close(*connection, CloseReason::TimedOut, callbacks);
                 } else {
--- a/src/adapters/http/HttpListenerTransfer.cpp
+++ b/src/adapters/http/HttpListenerTransfer.cpp
@@ -44,6 +44,7 @@
     } else {
         // The pause does not count against the caller's time to send its request.
         connection.lastActiveAt += now - *connection.bodyPausedAt;
+        connection.readBegunAt += now - *connection.bodyPausedAt;
         connection.bodyPausedAt.reset();
         if (connection.transfer) {
             widenReceiveWindow(connection.stream.descriptor(), this->transfers->transitLimits());
--- a/tests/adapters/http/SlowCaller.h
+++ b/tests/adapters/http/SlowCaller.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <cerrno>
 #include <chrono>
+#include <poll.h>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -77,6 +78,13 @@
         }
     }
 
+    /// @return True if the server ends the connection within this time. Unread input does not count.
+    bool isEndedWithin(std::chrono::milliseconds time) const
+    {
+        pollfd events { this->socket.number(), POLLRDHUP, 0 };
+        return poll(&events, 1, static_cast<int>(time.count())) > 0;
+    }
+
     /// Waits for a reset, which recv() does not report behind an orderly end.
     /// @return True if the connection was reset within 10 s.
     bool waitForReset() const
