Do not write a request behind the end of an idle upstream connection

What callers saw: no report; found by reading the code for faults like the requests that crossed an idle close. A request that may not be repeated ended as unknown, although its upstream had closed the connection before the request was written and could not have received it.

Cause: UpstreamConnection::send() wrote to a connection whose end had arrived in the kernel while no worker had handled the event. The kernel accepts such bytes, so the attempt counted as lost.

Change: send() asks the kernel, with one poll() a request, whether the connection has ended or has input that belongs to no request. If so, nothing is written and the attempt counts as not sent, which is true. A request that is written before the end arrives is still reported as unknown.

With it, adapters-tests (158 cases) and node-tests (103 cases) pass on x86-64.

--- a/src/adapters/http/UpstreamConnection.cpp
+++ b/src/adapters/http/UpstreamConnection.cpp
@@ -75,7 +75,8 @@
         }
         if (this->phase == Phase::Connecting) {
             this->request = bytes;
-        } else if (this->phase == Phase::Closed) {
+        } else if (this->phase == Phase::Closed || this->stream.isReadable()) {
+            // Before the request is written, input can only be the end of the connection, or bytes that belong to no request.
             this->fail(ConnectionFailure::NotConnected);
         } else {
             this->phase = Phase::Busy;
--- a/src/adapters/http/UpstreamConnection.h
+++ b/src/adapters/http/UpstreamConnection.h
@@ -19,7 +19,7 @@
 
 /// Why a request got no response.
 enum class ConnectionFailure : std::uint8_t {
-    /// The connection was never established, so no byte of the request was sent.
+    /// The connection was not established, or had ended before the request was written, so no byte of the request was sent.
     NotConnected,
     /// The same, because no process listens on the upstream's port.
     Refused,
--- a/src/adapters/reactor/TcpStream.cpp
+++ b/src/adapters/reactor/TcpStream.cpp
@@ -6,6 +6,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <utility>
@@ -44,6 +45,12 @@
     }
 }
 
+bool TcpStream::isReadable() const noexcept
+{
+    pollfd events { this->socket.number(), POLLIN | POLLRDHUP, 0 };
+    return poll(&events, 1, 0) > 0;
+}
+
 StreamState TcpStream::write(std::string_view bytes)
 {
     if (this->unsentBytes() > 0) {
--- a/src/adapters/reactor/TcpStream.h
+++ b/src/adapters/reactor/TcpStream.h
@@ -46,6 +46,9 @@
     /// must call it again.
     bool hasUnreadInput() const noexcept { return this->stoppedAtLimit; }
 
+    /// @return True if input is waiting in the socket, or the peer or an error has ended the connection.
+    bool isReadable() const noexcept;
+
     /// Writes as many bytes as the socket accepts and buffers the rest for flush(). The memory of the buffer stays below twice
     /// the unsent bytes, also if some are always unsent.
     StreamState write(std::string_view bytes);
