Limit large requests between regions while their link is full

An entry VM cannot see the load of that link. Connections to different upstreams of other regions that time out, more of them than within the own region, now count as the sign that it is full (RegionLinkSign). Each sign reduces the rate at which this entry VM sends requests above 16 KiB to other regions (RegionLinkLimit); without signs the rate grows and the limit ends. What does not fit stays in the region, or is refused as not run if its key is held elsewhere. A large request that its owner refused does not cross a full link again. Small requests are not limited.

--- a/src/core/ResultCode.cpp
+++ b/src/core/ResultCode.cpp
@@ -42,7 +42,7 @@
     { ResultCode::RequestBalanceExhausted, "RequestBalanceExhausted", "the customer's balance is exhausted; the request was not run" },
     { ResultCode::RequestCircuitOpen, "RequestCircuitOpen", "the circuit breaker of the upstream is open; the request was not run" },
     { ResultCode::RequestRetryBudgetExhausted, "RequestRetryBudgetExhausted", "the retry budget of the service is exhausted" },
-    { ResultCode::RequestLinkFull, "RequestLinkFull", "the network link of the entry VM is full; the request was not run" },
+    { ResultCode::RequestLinkFull, "RequestLinkFull", "the network link of the entry VM, or the link between regions, is full; the request was not run" },
     { ResultCode::RequestRegionUnavailable, "RequestRegionUnavailable", "no upstream in a region that the route allows can run the request; it was not run" },
     { ResultCode::RequestZoneEvacuated, "RequestZoneEvacuated", "the upstreams that can run the request are in an evacuated availability zone; it was not run" },
     { ResultCode::RequestUpstreamCold, "RequestUpstreamCold", "the upstream is warming up and has no room in the request's time; the request was not run" },
--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -71,6 +71,11 @@
         this->refuseOrFail(now, pending, *refusal, decisions);
         return;
     }
+    if (this->isRegionLinkFull(now, pending)) {
+        this->linkBudget.reserve(now, static_cast<double>(pending.request.bytes));
+        this->refuseOrFail(now, pending, ResultCode::RequestLinkFull, decisions);
+        return;
+    }
     if (this->isLinkFull(now, pending)) {
         this->linkBudget.reserve(now, static_cast<double>(pending.request.bytes));
         this->refuseOrFail(now, pending, ResultCode::RequestLinkFull, decisions);
@@ -93,6 +98,9 @@
     const auto latency = now - pending.sentAt - pending.callerDelay;
     auto* const target = this->upstreams.find(pending.sentTo);
     if (target != nullptr) {
+        if (outcome == AttemptOutcome::NotSent && this->regionLinkSign.recordUnconnected(now, pending.sentTo, target->isInOtherRegion, latency)) {
+            this->regionLink.recordFull(now);
+        }
         if (outcome) {
             target->load.recordEnded(now, *outcome, latency, service.item.isSharded);
         } else {
@@ -208,6 +216,10 @@
             this->refuseOrFail(now, pending, *reason, decisions);
             return;
         }
+        if (this->isRegionLinkFull(now, pending)) {
+            this->refuseOrFail(now, pending, ResultCode::RequestLinkFull, decisions);
+            return;
+        }
         auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
         if (outcome != AttemptOutcome::Misdirected && (owner == nullptr || owner->load.isCircuitOpen(now) || owner->load.isPaused(now))) {
             this->refuseOrFail(now, pending, pending.possibleRuns > 0 ? ResultCode::RequestOutcomeUnknown : ResultCode::RequestCircuitOpen, decisions);
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -126,6 +126,9 @@
     /// @return True if the link's backlog delays the request too long for its target latency.
     bool isLinkFull(Instant now, const PendingDispatch& pending);
 
+    /// @return True if the request would have to cross a full link between regions to the owner of its key.
+    bool isRegionLinkFull(Instant now, const PendingDispatch& pending) const;
+
     void enqueue(PendingDispatch& pending);
     void dequeue(PendingDispatch& pending);
     RequestQueue& queueFor(PendingDispatch& pending);
@@ -181,7 +184,9 @@
     LogIndex warmUpsIndex;
     bool hasSynced {};
     UpstreamTable upstreams;
-    UpstreamEligibility eligibility { this->options };
+    RegionLinkSign regionLinkSign;
+    RegionLinkLimit regionLink;
+    UpstreamEligibility eligibility { this->options, this->regionLink };
     CapacityEstimate capacity { this->upstreams };
     WarmUpShare warmUpShare { this->options };
     UpstreamChoice choice { this->options, this->capacity };
--- a/src/core/dispatch/DispatcherQueues.cpp
+++ b/src/core/dispatch/DispatcherQueues.cpp
@@ -4,7 +4,6 @@
 #include "core/dispatch/UnresponsiveUpstream.h"
 
 #include <algorithm>
-#include <array>
 
 namespace teaselturn {
 
@@ -14,9 +13,6 @@
     constexpr std::chrono::milliseconds rampCheckInterval { 50 };
     /// Subtracted from the time passed to an upstream, so that its response arrives before the request expires.
     constexpr std::chrono::milliseconds responseMargin { 5 };
-    /// Largest delay by the link's backlog, as a fraction of the target latency, indexed by priority (0 is the most
-    /// urgent). Urgent requests are still admitted at a backlog that refuses the others.
-    constexpr std::array maxLinkDelayShares { 0.5, 0.35, 0.2 };
 
 }
 
@@ -227,6 +223,9 @@
         target.returnRamp->recordSent();
     }
     target.warmUp.recordSent(now);
+    if (UpstreamEligibility::isLargeTransfer(pending, target)) {
+        this->regionLink.recordSent(now, static_cast<double>(pending.request.bytes));
+    }
     ++pending.service->inFlight;
     ++pending.attempts;
     pending.isSent = true;
@@ -309,9 +308,19 @@
 
 bool Dispatcher::isLinkFull(Instant now, const PendingDispatch& pending)
 {
-    const auto& route = pending.route();
-    const auto delayShare = maxLinkDelayShares[std::min<std::size_t>(route.priority, maxLinkDelayShares.size() - 1)];
-    return this->linkBudget.queueingDelay(now) > scaled(route.targetLatency, delayShare);
+    return this->linkBudget.queueingDelay(now) > maxLinkDelay(pending.route());
+}
+
+bool Dispatcher::isRegionLinkFull(Instant now, const PendingDispatch& pending) const
+{
+    const auto* range = pending.findRange();
+    const auto* owner = range == nullptr ? nullptr : this->upstreams.find(range->owner);
+    if (owner == nullptr || !UpstreamEligibility::isLargeTransfer(pending, *owner)) {
+        return false;
+    }
+    // An owner that may not hold the key may refuse the request after its whole body has crossed the link.
+    const bool mayBeInVain = pending.service->unconfirmedRanges.find(range) != nullptr;
+    return !this->eligibility.hasLinkRoom(now, pending, *owner) || (mayBeInVain && this->regionLink.isLimited(now));
 }
 
 }
--- a/src/core/dispatch/UpstreamEligibility.h
+++ b/src/core/dispatch/UpstreamEligibility.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include "core/dispatch/DispatchTables.h"
+#include "core/dispatch/LinkDelay.h"
+#include "core/dispatch/RegionLinkLimit.h"
 #include "core/dispatch/ScaledDuration.h"
+#include "core/dispatch/TransferSchedule.h"
 
 #include <algorithm>
 #include <optional>
@@ -12,9 +15,10 @@
 /// retries and probes of a key's owner.
 class UpstreamEligibility {
 public:
-    /// @param options Must outlive this object.
-    explicit UpstreamEligibility(const DispatchOptions& options) noexcept
+    /// The references must outlive this object.
+    UpstreamEligibility(const DispatchOptions& options, const RegionLinkLimit& regionLink) noexcept
         : options(options)
+        , regionLink(regionLink)
     {
     }
 
@@ -44,6 +48,19 @@
         return end && now >= *end;
     }
 
+    /// @return True if a request to the upstream would be a large one that crosses the link between regions. Small ones are not
+    /// limited: they are a small part of the bytes, and urgent or unsafe.
+    static bool isLargeTransfer(const PendingDispatch& pending, const DispatchUpstream& upstream) noexcept
+    {
+        return upstream.isInOtherRegion && pending.request.bytes > TransferSchedule::smallBodyBytes;
+    }
+
+    /// @return True if the link between regions, where it lies between, has room for the request.
+    bool hasLinkRoom(Instant now, const PendingDispatch& pending, const DispatchUpstream& upstream) const
+    {
+        return !isLargeTransfer(pending, upstream) || this->regionLink.transferTime(now, static_cast<double>(pending.request.bytes)) <= maxLinkDelay(pending.route());
+    }
+
     /// @return True if the owner of a key may be sent a request for it. A draining owner and one in an evacuated zone serve
     /// until their keys have moved, for a limited time.
     bool mayServeKey(Instant now, const PendingDispatch& pending, const DispatchUpstream& owner) const
@@ -61,7 +78,7 @@
     /// @return True if the upstream may be chosen for a request without a key now.
     bool mayBeChosen(Instant now, const PendingDispatch& pending, const DispatchUpstream& upstream) const
     {
-        return this->mayServe(pending, upstream) && (!upstream.returnRamp || upstream.returnRamp->mayTake(now));
+        return this->mayServe(pending, upstream) && (!upstream.returnRamp || upstream.returnRamp->mayTake(now)) && this->hasLinkRoom(now, pending, upstream);
     }
 
 private:
@@ -71,6 +88,7 @@
     static constexpr double ownerTimeShare = 0.7;
 
     const DispatchOptions& options;
+    const RegionLinkLimit& regionLink;
 };
 
 }
