Let a registry member that was removed while it was frozen join again

What callers saw: after a member was frozen for 7.3 s, two further losses within the tolerance, one at a time, left the registry without a leader for good.

Cause: a leader sends a removed member nothing, its removal included. The member's own log still lists it, and requestToJoin() asked that log alone, so it took itself for a member for good, also after a restart.

In RegistryRejoinTest the removed member sends 0 join requests in 4 s before the fix.

Change: a process requests to join unless its configuration lists it and it leads or has a message from a leader that is less than a second old. MembersChanged names voters and learners, and MembershipUnconfirmed and MembershipConfirmed tell which case it is.

Measured: the three tests of RegistryRejoinTest that failed on the untouched decision ("... becomes a voter again" twice, "a registry bears two further losses ...") pass; the removed member is a voter again within 4 s.

--- a/include/teaselturn/LogEvent.h
+++ b/include/teaselturn/LogEvent.h
@@ -51,6 +51,8 @@
     SnapshotWritten = 5006,
     SnapshotInstalled = 5007,
     MembersChanged = 5008,
+    MembershipUnconfirmed = 5009,
+    MembershipConfirmed = 5010,
     UpstreamAttached = 6001,
     UpstreamExpired = 6002,
     UpstreamDraining = 6003,
@@ -84,7 +86,7 @@
 };
 
 /// All log events with name, level and meaning, in ascending order of number.
-extern const std::array<LogEventRow, 56> logEventTable;
+extern const std::array<LogEventRow, 58> logEventTable;
 
 /// @return The event's row in logEventTable, or the first row if the event is not listed.
 const LogEventRow& logEventRow(LogEvent event) noexcept;
--- a/src/core/LogEvent.cpp
+++ b/src/core/LogEvent.cpp
@@ -4,7 +4,7 @@
 
 namespace teaselturn {
 
-const std::array<LogEventRow, 56> logEventTable { {
+const std::array<LogEventRow, 58> logEventTable { {
     { LogEvent::ProcessStarted, "ProcessStarted", LogLevel::Info, "the process started" },
     { LogEvent::ProcessStopping, "ProcessStopping", LogLevel::Info, "the process is draining" },
     { LogEvent::ProcessStopped, "ProcessStopped", LogLevel::Info, "the process stopped" },
@@ -39,6 +39,8 @@
     { LogEvent::SnapshotWritten, "SnapshotWritten", LogLevel::Info, "a snapshot was written" },
     { LogEvent::SnapshotInstalled, "SnapshotInstalled", LogLevel::Info, "a snapshot was installed" },
     { LogEvent::MembersChanged, "MembersChanged", LogLevel::Info, "the ledger members changed" },
+    { LogEvent::MembershipUnconfirmed, "MembershipUnconfirmed", LogLevel::Warning, "no leader confirms that this process is a member; it requests to join" },
+    { LogEvent::MembershipConfirmed, "MembershipConfirmed", LogLevel::Info, "a leader confirms that this process is a member" },
     { LogEvent::UpstreamAttached, "UpstreamAttached", LogLevel::Info, "an upstream attached to a steward" },
     { LogEvent::UpstreamExpired, "UpstreamExpired", LogLevel::Info, "an upstream lost its lease" },
     { LogEvent::UpstreamDraining, "UpstreamDraining", LogLevel::Info, "an upstream is leaving" },
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -128,6 +128,11 @@
     void persisted(Instant now);
     void snapshotSaved(const LedgerSnapshot& snapshot);
 
+    /// @return True if this process certainly is a member: its configuration lists it with its disk, and it leads or has a
+    /// recent message from a leader. Its own configuration alone is no evidence, because leaders send nothing to a process
+    /// that they have removed. While it is not confirmed, it requests to join.
+    bool isConfirmedMember(Instant now) const;
+
     const std::optional<Failure>& startFailure() const noexcept { return this->failure; }
     const RegistryState& state() const noexcept { return this->registry; }
     const Member<Random>& ledgerMember() const noexcept { return this->member; }
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -8,7 +8,7 @@
 
 namespace registry {
     /// A member without a message from the leader for this long serves no feeds and redirects no control requests: its
-    /// state may be stale.
+    /// state may be stale. It also requests to join, because it may have been removed.
     inline constexpr std::chrono::milliseconds leaderContactTimeout { 1'000 };
     /// Interval between requests of a process to become a member.
     inline constexpr std::chrono::milliseconds joinInterval { 300 };
@@ -275,17 +275,22 @@
     }
 }
 
+template <RandomSource Random, RegistryCodec Codec>
+bool RegistryService<Random, Codec>::isConfirmedMember(Instant now) const
+{
+    const auto isListed = std::ranges::any_of(this->member.members(), [this](const MemberSpec& spec) { return spec.node == this->self && spec.disk == this->disk; });
+    return isListed && (this->member.role() == MemberRole::Leader || now - this->lastLeaderMessageAt < registry::leaderContactTimeout);
+}
+
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::requestToJoin(Instant now)
 {
-    const auto members = this->member.members();
-    const auto isMember = std::ranges::any_of(members, [this](const MemberSpec& spec) { return spec.node == this->self && spec.disk == this->disk; });
-    if (isMember || now - this->lastJoinRequestAt < registry::joinInterval) {
+    if (this->isConfirmedMember(now) || now - this->lastJoinRequestAt < registry::joinInterval) {
         return;
     }
     this->lastJoinRequestAt = now;
     std::vector<NodeId> targets { this->seeds };
-    std::ranges::transform(members, std::back_inserter(targets), &MemberSpec::node);
+    std::ranges::transform(this->member.members(), std::back_inserter(targets), &MemberSpec::node);
     std::ranges::sort(targets);
     targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
     for (const auto node : targets) {
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/RegistryCodec.h"
 #include "adapters/log/Logger.h"
+#include "adapters/peer/PeerTable.h"
 #include "adapters/random/SystemRandom.h"
 #include "core/Mutex.h"
 #include "core/registry/RegistryService.h"
@@ -113,8 +114,10 @@
             const auto role = this->service.ledgerMember().role();
             const auto term = this->service.ledgerMember().term();
             const auto failure = this->service.startFailure();
+            const bool isConfirmed = this->service.isConfirmedMember(this->clock.now());
             this->mutex.unlock();
             this->logRole(role, term);
+            this->logMembership(isConfirmed);
             const bool isWritten = !failure && this->executeEffects(effects);
             if (failure) {
                 this->handleFailure(*failure);
@@ -186,6 +189,26 @@
         this->loggedTerm = term;
     }
 
+    /// Called only by the thread that executes effects.
+    void logMembership(bool isConfirmed)
+    {
+        if (isConfirmed != std::exchange(this->loggedConfirmation, isConfirmed)) {
+            this->logger.log(isConfirmed ? LogEvent::MembershipConfirmed : LogEvent::MembershipUnconfirmed);
+        }
+    }
+
+    /// @return The nodes of the members of one kind, separated by commas.
+    static std::string listNodes(std::span<const MemberSpec> members, bool isVoter)
+    {
+        std::string list;
+        for (const auto& member : members) {
+            if (member.voter == isVoter) {
+                list += (list.empty() ? "" : ",") + addressOfNode(member.node);
+            }
+        }
+        return list;
+    }
+
     void logApplied(const std::vector<AppliedCommand>& applied)
     {
         for (const auto& [entry, outcome] : applied) {
@@ -204,7 +227,7 @@
             } else if (const auto* warmUp = std::get_if<BeginWarmUp>(&entry.command); warmUp != nullptr && warmUp->timeLeft > Duration::zero()) {
                 this->logger.log(LogEvent::WarmUpBegun, "", { { "index", entry.index }, { "name", warmUp->key.name }, { "incarnation", warmUp->key.incarnation }, { "leftMs", std::chrono::duration_cast<std::chrono::milliseconds>(warmUp->timeLeft).count() } });
             } else if (const auto* members = std::get_if<ChangeMembers>(&entry.command)) {
-                this->logger.log(LogEvent::MembersChanged, "", { { "index", entry.index }, { "members", members->members.size() } });
+                this->logger.log(LogEvent::MembersChanged, "", { { "index", entry.index }, { "members", members->members.size() }, { "voters", listNodes(members->members, true) }, { "learners", listNodes(members->members, false) } });
             }
         }
     }
@@ -217,6 +240,8 @@
     const RegistryCallbacks callbacks;
     MemberRole loggedRole { MemberRole::Follower };
     Term loggedTerm;
+    /// Empty until the first effects.
+    std::optional<bool> loggedConfirmation;
 
     Mutex mutex;
     Service service ABSL_GUARDED_BY(mutex);
