Let registry members ask the newest seeds to join

A member that was removed while it was frozen asks the seeds that it started with; if those machines were replaced meanwhile, it never joins again.

Cause: PlatformProcess::reload() passed the seeds of a changed settings file to the entry role only.

Change: RegistryDaemon, RegistryNode and RegistryService take new seeds.

Measured: "a process that is not a member sends join requests to the newest seeds" passes; it needs the new interface, so it does not compile before.

--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -13,6 +13,7 @@
 #include <absl/container/flat_hash_set.h>
 #include <concepts>
 #include <optional>
+#include <span>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -106,6 +107,9 @@
     /// knows.
     RegistryService(MemberState state, std::vector<NodeId> seeds, Random random, Codec codec, Instant now, RegistryOptions options = {});
 
+    /// Replaces the seeds.
+    void setSeeds(std::span<const NodeId> newSeeds) { this->seeds.assign(newSeeds.begin(), newSeeds.end()); }
+
     /// Advances timers and makes due decisions. Called periodically.
     void tick(Instant now);
 
--- a/src/node/registry/RegistryDaemon.h
+++ b/src/node/registry/RegistryDaemon.h
@@ -76,6 +76,9 @@
     /// stop gets the response of a member without a leader, which leaves open whether it takes effect.
     void beginStop();
 
+    /// Replaces the members to which the process sends join requests while it is not a member. Called only after open().
+    void setSeeds(std::span<const NodeId> seeds) { this->node->setSeeds(seeds); }
+
     /// @return The address for control requests, with the port that the operating system chose if the settings name port 0.
     Endpoint control() const { return this->listener.localEndpoint(); }
 
--- a/src/node/registry/RegistryNode.h
+++ b/src/node/registry/RegistryNode.h
@@ -53,6 +53,13 @@
         return failure ? Status { *failure } : success();
     }
 
+    /// Replaces the members to which the process sends join requests while it is not a member.
+    void setSeeds(std::span<const NodeId> seeds)
+    {
+        const MutexLock lock { this->mutex };
+        this->service.setSeeds(seeds);
+    }
+
     void tick()
     {
         this->processInput([this](Instant now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex) { this->service.tick(now); });
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -87,6 +87,16 @@
     CHECK(std::ranges::any_of(member.sent, [](const OutboundMessage& message) { return message == OutboundMessage { NodeId { 2 }, JoinRequest { NodeId { 1 }, DiskId { 1 } } }; }));
 }
 
+TEST_CASE("a process that is not a member sends join requests to the newest seeds")
+{
+    // Guards against a removed member that asks only machines that no longer exist.
+    SingleMember member { { { NodeId { 2 }, DiskId { 2 }, true } } };
+    const std::vector<NodeId> seeds { NodeId { 8 } };
+    member.service.setSeeds(seeds);
+    member.advance(milliseconds { 400 });
+    CHECK(std::ranges::any_of(member.sent, [](const OutboundMessage& message) { return message == OutboundMessage { NodeId { 8 }, JoinRequest { NodeId { 1 }, DiskId { 1 } } }; }));
+}
+
 TEST_CASE("keys are assigned after upstreams have announced themselves, and granted in replies to heartbeats")
 {
     SingleMember member;
