Send a departed upstream nothing after the drain time

Cause: the entry VM keeps an upstream in its table while an attempt to it is in flight, and the owner of a key is looked up there. Only the service's own list of upstreams left out those that had gone.

Change: a departed upstream serves its keys for the drain time, whether or not something is in flight; one that drained before, an earlier start of an upstream and one whose address was taken get nothing. The drain time counts from the last current copy of the registry.

What was weighed: docs/design/departures.md.

--- a/src/core/dispatch/DispatchTables.h
+++ b/src/core/dispatch/DispatchTables.h
@@ -15,6 +15,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,16 @@
 /// Tables that the dispatcher's decisions read: upstreams, services with their queues, and pending requests.
 namespace teaselturn {
 
+/// Whether an upstream takes part in its service, by the latest copy of the registry.
+enum class Registration : std::uint8_t {
+    Current,
+    /// It left without draining first. It serves the keys that it owns for the drain time, and is sent nothing else.
+    Departed,
+    /// It left after draining, its drain time has passed, or its address or name belongs to a later process. It is sent nothing,
+    /// and the first sync without requests in flight to it removes it.
+    Ended,
+};
+
 /// An upstream as this entry VM knows it.
 struct DispatchUpstream {
     RegisterUpstream announcement;
@@ -42,16 +53,14 @@
     bool isInOtherRegion {};
     /// Region of its availability zone.
     RegionSet region { RegionSet::all() };
-    /// When this entry VM learned that the upstream is draining, from the registry or from the upstream's own
-    /// responses; empty if it is not.
+    /// Earliest time at which the upstream can have begun to leave, as far as the registry and the upstream's own responses
+    /// tell; empty if it is not leaving.
     std::optional<Instant> drainingSince;
     /// Earliest time at which the order to evacuate its zone can have been acknowledged; empty if there is none.
     std::optional<Instant> evacuatedSince;
     /// Limit after such an order was withdrawn.
     std::optional<ReturnRamp> returnRamp;
-    /// Whether the last sync found the upstream in the registry. If not, the first sync that finds no requests in
-    /// flight to it removes it.
-    bool isRegistered { true };
+    Registration registration { Registration::Current };
     WarmUpLimit warmUp;
     /// Limit that does not apply because the service lost its warm-up. It applies again if the service regains one before the
     /// limit ends.
@@ -63,6 +72,9 @@
     /// True until the sync that found the upstream first has checked whether it is cold.
     bool isNew { true };
 
+    /// Records that the upstream has been leaving since a time; the earliest one counts.
+    void recordLeaving(Instant since) { this->drainingSince = std::min(this->drainingSince.value_or(since), since); }
+
     /// @return True if one more request may be sent now.
     bool hasCapacity(Instant now) const { return this->load.hasCapacity(now) && this->warmUp.hasRoom(now); }
 };
--- a/src/core/dispatch/Dispatcher.h
+++ b/src/core/dispatch/Dispatcher.h
@@ -40,8 +40,8 @@
 
     /// Applies the upstreams, key owners and evacuation orders of the registry, then sends queued requests for which an
     /// upstream became available.
-    /// @param lastCurrentAt Time at which the copy of the registry was last known to be current. New evacuation orders count
-    /// from it, because they may have been acknowledged at any time since.
+    /// @param lastCurrentAt Time at which the copy of the registry was last known to be current. New evacuation orders and
+    /// departures count from it, because they may have been acknowledged at any time since.
     void sync(Instant now, Instant lastCurrentAt, const RegistryState& state, DispatchDecisions& decisions);
     void sync(Instant now, const RegistryState& state, DispatchDecisions& decisions) { this->sync(now, now, state, decisions); }
 
@@ -95,7 +95,9 @@
 
 private:
     DispatchService& findOrCreateService(std::string_view name);
-    void syncUpstreams(Instant now, const RegistryState& state);
+    void syncUpstreams(Instant now, Instant lastCurrentAt, const RegistryState& state);
+    /// Decides whether an upstream that the registry lists as gone still serves its keys.
+    void syncDeparture(Instant now, Instant lastCurrentAt, const UpstreamKey& key, const RegistryState& state);
     /// Confines pending requests to the regions that the newest versions of their routes allow.
     void syncAllowedRegions(const RegistryState& state);
     /// Applies the known evacuation orders to all upstreams.
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -43,6 +43,12 @@
         return static_cast<double>(hash % steps) / steps;
     }
 
+    /// @return True if a registered upstream has the endpoint.
+    bool isInUse(const Endpoint& endpoint, const RegistryState& state)
+    {
+        return std::ranges::any_of(state.upstreams(), [&endpoint](const auto& item) { return item.second.state != UpstreamState::Gone && item.second.announcement.endpoint == endpoint; });
+    }
+
     /// Incarnations are start times of different machines, whose clocks may differ by this much.
     constexpr std::chrono::seconds maxClockDifference { 10 };
 
@@ -79,10 +85,23 @@
     return isSameRegion ? interZoneRoundTrip : interRegionRoundTrip;
 }
 
-void Dispatcher::syncUpstreams(Instant now, const RegistryState& state)
+void Dispatcher::syncDeparture(Instant now, Instant lastCurrentAt, const UpstreamKey& key, const RegistryState& state)
+{
+    auto* upstream = this->upstreams.find(key);
+    // An upstream that drained before it left has ended.
+    if (upstream == nullptr || upstream->state != UpstreamState::Ready) {
+        return;
+    }
+    upstream->recordLeaving(lastCurrentAt);
+    if (!this->eligibility.isDrained(now, *upstream) && !isInUse(upstream->announcement.endpoint, state)) {
+        upstream->registration = Registration::Departed;
+    }
+}
+
+void Dispatcher::syncUpstreams(Instant now, Instant lastCurrentAt, const RegistryState& state)
 {
     for (auto& [key, upstream] : this->upstreams.map) {
-        upstream.isRegistered = false;
+        upstream.registration = Registration::Ended;
     }
     for (auto& [name, service] : this->services) {
         service->upstreams.clear();
@@ -90,6 +109,7 @@
     for (const auto& [name, registered] : state.upstreams()) {
         const auto& announcement = registered.announcement;
         if (registered.state == UpstreamState::Gone) {
+            this->syncDeparture(now, lastCurrentAt, announcement.key, state);
             continue;
         }
         const auto found = this->upstreams.map.try_emplace(announcement.key, DispatchUpstream { announcement, registered.state, UpstreamLoad { announcement.requestSlots } }).first;
@@ -109,13 +129,13 @@
         if (const auto leaving = this->leavingSince.find(announcement.key); leaving != this->leavingSince.end() && (!upstream.drainingSince || leaving->second < *upstream.drainingSince)) {
             upstream.drainingSince = leaving->second;
         }
-        upstream.isRegistered = true;
+        upstream.registration = Registration::Current;
         this->findOrCreateService(announcement.service).upstreams.push_back(announcement.key);
     }
     for (auto& [name, service] : this->services) {
         std::ranges::sort(service->upstreams, {}, [this](const UpstreamKey& key) { return this->upstreams.find(key)->preferenceOrder; });
     }
-    absl::erase_if(this->upstreams.map, [](const auto& item) { return !item.second.isRegistered && item.second.load.inFlight() == 0; });
+    absl::erase_if(this->upstreams.map, [](const auto& item) { return item.second.registration == Registration::Ended && item.second.load.inFlight() == 0; });
 }
 
 void Dispatcher::syncAllowedRegions(const RegistryState& state)
@@ -291,7 +311,7 @@
     const bool hasNewUpstreams = this->upstreamsIndex != state.upstreamsChangedAt();
     if (hasNewUpstreams) {
         this->upstreamsIndex = state.upstreamsChangedAt();
-        this->syncUpstreams(now, state);
+        this->syncUpstreams(now, lastCurrentAt, state);
     }
     if (hasNewOrders || hasNewUpstreams) {
         this->syncEvacuations(now);
--- a/src/core/dispatch/UpstreamEligibility.h
+++ b/src/core/dispatch/UpstreamEligibility.h
@@ -61,11 +61,11 @@
         return !isLargeTransfer(pending, upstream) || this->regionLink.transferTime(now, static_cast<double>(pending.request.bytes)) <= maxLinkDelay(pending.route());
     }
 
-    /// @return True if the owner of a key may be sent a request for it. A draining owner and one in an evacuated zone serve
-    /// until their keys have moved, for a limited time.
+    /// @return True if the owner of a key may be sent a request for it. An owner that is draining or has left and one in an
+    /// evacuated zone serve until their keys have moved, for a limited time.
     bool mayServeKey(Instant now, const PendingDispatch& pending, const DispatchUpstream& owner) const
     {
-        return !this->isDrained(now, owner) && !this->isEvacuated(now, owner) && this->isInAllowedRegion(pending, owner);
+        return owner.registration != Registration::Ended && !this->isDrained(now, owner) && !this->isEvacuated(now, owner) && this->isInAllowedRegion(pending, owner);
     }
 
     /// @return True if the upstream may serve a request without a key, now or as soon as its ramp permits.
