Count the drain time from the last current copy of the registry

What callers would see: an entry VM whose copy of the registry is 1 s late sends to a draining owner until 2.6 s after the acknowledgement (bound 2.5 s).

Cause: the drain time counted from the moment at which the entry VM learned of the draining.

--- a/src/core/dispatch/Dispatcher.cpp
+++ b/src/core/dispatch/Dispatcher.cpp
@@ -293,9 +293,7 @@
         this->leavingSince.erase(oldest);
     }
     this->leavingSince.try_emplace(upstream.announcement.key, now);
-    if (!upstream.drainingSince) {
-        upstream.drainingSince = now;
-    }
+    upstream.recordLeaving(now);
 }
 
 void Dispatcher::connectionRefused(Instant now, PendingRequestId id)
--- a/src/core/dispatch/DispatcherSync.cpp
+++ b/src/core/dispatch/DispatcherSync.cpp
@@ -123,11 +123,11 @@
         const auto hash = preferenceHash(announcement.key, this->options.preferenceSeed);
         upstream.preferencePenalty = computePreferencePenalty(hash);
         upstream.preferenceOrder = computePreferenceOrder(hash, announcement.requestSlots);
-        if (registered.state == UpstreamState::Draining && !upstream.drainingSince) {
-            upstream.drainingSince = now;
+        if (registered.state == UpstreamState::Draining) {
+            upstream.recordLeaving(lastCurrentAt);
         }
-        if (const auto leaving = this->leavingSince.find(announcement.key); leaving != this->leavingSince.end() && (!upstream.drainingSince || leaving->second < *upstream.drainingSince)) {
-            upstream.drainingSince = leaving->second;
+        if (const auto leaving = this->leavingSince.find(announcement.key); leaving != this->leavingSince.end()) {
+            upstream.recordLeaving(leaving->second);
         }
         upstream.registration = Registration::Current;
         this->findOrCreateService(announcement.service).upstreams.push_back(announcement.key);
--- a/tests/core/dispatch/DispatcherDepartureTest.cpp
+++ b/tests/core/dispatch/DispatcherDepartureTest.cpp
@@ -118,6 +118,21 @@
     CHECK(fixture.countSends(milliseconds { 1'000 }) == 0);
 }
 
+TEST_CASE("the drain time of a draining upstream counts from the last current copy of the registry")
+{
+    // Guards against sending for a whole drain time after the entry VM learned late of the acknowledgement.
+    Departure fixture;
+    auto draining = fixture.owner;
+    draining.isDraining = true;
+    fixture.apply(draining);
+    fixture.dispatcher.sync(fixture.now, fixture.now - milliseconds { 1'500 }, fixture.state, fixture.decisions);
+    CHECK(fixture.countSends(milliseconds { 480 }) > 0);
+    fixture.now += milliseconds { 20 };
+    fixture.registerUpstream("third", "keys");
+    fixture.sync();
+    CHECK(fixture.countSends(milliseconds { 1'000 }) == 0);
+}
+
 TEST_CASE("an upstream whose address belongs to another one gets no request")
 {
     Departure fixture;
