Reject messages with a transfer coding other than chunked

Cause: Boost.Beast ignores a transfer coding that does not end in chunked, and MessageReader did not check it.

Evidence: with the check taken out, "a message with a transfer coding other than chunked is rejected" fails for requests with seven of eight codings and for responses with all eight.

Change: a message has no transfer coding, or exactly one header with chunked.

Measured: the test passes, with the other tests of adapters/http that name chunks or framing.

--- a/src/adapters/http/MessageReader.cpp
+++ b/src/adapters/http/MessageReader.cpp
@@ -81,6 +81,15 @@
     /// Interim (1xx) responses that may precede a response.
     constexpr std::size_t maxInterimResponses = 16;
 
+    /// @return False if the message has a transfer coding other than exactly one `chunked`. The parser would take it for a message
+    /// without a body, or with one that ends with the connection.
+    template <typename Head>
+    bool hasReadableCoding(const Head& head)
+    {
+        const auto count = head.count(http::field::transfer_encoding);
+        return count == 0 || (count == 1 && isSameHeaderName(toString(head[http::field::transfer_encoding]), "chunked"));
+    }
+
     ReadProgress toReadProgress(const boost::beast::error_code& error)
     {
         if (!error || error == http::error::need_more) {
@@ -138,6 +147,7 @@
         if (this->parser->content.is_header_done() && this->parser->content.chunked() && buffer.size() - consumed < finalChunkBytes) {
             break;
         }
+        const bool wasHeadDone = this->parser->content.is_header_done();
         boost::beast::error_code error;
         const auto taken = this->parser->content.put(boost::asio::const_buffer { buffer.data() + consumed, buffer.size() - consumed }, error);
         consumed += taken;
@@ -145,6 +155,10 @@
         if (progress != ReadProgress::Incomplete) {
             break;
         }
+        if (!wasHeadDone && this->parser->content.is_header_done() && !hasReadableCoding(this->parser->content.get())) {
+            progress = ReadProgress::Malformed;
+            break;
+        }
         if constexpr (!isRequestMessage<Message>) {
             const auto& head = this->parser->content.get();
             if (this->parser->content.is_header_done() && !isInterimStatus(head.result_int()) && !isFinalStatus(head.result_int())) {
--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -47,6 +47,27 @@
     CHECK(reader.read(buffer) == ReadProgress::Malformed);
 }
 
+TEST_CASE("a message with a transfer coding other than chunked is rejected")
+{
+    // Request smuggling: the body of such a request was taken for the next request, and ran.
+    const std::string inner = "POST /inner HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string coding : { "xchunked", "identity", "gzip", "\"chunked\"", "chunked, identity", "gzip, chunked", "chunked, chunked", "" }) {
+        INFO(coding);
+        auto reader = requests();
+        std::string buffer = "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inner;
+        CHECK(reader.read(buffer) == ReadProgress::Malformed);
+        auto responseReader = responses();
+        buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        CHECK(responseReader.read(buffer) == ReadProgress::Malformed);
+    }
+    auto reader = requests();
+    std::string twice = "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n" + inner;
+    CHECK(reader.read(twice) == ReadProgress::Malformed);
+    auto chunked = requests();
+    std::string valid = "POST /a HTTP/1.1\r\nHost: h\r\ntransfer-encoding: Chunked \r\n\r\n0\r\n\r\n";
+    CHECK(chunked.read(valid) == ReadProgress::Complete);
+}
+
 TEST_CASE("oversized heads and bodies are reported separately")
 {
     auto reader = requests();
