Refuse heartbeats that are incomplete

Cause: only the fields in use were required. The later start time in such a heartbeat counts as proof that the earlier process has ended.

Evidence: with the checks taken out, "a heartbeat with a missing or malformed field is rejected" and "a heartbeat for a sharded service that lists no keys does not end the lease of the present incarnation" fail.

Change: all listed fields are required; the leader refuses a heartbeat for a sharded service that lists no keys. A departure with a body that cannot be read is refused instead of removing any incarnation (related path, four cases of "control requests are decoded and results encoded" failed before). "a heartbeat of another writer names no upstream" began from an incomplete heartbeat as its valid one; it is complete now, its cases are the same.

--- a/src/core/registry/KeyHeartbeat.h
+++ b/src/core/registry/KeyHeartbeat.h
@@ -37,6 +37,8 @@
     std::vector<ReleasedKeys> released;
     /// Time until the upstream is warm, as it states. Zero if it is warm.
     Duration warmUpLeft {};
+    /// Whether the heartbeat lists its keys, held and released, as all heartbeats for a sharded service do.
+    bool listsKeys { true };
 
     friend bool operator==(const KeyHeartbeat&, const KeyHeartbeat&) = default;
 };
--- a/src/core/registry/RegistryHeartbeatInlines.h
+++ b/src/core/registry/RegistryHeartbeatInlines.h
@@ -14,9 +14,15 @@
         this->respond(requestId, std::move(*redirect));
         return;
     }
+    const auto* service = this->registry.findService(heartbeat.announcement.service);
+    if (service != nullptr && service->isSharded && !heartbeat.listsKeys) {
+        // Another writer's: it must not register a new incarnation, which would end the lease of the present one.
+        this->respond(requestId, HeartbeatRefused {});
+        return;
+    }
     if (auto command = this->coordinator.registrationFor(heartbeat, this->registry)) {
         const bool hasItems = this->registry.itemsChangedAt() != LogIndex {};
-        if (hasItems && this->registry.findService(heartbeat.announcement.service) == nullptr) {
+        if (hasItems && service == nullptr) {
             // No route leads to the service, and a registration would take the address from the upstream that has it.
             this->respond(requestId, KeyHeartbeatReply {});
             return;
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -50,6 +50,10 @@
     std::string detail;
 };
 
+/// The heartbeat is incomplete and was not recorded.
+struct HeartbeatRefused {
+};
+
 /// The upstream's departure was recorded.
 struct DepartureRecorded {
 };
@@ -59,7 +63,7 @@
     ResultCode code { ResultCode::Ok };
 };
 
-using ControlResult = std::variant<RedirectToLeader, LeaderUnavailable, ItemsResult, DepartureRecorded, KeyHeartbeatReply, EvacuationRecorded>;
+using ControlResult = std::variant<RedirectToLeader, LeaderUnavailable, ItemsResult, DepartureRecorded, KeyHeartbeatReply, HeartbeatRefused, EvacuationRecorded>;
 
 /// The response to a control request.
 struct ControlResponse {
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -97,6 +97,24 @@
     CHECK(std::ranges::any_of(member.sent, [](const OutboundMessage& message) { return message == OutboundMessage { NodeId { 8 }, JoinRequest { NodeId { 1 }, DiskId { 1 } } }; }));
 }
 
+TEST_CASE("a heartbeat for a sharded service that lists no keys does not end the lease of the present incarnation")
+{
+    // Guards against a second holder: the keys of the earlier incarnation were assigned at once, while its lease ran.
+    SingleMember member;
+    member.advance(milliseconds { 2'000 });
+    member.service.changeItems(member.now, ControlRequestId { 1 }, initialItems());
+    member.drive();
+    const auto owner = announcement("owner", "k", 5);
+    member.service.heartbeat(member.now, ControlRequestId { 2 }, heartbeat(owner, 1));
+    member.drive();
+    auto incomplete = heartbeat(announcement("owner", "k", 9), 1);
+    incomplete.listsKeys = false;
+    member.service.heartbeat(member.now, ControlRequestId { 3 }, incomplete);
+    member.drive();
+    CHECK(member.responseTo<HeartbeatRefused>(3) != nullptr);
+    CHECK(member.service.state().isAlive(owner.key));
+}
+
 TEST_CASE("keys are assigned after upstreams have announced themselves, and granted in replies to heartbeats")
 {
     SingleMember member;
--- a/tests/platform/PlatformWireTest.cpp
+++ b/tests/platform/PlatformWireTest.cpp
@@ -104,14 +104,24 @@
     CHECK(heartbeat->announcement.isDraining);
     CHECK(heartbeat->held == std::vector<HeldKeys> { { 0, 4'095, Fence { 7 } } });
     CHECK(heartbeat->released == std::vector<ReleasedKeys> { { 4'096, 8'191, "5c0e" } });
-    for (const auto* field : { "service", "address", "zone", "slots", "state", "sequence" }) {
+    for (const auto* field : { "service", "address", "zone", "version", "slots", "state", "warmup_left_s", "sequence" }) {
         auto document = json::parse(body);
         document.erase(field);
         CHECK(!readHeartbeat("i-1", document.dump()));
         document[field] = json::array();
         CHECK(!readHeartbeat("i-1", document.dump()));
     }
+    for (const auto* list : { "holds", "released" }) {
+        auto document = json::parse(body);
+        document.erase(list);
+        CHECK(!readHeartbeat("i-1", document.dump()));
+    }
     auto document = json::parse(body);
+    CHECK(readHeartbeat("i-1", document.dump())->listsKeys);
+    document.erase("holds");
+    document.erase("released");
+    CHECK(!readHeartbeat("i-1", document.dump())->listsKeys);
+    document = json::parse(body);
     document["state"] = "resting";
     CHECK(!readHeartbeat("i-1", document.dump()));
     CHECK(!readHeartbeat("i-1", "\xff\xfe"));
@@ -200,6 +210,11 @@
     CHECK(departure.name == "i-1");
     CHECK(departure.incarnation == 5U);
     CHECK(!std::get<Departure>(ControlApi::decodeRequest(request("DELETE", "/instances/i-1"))).incarnation);
+    for (const auto* body : { "{", "[]", R"({"born":-1})", R"({"born":"now"})" }) {
+        INFO(body);
+        CHECK(std::get<MalformedControlRequest>(ControlApi::decodeRequest(request("DELETE", "/instances/i-1", {}, body))).status == 400);
+    }
+    CHECK(ControlApi::encodeResult(HeartbeatRefused {}, {}, "").status == 400);
     const auto redirect = ControlApi::encodeResult(RedirectToLeader { NodeId { 1 } }, { "10.0.0.4", 8'080 }, "/config");
     CHECK(redirect.status == 307);
     CHECK(redirect.headerLines == "Location: http://10.0.0.4:8080/config\r\n");
@@ -255,7 +270,7 @@
 TEST_CASE("a heartbeat of another writer names no upstream")
 {
     // Guards against values that were narrowed or cut silently, and an upstream that no request can reach.
-    const auto valid = json::parse(R"({"service":"a","address":"10.128.0.9:8080","zone":"z","slots":2,"state":"ready","sequence":4,"born":1700000000000,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})");
+    const auto valid = json::parse(R"({"service":"a","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,"state":"ready","warmup_left_s":0,"sequence":4,"born":1700000000000,"holds":[[0,4095,7]],"released":[[4096,8191,"5c0e"]]})");
     REQUIRE(readHeartbeat("i-1", valid.dump()));
     const std::vector<std::pair<const char*, const char*>> odd {
         { "slots", "1e300" },
