Compact the log by its bytes as well as by its entries

What operators saw: some 330 changes of 1,500 routes brought every registry member over 256 MB, on each restart too; nothing was read back (review/12, CONFIG).

--- a/src/core/ledger/LedgerService.h
+++ b/src/core/ledger/LedgerService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ledger/Member.h"
+#include "core/ledger/SnapshotSchedule.h"
 #include "core/ownership/Coordinator.h"
 #include "core/ownership/OwnershipState.h"
 #include "teaselturn/Message.h"
@@ -52,6 +53,8 @@
 namespace limits {
     /// Log entries between two snapshots. After each snapshot the log is compacted.
     inline constexpr std::uint64_t snapshotInterval = 4'096;
+    /// Estimated bytes of applied entries between two snapshots.
+    inline constexpr std::size_t snapshotIntervalBytes = 64 * 1024 * 1024;
     /// Maximum replies to proposals that are cached for retransmitted requests.
     inline constexpr std::size_t maxCachedReplies = 4'096;
     /// Maximum estimated bytes of entries in one feed reply. At one reply every 500 ms a receiver stays under 1 Mbit/s.
@@ -60,8 +63,7 @@
 
 /// Options of a ledger process, except for MemberTiming.
 struct LedgerOptions {
-    /// Log entries between two snapshots. After each snapshot the log is compacted.
-    std::uint64_t snapshotInterval { limits::snapshotInterval };
+    SnapshotLimits snapshots { limits::snapshotInterval, limits::snapshotIntervalBytes };
 };
 
 /// Decision logic of a ledger process: the replicated log, the state machine, the coordinator while this member is the
@@ -160,7 +162,7 @@
     Term appliedTerm;
     /// Last log index included in the most recent takeEffects().
     LogIndex lastTakenIndex;
-    bool isSnapshotPending {};
+    SnapshotSchedule snapshotSchedule { this->options.snapshots };
     std::vector<OutboundMessage> replies;
     std::vector<AppliedEntry> appliedEntries;
     /// Delegations whose replies takeEffects() has not returned yet.
--- a/src/core/ledger/LedgerServiceInlines.h
+++ b/src/core/ledger/LedgerServiceInlines.h
@@ -204,8 +204,7 @@
     std::ranges::move(std::exchange(this->replies, {}), std::back_inserter(effects.immediate));
     std::ranges::move(std::exchange(this->queuedDelegations, {}), std::back_inserter(this->inFlightDelegations));
     const auto applied = this->ownership.appliedIndex();
-    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + this->options.snapshotInterval) {
-        this->isSnapshotPending = true;
+    if (this->snapshotSchedule.begin(this->member.firstIndex(), applied)) {
         const auto members = this->member.membersAt(applied);
         effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->ownership.snapshot()) };
     }
@@ -233,6 +232,7 @@
         }
         auto outcome = this->ownership.apply(entry.index, entry.command);
         this->appliedTerm = entry.term;
+        this->snapshotSchedule.recordApplied(entry.command);
         if (this->coordinatedTerm != Term {}) {
             this->coordinator.applied(now, entry, outcome, this->ownership);
         } else {
@@ -316,7 +316,7 @@
 template <RandomSource Random, PlacementPolicy Policy, SnapshotCodec Codec>
 void LedgerService<Random, Policy, Codec>::snapshotSaved(const LedgerSnapshot& snapshot)
 {
-    this->isSnapshotPending = false;
+    this->snapshotSchedule.recordSaved();
     this->member.compacted(snapshot);
 }
 
--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/ledger/Member.h"
+#include "core/ledger/SnapshotSchedule.h"
 #include "core/registry/HeldHeartbeats.h"
 #include "core/registry/JoinPlan.h"
 #include "core/registry/KeyCoordinator.h"
@@ -95,8 +96,8 @@
     MemberTiming election { .electionMinimum = std::chrono::milliseconds { 350 }, .electionMaximum = std::chrono::milliseconds { 600 } };
     KeyLeaseTiming leases;
     JoinLimits joins;
-    /// Number of log entries after which the state is written as a snapshot and the log is compacted.
-    std::uint64_t snapshotInterval { 2'048 };
+    /// When the state is written as a snapshot and the log is compacted. The bytes are a sixteenth of the memory of a member.
+    SnapshotLimits snapshots { 2'048, 16 * 1024 * 1024 };
 };
 
 /// All decisions of one registry member: the replicated log, the state applied from it, leases and key placement while
@@ -244,7 +245,7 @@
     Term coordinatedTerm;
     Term appliedTerm;
     LogIndex lastTakenIndex;
-    bool isSnapshotPending {};
+    SnapshotSchedule snapshotSchedule { this->options.snapshots };
     Instant lastLeaderMessageAt;
     /// Commit indexes of the leader in its last two messages. Empty before the first.
     std::optional<LogIndex> leaderCommit;
--- a/src/core/registry/RegistryServiceInlines.h
+++ b/src/core/registry/RegistryServiceInlines.h
@@ -405,8 +405,7 @@
     effects.afterPersist = std::exchange(effects.storage.afterPersist, {});
     std::ranges::move(std::exchange(this->outboundMessages, {}), std::back_inserter(effects.immediate));
     const auto applied = this->registry.appliedIndex();
-    if (!this->isSnapshotPending && applied.value >= this->member.firstIndex().value + this->options.snapshotInterval) {
-        this->isSnapshotPending = true;
+    if (this->snapshotSchedule.begin(this->member.firstIndex(), applied)) {
         const auto members = this->member.membersAt(applied);
         effects.snapshot = LedgerSnapshot { applied, this->appliedTerm, { members.begin(), members.end() }, this->codec.encode(this->registry.snapshot()) };
     }
@@ -434,6 +433,7 @@
         }
         const auto outcome = this->registry.apply(entry.index, entry.command);
         this->appliedTerm = entry.term;
+        this->snapshotSchedule.recordApplied(entry.command);
         this->recordUpdatedUpstreams(entry.command);
         this->completeProposal(now, entry, outcome);
         this->appliedCommands.push_back({ std::move(entry), outcome });
@@ -450,7 +450,7 @@
 template <RandomSource Random, RegistryCodec Codec>
 void RegistryService<Random, Codec>::snapshotSaved(const LedgerSnapshot& snapshot)
 {
-    this->isSnapshotPending = false;
+    this->snapshotSchedule.recordSaved();
     this->member.compacted(snapshot);
 }
 
--- a/tests/core/registry/RegistryServiceTest.cpp
+++ b/tests/core/registry/RegistryServiceTest.cpp
@@ -97,6 +97,33 @@
     CHECK(std::ranges::any_of(member.sent, [](const OutboundMessage& message) { return message == OutboundMessage { NodeId { 8 }, JoinRequest { NodeId { 1 }, DiskId { 1 } } }; }));
 }
 
+TEST_CASE("large changes are compacted long before their number requires it")
+{
+    // Guards against a log that outgrows the memory of its member, which then ends on each restart too.
+    SingleMember member;
+    member.advance(milliseconds { 1'000 });
+    std::size_t snapshots = 0;
+    for (std::uint64_t version = 1; version <= 60; ++version) {
+        auto item = serviceItem("k", false, version);
+        item.document = std::to_string(version) + std::string(500'000, 'x');
+        member.service.changeItems(member.now, ControlRequestId { version }, { { item }, {} });
+        for (int round = 0; round < 3; ++round) {
+            const auto effects = member.service.takeEffects(member.now);
+            member.service.persisted(member.now);
+            if (effects.snapshot) {
+                ++snapshots;
+                member.service.snapshotSaved(*effects.snapshot);
+            }
+        }
+    }
+    CHECK(snapshots >= 2);
+    CHECK(snapshots <= 6);
+    // 16 MB between two snapshots, and 8 MB that are retained for members that lag.
+    const auto& ledger = member.service.ledgerMember();
+    CHECK(ledger.lastIndex().value - ledger.firstIndex().value < 26);
+    CHECK(member.service.state().findItem(ItemKind::Service, "k")->item.version == 60);
+}
+
 TEST_CASE("a heartbeat for a sharded service that lists no keys does not end the lease of the present incarnation")
 {
     // Guards against a second holder: the keys of the earlier incarnation were assigned at once, while its lease ran.
--- a/tests/matrix/ClusterFaults.cpp
+++ b/tests/matrix/ClusterFaults.cpp
@@ -118,7 +118,7 @@
     if (const auto found = this->members.find(id); found != this->members.end()) {
         auto& member = found->second;
         member.isDiskFull = false;
-        member.service = std::make_unique<Ledger>(member.disk, MemberTiming {}, SeededRandom { this->random.below(1'000'000) }, BoundedLoadPlacement {}, acceptEveryBundle, OwnershipCodec {}, now, LedgerOptions { snapshotInterval });
+        member.service = std::make_unique<Ledger>(member.disk, MemberTiming {}, SeededRandom { this->random.below(1'000'000) }, BoundedLoadPlacement {}, acceptEveryBundle, OwnershipCodec {}, now, LedgerOptions { { snapshotInterval, limits::snapshotIntervalBytes } });
     } else if (const auto found = this->entries.find(id); found != this->entries.end()) {
         auto& entry = found->second;
         EntryIdentity identity { NodeId { id }, BootId { ++this->bootNumber * 1'000'000 }, entry.zone, RegionId { static_cast<std::uint16_t>(entry.zone.value <= 2 ? 1 : 2) }, {} };
