--- a/tests/adapters/http/MessageReaderTest.cpp
+++ b/tests/adapters/http/MessageReaderTest.cpp
@@ -54,10 +54,12 @@
     for (const std::string coding : { "xchunked", "identity", "gzip", "\"chunked\"", "chunked, identity", "gzip, chunked", "chunked, chunked", "" }) {
         INFO(coding);
         auto reader = requests();
-        std::string buffer = "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + inner;
+        std::string buffer = "POST /outer HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: ";
+        buffer.append(coding).append("\r\n\r\n").append(inner);
         CHECK(reader.read(buffer) == ReadProgress::Malformed);
         auto responseReader = responses();
-        buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+        buffer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+        buffer.append(coding).append("\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
         CHECK(responseReader.read(buffer) == ReadProgress::Malformed);
     }
     auto reader = requests();
