--- a/src/core/registry/RegistryService.h
+++ b/src/core/registry/RegistryService.h
@@ -112,7 +112,7 @@
     /// knows.
     RegistryService(MemberState state, std::vector<NodeId> seeds, Random random, Codec codec, Instant now, RegistryOptions options = {});
 
-    /// Replaces the seeds.
+    /// Replaces the seeds after a change of the settings.
     void setSeeds(std::span<const NodeId> newSeeds) { this->seeds.assign(newSeeds.begin(), newSeeds.end()); }
 
     /// Advances timers and makes due decisions. Called periodically.
